Route with retries and admit work by class, share and deadline

The carrier queued work first come, first served, did not bound connections and did not ask replicas for a confirmation; the entry retried every refusal up to four times without a budget.

The carrier now keeps a queue per server with deficit round robin over callers, a slot reserved for short work, a statement history, admission by the estimated wait, pinned transactions and confirmation by replicas. The entry parks requests while a database has no primary, follows redirects, and bounds retries by a budget.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -1,29 +1,81 @@
 package loomcore
 
 import (
+	"strings"
 	"time"
 
 	"currantloom.example/currantloom"
 )
 
+const (
+	// replicaWait is how long a read waits for a replica to become eligible before it goes to the primary.
+	replicaWait = 50 * time.Millisecond
+	// unreachableFailures is the number of failed polls in a row after which a server gets no new work.
+	unreachableFailures = 2
+	// primaryHeard is how recently a replica must have heard from the primary to prove that it is alive. Replicas
+	// suspect a primary after 700 ms.
+	primaryHeard = 700 * time.Millisecond
+)
+
 // carrier holds the work at the servers that this node carries.
 type carrier struct {
-	works  map[currantloom.RequestKey]*work
-	queues map[currantloom.ServerName]*queue
+	works   map[currantloom.RequestKey]*work
+	queues  map[currantloom.ServerName]*queue
+	ordered []*queue
+	// pending holds reads that wait for a replica to become eligible, in the order of arrival.
+	pending []*work
+	// confirming holds work that waits for replicas to confirm its mark, in the order of the server's answers.
+	confirming   []*work
+	transactions transactions
+	history      history
 }
 
+type workState uint8
+
+const (
+	// workPending: a read waits for a report that makes the replica eligible.
+	workPending workState = iota
+	// workWaiting: in the queue.
+	workWaiting
+	// workRunning: the server runs it.
+	workRunning
+	// workConfirming: the server answered; replicas are asked to confirm the mark.
+	workConfirming
+	// workAcknowledged: the withheld completion passed; the run has not ended yet.
+	workAcknowledged
+	// workRejected: the withheld completion was rejected; the run has not ended yet.
+	workRejected
+)
+
 // work is one request at its carrier.
 type work struct {
 	header   currantloom.RequestHeader
+	state    workState
 	deadline time.Duration
-	pinned   bool
-	running  bool
+	// startBy is the latest time at which the work can start and still end before its deadline.
+	startBy      time.Duration
+	pinned       bool
+	transaction  currantloom.RequestKey
+	class        currantloom.Class
+	reclassified bool
+	statement    statementKey
+	// cost is the expected run time.
+	cost         time.Duration
+	startedAt    time.Duration
+	pendingUntil time.Duration
+	cancelled    bool
+	answer       currantloom.WorkResult
+	confirmation confirmation
+	// proven says that a majority holds the mark of the answer at the newest known term.
+	proven bool
 }
 
-// queue admits the work of one server.
-type queue struct {
-	waiting []*work
-	running int
+// writes reports whether the work may write.
+func (w *work) writes() bool { return w.header.Kind == currantloom.Write }
+
+// acceptsAge reports whether the work is a read that a replica may serve.
+func (w *work) acceptsAge() bool {
+	return w.header.Kind == currantloom.Read && w.header.Token.Known() && w.header.MaxAge > 0
 }
 
 func (s *State) workArrived(e WorkArrived) {
@@ -32,139 +84,292 @@
 		c.works = make(map[currantloom.RequestKey]*work)
 		c.queues = make(map[currantloom.ServerName]*queue)
 	}
-	w := &work{header: e.Header, deadline: s.now + e.Header.Remaining, pinned: e.Pinned}
+	w := &work{
+		header: e.Header, deadline: s.now + e.Header.Remaining, pinned: e.Pinned, transaction: e.Transaction,
+	}
+	if _, ok := c.works[e.Header.Key]; ok {
+		s.emitReject(w, currantloom.NotRun, currantloom.CodeCannotConnectNow, "an earlier attempt has not ended", 0)
+		return
+	}
 	c.works[e.Header.Key] = w
 	g, ok := s.servers[e.Header.Server]
 	if !ok {
 		s.reject(w, currantloom.CodeCannotConnectNow, "unknown server", 0)
 		return
 	}
-	if !s.eligible(g, w) {
-		s.reject(w, currantloom.CodeCannotConnectNow, "server may not serve the request", 0)
+	s.classify(w)
+	w.startBy = w.deadline - min(w.cost, e.Header.Remaining/2)
+	q := s.queueOf(g, e.Header.Server)
+	switch {
+	case e.Header.Remaining <= 0:
+		s.refuseLate(q, w)
+	case e.Pinned:
+		s.continueTransaction(q, w)
+	case s.stop.requested:
+		s.reject(w, currantloom.CodeShuttingDown, "carrier is shutting down", 0)
+	default:
+		s.placeWork(q, w)
+	}
+}
+
+// placeWork puts work outside a transaction into the queue, once the server may serve it.
+func (s *State) placeWork(q *queue, w *work) {
+	code, reason := s.obstacle(q, w)
+	if reason != "" {
+		s.reject(w, code, reason, 0)
 		return
 	}
-	q := c.queues[e.Header.Server]
-	if q == nil {
-		q = &queue{}
-		c.queues[e.Header.Server] = q
+	if !w.acceptsAge() || q.group.primary == q.server {
+		s.enqueue(q, w)
+		return
+	}
+	switch s.readEligibility(q.group, q.server, w.header.Token, w.header.MaxAge) {
+	case eligible:
+		s.enqueue(q, w)
+	case pending:
+		w.state = workPending
+		w.pendingUntil = min(s.now+replicaWait, w.deadline)
+		s.carrier.pending = append(s.carrier.pending, w)
+	default:
+		s.reject(w, currantloom.CodeCannotConnectNow, "replica does not cover the read", 0)
 	}
-	q.waiting = append(q.waiting, w)
-	s.admit(g, q)
 }
 
-// eligible reports whether the server may run the work.
-func (s *State) eligible(g *group, w *work) bool {
-	if w.pinned {
-		return true
+// obstacle returns why the server gets no new work of this kind; the reason is empty if it does. A leaving primary
+// still gets work until the planned change holds it.
+func (s *State) obstacle(q *queue, w *work) (code currantloom.SQLState, reason string) {
+	g := q.group
+	isPrimary := g.primary == q.server
+	switch {
+	case !isPrimary && s.isLeaving(q.server):
+		return currantloom.CodeCannotConnectNow, "server is leaving"
+	case !isPrimary && !w.acceptsAge():
+		return currantloom.CodeCannotConnectNow, "server is not the primary"
+	case !g.unreachable(q.server):
+		return "", ""
+	case isPrimary && !s.primaryAlive(g):
+		return currantloom.CodeCannotConnectNow, "no primary"
+	default:
+		return currantloom.CodeConnectionFailure, "carrier cannot reach the server"
 	}
-	if w.header.Kind == currantloom.Write || !w.header.Token.Known() || w.header.MaxAge == 0 {
-		return g.primary == w.header.Server
+}
+
+// unreachable reports whether this node's polls of the server fail.
+func (g *group) unreachable(server currantloom.ServerName) bool {
+	v := g.members[server]
+	return v != nil && v.failures >= unreachableFailures
+}
+
+// primaryAlive reports whether a replica has heard from the primary lately, by a recent report.
+func (s *State) primaryAlive(g *group) bool {
+	for _, server := range g.database.Servers() {
+		v := g.members[server.Name()]
+		if server.Name() == g.primary || !v.known || v.failures > 0 {
+			continue
+		}
+		if s.now-v.reportedAt+v.status.PrimarySilence < primaryHeard {
+			return true
+		}
 	}
-	if g.primary == w.header.Server {
-		return true
+	return false
+}
+
+// stillEligible repeats the decision on placement right before the work starts, since it may have waited for long. It
+// rejects work that the server may no longer serve.
+func (s *State) stillEligible(q *queue, w *work) bool {
+	code, reason := s.obstacle(q, w)
+	if reason == "" && w.acceptsAge() && q.group.primary != q.server &&
+		s.readEligibility(q.group, q.server, w.header.Token, w.header.MaxAge) != eligible {
+		code, reason = currantloom.CodeCannotConnectNow, "replica no longer covers the read"
 	}
-	switch s.readEligibility(g, w.header.Server, w.header.Token, w.header.MaxAge) {
-	case eligible:
-		return true
-	case pending, ineligible:
-		return false
+	if reason != "" {
+		s.reject(w, code, reason, 0)
 	}
-	return false
+	return reason == ""
+}
+
+// reviewQueue rejects waiting work that the server may no longer serve, because the primary changed or a server is
+// leaving, and starts what can start.
+func (s *State) reviewQueue(q *queue) {
+	for _, sh := range []*share{&q.long, &q.short} {
+		sh.each(func(w *work) {
+			if code, reason := s.obstacle(q, w); reason != "" && !w.pinned {
+				s.reject(w, code, reason, 0)
+			}
+		})
+	}
+	s.admit(q)
 }
 
-// admit starts waiting work while slots are free.
-func (s *State) admit(g *group, q *queue) {
-	for len(q.waiting) > 0 && q.running < g.database.Slots() && !g.holdsWrites() {
-		w := q.waiting[0]
-		q.waiting = q.waiting[1:]
-		q.running++
-		w.running = true
-		s.emit(s.runOf(g, w))
+// reviewCarrier applies what an event of another part changed for waiting work.
+func (s *State) reviewCarrier() {
+	s.reviewPending()
+	for _, q := range s.carrier.ordered {
+		s.reviewQueue(q)
+	}
+}
+
+// reviewPending decides again on reads that wait for a replica.
+func (s *State) reviewPending() {
+	c := &s.carrier
+	waiting := c.pending
+	c.pending = nil
+	for _, w := range waiting {
+		if w.state != workPending || c.works[w.header.Key] != w {
+			continue
+		}
+		q := c.queues[w.header.Server]
+		answer := s.readEligibility(q.group, q.server, w.header.Token, w.header.MaxAge)
+		_, reason := s.obstacle(q, w)
+		switch {
+		case reason == "" && answer == eligible:
+			s.enqueue(q, w)
+		case reason == "" && answer == pending && s.now < w.pendingUntil:
+			c.pending = append(c.pending, w)
+		default:
+			s.reject(w, currantloom.CodeCannotConnectNow, "replica does not cover the read in time", 0)
+		}
 	}
 }
 
 func (s *State) runOf(g *group, w *work) Run {
 	h := w.header
 	read := h.Kind == currantloom.Read
-	confirm := read && !w.pinned && h.Server == g.primary && (!h.Token.Known() || h.MaxAge == 0)
+	confirm := w.confirmsTerm(g)
 	return Run{
 		Key: h.Key, Server: h.Server, ReadOnly: read, ConfirmTerm: confirm,
 		WithholdCompletion: !read || confirm, Limit: w.deadline - s.now,
 	}
 }
 
-func (s *State) workAnswered(e WorkAnswered) {
-	w, ok := s.carrier.works[e.Key]
-	if !ok {
-		return
-	}
-	g := s.servers[w.header.Server]
-	if !e.Result.Wrote && !s.confirmsRead(g, w) {
-		s.emit(Acknowledge{Key: e.Key})
-		return
+// confirmsTerm reports whether the server has to prove that it is still the primary after it has run the work: for a
+// read that accepts no age, and for the end of a transaction, which may have read only.
+func (w *work) confirmsTerm(g *group) bool {
+	if g.primary != w.header.Server {
+		return false
 	}
-	if e.Result.Term >= g.term && e.Result.Confirmed >= g.database.Majority() {
-		s.emit(Acknowledge{Key: e.Key})
-		return
+	if w.pinned {
+		return endsTransaction(w.header.Statement)
 	}
-	s.emit(Reject{Key: e.Key, Trailer: s.trailer(g, currantloom.Trailer{
-		Verdict: currantloom.MayHaveRun, Code: currantloom.CodeOutcomeUnknown, Reason: "not confirmed by a majority",
-	})})
+	return w.header.Kind == currantloom.Read && !w.acceptsAge()
 }
 
-func (s *State) confirmsRead(g *group, w *work) bool { return s.runOf(g, w).ConfirmTerm }
-
-func (s *State) markConfirmed(MarkConfirmed) {}
+// endsTransaction reports whether the statement commits a transaction.
+func endsTransaction(statement string) bool {
+	fields := strings.Fields(strings.TrimRight(statement, "; \t\r\n"))
+	return len(fields) > 0 && (strings.EqualFold(fields[0], "commit") || strings.EqualFold(fields[0], "end"))
+}
 
 func (s *State) workFinished(e WorkFinished) {
 	w, ok := s.carrier.works[e.Key]
-	if !ok {
+	if !ok || w.state < workRunning {
 		return
 	}
 	delete(s.carrier.works, e.Key)
-	g := s.servers[w.header.Server]
 	q := s.carrier.queues[w.header.Server]
-	q.running--
+	q.releaseSlot(w)
+	s.endRun(q, w, e.Result)
+	s.noteFailure(q, e.Result)
+	if w.state != workRejected {
+		s.emit(Complete{Key: e.Key, Trailer: s.completion(q, w, e.Result)})
+	}
+	s.admit(q)
+}
+
+// endRun settles what the work cost and what becomes of its connection.
+func (s *State) endRun(q *queue, w *work, r currantloom.WorkResult) {
+	if w.state == workRunning && r.Verdict != currantloom.NotRun {
+		s.observe(q, w)
+	}
+	open := r.Transaction == currantloom.TransactionOpen || r.Transaction == currantloom.TransactionFailed
+	if w.pinned {
+		s.transactionIdle(w.transaction, r.Transaction)
+		return
+	}
+	if w.header.Begins {
+		q.beginning--
+	}
+	if open {
+		s.openTransaction(q, w, r.Transaction)
+		return
+	}
+	q.releaseConnection(w.header.Caller)
+}
+
+// observe records the run time of work that the server has answered.
+func (s *State) observe(q *queue, w *work) {
+	took := s.now - w.startedAt
+	s.carrier.history.observe(w.statement, took)
+	q.share(w.class).settle(w.header.Caller, took-w.cost)
+}
+
+// noteFailure records what a run's failure says about the server.
+func (s *State) noteFailure(q *queue, r currantloom.WorkResult) {
+	switch {
+	case r.Err == nil:
+	case r.Code == currantloom.CodeTooManyConnections && r.Verdict == currantloom.NotRun:
+		q.connectionRefused(s.now)
+	case r.Code == currantloom.CodeConnectionFailure:
+		q.group.members[q.server].failures++
+	}
+}
+
+// completion returns the trailer of work that ran. A write that was not acknowledged must not be reported as run.
+func (s *State) completion(q *queue, w *work, r currantloom.WorkResult) currantloom.Trailer {
 	t := currantloom.Trailer{
-		Verdict: e.Result.Verdict, Code: e.Result.Code, Started: e.Result.Started, Transaction: e.Result.Transaction,
-		Answered: e.Result.Err == nil,
+		Verdict: r.Verdict, Code: r.Code, Started: r.Started, Transaction: r.Transaction, Answered: r.Err == nil,
 	}
-	if e.Result.Err != nil {
-		t.Reason = e.Result.Err.Error()
+	if r.Err != nil {
+		t.Reason = r.Err.Error()
 	}
-	if e.Result.Wrote || !w.header.Token.Known() && e.Result.Err == nil {
-		t.Token = w.header.Token.Raise(w.header.Database, e.Result.Mark)
+	if r.Wrote && w.state != workAcknowledged {
+		t.Verdict, t.Code, t.Answered = currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown, false
+		t.Reason = "not acknowledged"
 	}
-	s.emit(Complete{Key: e.Key, Trailer: s.trailer(g, t)})
-	s.admit(g, q)
+	if w.proven && t.Answered {
+		t.Token = w.header.Token.Raise(w.header.Database, w.answer.Mark)
+	}
+	return s.trailer(q.group, t)
 }
 
 func (s *State) workCancelled(e WorkCancelled) {
 	w, ok := s.carrier.works[e.Key]
-	if !ok {
+	if !ok || w.cancelled {
 		return
 	}
-	if w.running {
+	switch w.state {
+	case workPending, workWaiting:
+		s.reject(w, currantloom.CodeQueryCanceled, "cancelled before it ran", 0)
+	case workRunning:
+		w.cancelled = true
 		s.emit(CancelWork{Key: e.Key})
-		return
+	default:
+		// The server has answered; there is nothing left to cancel.
 	}
-	s.reject(w, currantloom.CodeQueryCanceled, "cancelled while queued", 0)
 }
 
-func (s *State) transactionEnded(TransactionEnded) {}
-
+// reject ends work that has not started.
 func (s *State) reject(w *work, code currantloom.SQLState, reason string, retryAfter time.Duration) {
 	delete(s.carrier.works, w.header.Key)
-	if q := s.carrier.queues[w.header.Server]; q != nil {
-		for i, other := range q.waiting {
-			if other == w {
-				q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-				break
-			}
-		}
+	if w.state == workWaiting {
+		s.carrier.queues[w.header.Server].share(w.class).remove(w)
+	}
+	if w.pinned {
+		s.transactionIdle(w.transaction, 0)
+	}
+	s.emitReject(w, currantloom.NotRun, code, reason, retryAfter)
+}
+
+func (s *State) emitReject(
+	w *work, verdict currantloom.Verdict, code currantloom.SQLState, reason string, retryAfter time.Duration,
+) {
+	h := w.header
+	s.emit(Decision{Event: "reject", Key: h.Key, Caller: h.Caller, Server: h.Server, VM: s.self, Reason: reason})
+	t := currantloom.Trailer{Verdict: verdict, Code: code, Reason: reason, RetryAfter: retryAfter}
+	if w.pinned && s.carrier.transactions.holds(w.transaction) {
+		t.Transaction = s.carrier.transactions.statusOf(w.transaction)
 	}
-	t := currantloom.Trailer{Verdict: currantloom.NotRun, Code: code, Reason: reason, RetryAfter: retryAfter}
-	s.emit(Reject{Key: w.header.Key, Trailer: s.trailer(s.servers[w.header.Server], t)})
+	s.emit(Reject{Key: h.Key, Trailer: s.trailer(s.servers[h.Server], t)})
 }
 
 // trailer adds what this node knows of the group.
@@ -175,10 +380,17 @@
 	return t
 }
 
+// tickCarrier acts on the passing of time.
 func (s *State) tickCarrier() {
-	for _, w := range s.carrier.works {
-		if !w.running && s.now >= w.deadline {
-			s.reject(w, currantloom.CodeTooManyConnections, "deadline passed in the queue", time.Second)
-		}
+	s.tickConfirming()
+	s.tickTransactions()
+	s.reviewPending()
+	for _, q := range s.carrier.ordered {
+		s.tickQueue(q)
 	}
 }
+
+// carrierIdle reports whether no work and no transaction is left.
+func (s *State) carrierIdle() bool {
+	return len(s.carrier.works) == 0 && len(s.carrier.transactions.open) == 0
+}
--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -97,7 +97,8 @@
 	}
 	// Acknowledge lets the withheld completion pass.
 	Acknowledge struct{ Key currantloom.RequestKey }
-	// Reject ends work that has not started, or whose withheld completion must not pass.
+	// Reject ends work that has not started, or whose withheld completion must not pass. In the second case no Complete
+	// follows, and WorkFinished still has to report the end of the run.
 	Reject struct {
 		Key     currantloom.RequestKey
 		Trailer currantloom.Trailer
@@ -114,25 +115,33 @@
 	}
 	// CancelWork cancels work that runs.
 	CancelWork struct{ Key currantloom.RequestKey }
+	// CloseConnection closes the connection that an idle transaction holds. Later requests on its link must not run;
+	// TransactionEnded reports that the connection is closed.
+	CloseConnection struct {
+		Transaction currantloom.RequestKey
+		Code        currantloom.SQLState
+		Reason      string
+	}
 )
 
-func (SpreadRules) effect()   {}
-func (PullRules) effect()     {}
-func (WatchRules) effect()    {}
-func (SetReady) effect()      {}
-func (CloseSessions) effect() {}
-func (Stopped) effect()       {}
-func (Decision) effect()      {}
-func (PollStatus) effect()    {}
-func (RaiseTerm) effect()     {}
-func (Lead) effect()          {}
-func (Follow) effect()        {}
-func (Forward) effect()       {}
-func (Answer) effect()        {}
-func (CancelForward) effect() {}
-func (Run) effect()           {}
-func (Acknowledge) effect()   {}
-func (Reject) effect()        {}
-func (Complete) effect()      {}
-func (ConfirmMark) effect()   {}
-func (CancelWork) effect()    {}
+func (SpreadRules) effect()     {}
+func (PullRules) effect()       {}
+func (WatchRules) effect()      {}
+func (SetReady) effect()        {}
+func (CloseSessions) effect()   {}
+func (Stopped) effect()         {}
+func (Decision) effect()        {}
+func (PollStatus) effect()      {}
+func (RaiseTerm) effect()       {}
+func (Lead) effect()            {}
+func (Follow) effect()          {}
+func (Forward) effect()         {}
+func (Answer) effect()          {}
+func (CancelForward) effect()   {}
+func (Run) effect()             {}
+func (Acknowledge) effect()     {}
+func (Reject) effect()          {}
+func (Complete) effect()        {}
+func (ConfirmMark) effect()     {}
+func (CancelWork) effect()      {}
+func (CloseConnection) effect() {}
--- /dev/null
+++ b/loomcore/queue.go
@@ -0,0 +1,256 @@
+package loomcore
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// controlConnections of each server's limit are kept for control, because the carriers of the three servers of a
+	// database poll all three.
+	controlConnections = 4
+	// minRetryAfter is the least time after which a refused request shall be retried.
+	minRetryAfter = 100 * time.Millisecond
+	// allowanceStep is the time after which one more connection is tried after the server refused some.
+	allowanceStep = time.Second
+)
+
+// queue admits the work of one server: it decides which waiting work starts and when.
+type queue struct {
+	server currantloom.ServerName
+	group  *group
+	short  share
+	long   share
+	// running holds the work that occupies a slot, in the order of start.
+	running []*work
+	// held counts the connections in use, byCaller those of each caller.
+	held     int
+	byCaller map[currantloom.CallerName]int
+	// pinned counts the open transactions, beginning the running work that is about to open one.
+	pinned    int
+	beginning int
+	// refusedAt is when the server last refused a connection, while others held allowance connections.
+	refused   bool
+	refusedAt time.Duration
+	allowance int
+}
+
+// queueOf returns the queue of a server of the group, made on first use.
+func (s *State) queueOf(g *group, server currantloom.ServerName) *queue {
+	c := &s.carrier
+	if q, ok := c.queues[server]; ok {
+		return q
+	}
+	q := &queue{server: server, group: g, byCaller: make(map[currantloom.CallerName]int)}
+	c.queues[server] = q
+	c.ordered = append(c.ordered, q)
+	return q
+}
+
+func (q *queue) share(class currantloom.Class) *share {
+	if class == currantloom.Long {
+		return &q.long
+	}
+	return &q.short
+}
+
+// longSlots is the number of slots that long work may take; one is reserved for short work.
+func (q *queue) longSlots() int { return max(1, q.group.database.Slots()-1) }
+
+// longRunning counts the running long work, and says whether some of it started as short work.
+func (q *queue) longRunning() (count int, reclassified bool) {
+	for _, w := range q.running {
+		if w.class == currantloom.Long {
+			count++
+			reclassified = reclassified || w.reclassified
+		}
+	}
+	return count, reclassified
+}
+
+// shortSlots is the number of slots that short work may take now. One slot is opened in place of one that short work
+// has occupied for too long, or if the server's only slot runs long work.
+func (q *queue) shortSlots() int {
+	slots := q.group.database.Slots()
+	long, reclassified := q.longRunning()
+	if reclassified || slots == 1 && long > 0 {
+		slots++
+	}
+	return slots - long
+}
+
+// maxConnections is the number of connections that work may use.
+func (q *queue) maxConnections() int {
+	return max(1, q.group.database.Connections()-controlConnections)
+}
+
+// connectionsAllowed is maxConnections, or less after the server refused connections because another node holds some.
+func (q *queue) connectionsAllowed(now time.Duration) int {
+	if !q.refused {
+		return q.maxConnections()
+	}
+	return min(q.maxConnections(), q.allowance+int((now-q.refusedAt)/allowanceStep))
+}
+
+// connectionRefused records that the server refused a connection while the others were in use.
+func (q *queue) connectionRefused(now time.Duration) {
+	q.refused, q.refusedAt = true, now
+	q.allowance = max(1, q.held)
+}
+
+// canStart reports whether the work may start as far as connections and the group are concerned.
+func (s *State) canStart(q *queue, w *work) bool {
+	if w.pinned {
+		return true
+	}
+	h := w.header
+	if w.writes() && q.group.holdsWrites() {
+		return false
+	}
+	if q.held >= q.connectionsAllowed(s.now) {
+		return false
+	}
+	if limit := s.rules.rules.MaxConnections(h.Database, h.Caller); limit > 0 && q.byCaller[h.Caller] >= limit {
+		return false
+	}
+	return !h.Begins || q.pinned+q.beginning < max(1, q.maxConnections()/2)
+}
+
+// admit starts waiting work while slots are free.
+func (s *State) admit(q *queue) {
+	for {
+		w := s.nextWork(q)
+		if w == nil {
+			return
+		}
+		if s.now >= w.deadline {
+			s.refuseLate(q, w)
+			continue
+		}
+		if !w.pinned && !s.stillEligible(q, w) {
+			continue
+		}
+		s.start(q, w)
+	}
+}
+
+// nextWork takes the work that starts next out of the queue. Long work comes first in the slots it may take, since
+// short work keeps its own.
+func (s *State) nextWork(q *queue) *work {
+	can := func(w *work) bool { return s.canStart(q, w) }
+	long, _ := q.longRunning()
+	if long < q.longSlots() && len(q.running) < q.group.database.Slots() {
+		if w := q.long.next(can); w != nil {
+			return w
+		}
+	}
+	if len(q.running)-long < q.shortSlots() {
+		return q.short.next(can)
+	}
+	return nil
+}
+
+// start occupies a slot and, outside a transaction, a connection.
+func (s *State) start(q *queue, w *work) {
+	w.state = workRunning
+	w.startedAt = s.now
+	q.running = append(q.running, w)
+	if !w.pinned {
+		q.held++
+		q.byCaller[w.header.Caller]++
+		if w.header.Begins {
+			q.beginning++
+		}
+	}
+	s.emit(s.runOf(q.group, w))
+}
+
+// releaseSlot ends the work's use of a slot.
+func (q *queue) releaseSlot(w *work) {
+	for i, other := range q.running {
+		if other == w {
+			q.running = append(q.running[:i], q.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// releaseConnection ends a caller's use of a connection.
+func (q *queue) releaseConnection(caller currantloom.CallerName) {
+	q.held--
+	q.byCaller[caller]--
+	if q.byCaller[caller] == 0 {
+		delete(q.byCaller, caller)
+	}
+}
+
+// estimateWait returns how long new work of the caller is expected to wait. Under deficit round robin it waits for its
+// caller's earlier work at the caller's share of the slots, and at most for all waiting work of its class.
+func (s *State) estimateWait(q *queue, w *work) time.Duration {
+	sh := q.share(w.class)
+	lanes := q.longSlots()
+	if w.class == currantloom.Short {
+		lanes = max(1, q.shortSlots())
+	}
+	ahead := sh.total
+	if len(sh.accounts) > 0 {
+		weight := time.Duration(max(1, s.rules.rules.Weight(w.header.Database, w.header.Caller)))
+		all := time.Duration(sh.weights())
+		own := time.Duration(0)
+		if a := sh.account(w.header.Caller); a != nil {
+			own = a.total
+		} else {
+			all += weight
+		}
+		ahead = min(ahead, own*all/weight)
+	}
+	busy := 0
+	for _, r := range q.running {
+		if r.class == w.class {
+			busy++
+			ahead += max(0, r.cost-(s.now-r.startedAt))
+		}
+	}
+	if busy < lanes && len(sh.accounts) == 0 {
+		return 0
+	}
+	return ahead / time.Duration(lanes)
+}
+
+// enqueue puts work into the queue, or refuses it if it cannot start in time.
+func (s *State) enqueue(q *queue, w *work) {
+	wait := s.estimateWait(q, w)
+	if s.now+wait > w.startBy {
+		s.reject(w, currantloom.CodeTooManyConnections, "estimated wait exceeds the deadline",
+			max(minRetryAfter, s.now+wait-w.startBy))
+		return
+	}
+	w.state = workWaiting
+	q.share(w.class).add(w, s.rules.rules.Weight(w.header.Database, w.header.Caller))
+	s.admit(q)
+}
+
+// refuseLate refuses work that can no longer start in time.
+func (s *State) refuseLate(q *queue, w *work) {
+	wait := s.estimateWait(q, w)
+	s.reject(w, currantloom.CodeTooManyConnections, "deadline passed in the queue", max(minRetryAfter, wait))
+}
+
+// tickQueue counts short work that runs for too long as long, refuses work that is late and starts what can start.
+func (s *State) tickQueue(q *queue) {
+	for _, w := range q.running {
+		if w.class == currantloom.Short && s.now-w.startedAt > longThreshold {
+			w.class = currantloom.Long
+			w.reclassified = true
+		}
+	}
+	for _, sh := range []*share{&q.long, &q.short} {
+		sh.each(func(w *work) {
+			if s.now >= w.startBy {
+				s.refuseLate(q, w)
+			}
+		})
+	}
+	s.reviewQueue(q)
+}
--- a/loomcore/request.go
+++ b/loomcore/request.go
@@ -7,15 +7,28 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
-	maxAttempts = 4
-	// routeWait is how long a request without a route waits before the next try.
+	// routeWait is how long a request waits before the next attempt if nothing says that an immediate one helps.
 	routeWait = 50 * time.Millisecond
+	// finishMargin is the least time an attempt needs; a request that has less left is refused.
+	finishMargin = 50 * time.Millisecond
+	// retryAfterOutage is reported when no server is available; a failover takes a few seconds.
+	retryAfterOutage = time.Second
+	// cancelInterval is the time between two messages that cancel the same request. A message may overtake the request
+	// on its way to the carrier, which then ignores it.
+	cancelInterval = 500 * time.Millisecond
 )
 
 // requests holds the requests that entered at this node.
 type requests struct {
 	open map[currantloom.RequestKey]*request
+	// waiting holds the requests without an attempt under way, in the order in which they began to wait, and some that
+	// no longer wait.
+	waiting []*request
+	hints   map[currantloom.DatabaseName]*hint
+	passed  map[passedOver]time.Duration
+	budget  retryBudget
+	// cancelling holds forwarded requests that were cancelled.
+	cancelling []*request
 }
 
 // request is one request between its arrival and its answer.
@@ -23,113 +36,84 @@
 	request  currantloom.Request
 	class    currantloom.Class
 	deadline time.Duration
-	attempt  int
-	avoid    map[currantloom.VMName]bool
-	replicas map[currantloom.ServerName]bool
-	forward  bool
-	vm       currantloom.VMName
-	retryAt  time.Duration
+	// attempt numbers the attempts, retries counts those that repeat a failed one.
+	attempt int
+	retries int
+	avoid   map[currantloom.VMName]bool
+	// primaryOnly says that a replica could not serve the read.
+	primaryOnly bool
+	forward     bool
+	vm          currantloom.VMName
+	server      currantloom.ServerName
+	retryAt     time.Duration
+	parked      bool
+	parkedEpoch int
+	cancelled   bool
+	cancelAt    time.Duration
+	// mayHaveRun says that the outcome of an earlier attempt is unknown.
+	mayHaveRun bool
 }
 
 func (s *State) requestArrived(e RequestArrived) {
-	if s.requests.open == nil {
-		s.requests.open = make(map[currantloom.RequestKey]*request)
+	q := &s.requests
+	if q.open == nil {
+		q.open = make(map[currantloom.RequestKey]*request)
 	}
-	r := &request{
-		request:  e.Request,
-		avoid:    make(map[currantloom.VMName]bool),
-		replicas: make(map[currantloom.ServerName]bool),
+	if _, ok := q.open[e.Request.Key]; ok {
+		return
 	}
+	q.budget.earn(s.now)
+	r := &request{request: e.Request, avoid: make(map[currantloom.VMName]bool)}
 	r.class, _ = s.rules.rules.Class(e.Request.Database, e.Request.Statement)
 	limit := e.Request.Deadline
 	if limit == 0 {
 		limit = s.rules.rules.Deadline(e.Request.Database, e.Request.Caller, r.class)
 	}
 	r.deadline = s.now + limit
-	s.requests.open[e.Request.Key] = r
-	s.route(r)
-}
-
-// route sends the request to the carrier of the server that shall run it.
-func (s *State) route(r *request) {
-	g, ok := s.groups[r.request.Database]
-	if !ok {
+	q.open[e.Request.Key] = r
+	if _, ok := s.groups[e.Request.Database]; !ok {
 		s.refuse(r, currantloom.CodeInvalidParameter, "unknown database", 0)
 		return
 	}
-	server, reason := s.chooseServer(g, r)
-	vm, ok := s.carrierOf(server, r.avoid)
-	if !ok {
-		r.retryAt = s.now + routeWait
+	if e.Request.RequestID == "" && s.rules.rules.RequiresRequestID(e.Request.Database, e.Request.Statement) {
+		s.refuse(r, currantloom.CodeInvalidParameter, "a rule requires a request id for this statement", 0)
 		return
 	}
-	r.attempt++
-	r.forward = true
-	r.vm = vm
-	s.emit(Decision{
-		Event: "route", Key: r.request.Key, Caller: r.request.Caller, Server: server.Name(), VM: vm, Reason: reason,
-	})
-	s.emit(Forward{Attempt: r.attempt, VM: vm, Header: s.headerOf(r, server)})
-}
-
-func (s *State) headerOf(r *request, server currantloom.Server) currantloom.RequestHeader {
-	q := r.request
-	return currantloom.RequestHeader{
-		Key: q.Key, Server: server.Name(), Caller: q.Caller, Database: q.Database, Kind: q.Kind, Class: r.class,
-		Statement: q.Statement, Token: q.Token, MaxAge: s.acceptedAge(q), Remaining: r.deadline - s.now,
-		RequestID: q.RequestID, Begins: q.Begins,
-	}
-}
-
-func (s *State) acceptedAge(q currantloom.Request) time.Duration {
-	if q.MaxAge > 0 {
-		return q.MaxAge
-	}
-	return s.rules.rules.MaxAge(q.Database, q.Caller)
-}
-
-// chooseServer picks the server and says why.
-func (s *State) chooseServer(g *group, r *request) (currantloom.Server, string) {
-	servers := g.database.Servers()
-	if r.request.Kind == currantloom.Read && r.request.Token.Known() && s.acceptedAge(r.request) > 0 {
-		best := -1
-		for i, server := range servers {
-			if server.Name() == g.primary || r.replicas[server.Name()] {
-				continue
-			}
-			if best < 0 || s.place.Distance(server.Place()) < s.place.Distance(servers[best].Place()) {
-				best = i
-			}
-		}
-		if best >= 0 {
-			return servers[best], "replica accepts age"
-		}
-	}
-	for _, server := range servers {
-		if server.Name() == g.primary {
-			return server, "primary"
-		}
-	}
-	return servers[r.attempt%len(servers)], "primary unknown"
+	s.route(r)
 }
 
 func (s *State) forwardFinished(e ForwardFinished) {
 	r, ok := s.requests.open[e.Key]
-	if !ok || r.attempt != e.Attempt {
+	if !ok || !r.forward || r.attempt != e.Attempt {
 		return
 	}
 	r.forward = false
-	g := s.groups[r.request.Database]
-	g.learn(e.Trailer.Term, e.Trailer.Primary)
+	s.groups[r.request.Database].learn(e.Trailer.Term, e.Trailer.Primary)
 	t := e.Trailer
-	if t.Answered || t.Verdict != currantloom.NotRun || t.Started || r.attempt >= maxAttempts || s.now >= r.deadline {
-		s.finish(r, t)
-		return
-	}
 	if !e.Sent {
-		r.avoid[r.vm] = true
+		t.Verdict = currantloom.NotRun
+	}
+	if t.Verdict == currantloom.MayHaveRun {
+		r.mayHaveRun = true
 	}
+	s.noteOutcome(r, t)
+	switch s.nextStep(r, e.Sent, &t) {
+	case stepFinish:
+		s.finish(r, t)
+	case stepRoute:
+		s.route(r)
+	case stepWait:
+		s.wait(r)
+	case stepPark:
+		s.park(r)
+	}
+}
+
+// wait repeats the request after routeWait.
+func (s *State) wait(r *request) {
+	r.parked = false
 	r.retryAt = s.now + routeWait
+	s.requests.waiting = append(s.requests.waiting, r)
 }
 
 func (s *State) requestCancelled(e RequestCancelled) {
@@ -137,31 +121,82 @@
 	if !ok {
 		return
 	}
-	if r.forward {
-		s.emit(CancelForward{Key: e.Key, VM: r.vm})
+	if !r.forward {
+		s.refuse(r, currantloom.CodeQueryCanceled, "cancelled before it was sent", 0)
 		return
 	}
-	s.refuse(r, currantloom.CodeQueryCanceled, "cancelled before it was sent", 0)
+	if !r.cancelled {
+		r.cancelled = true
+		s.requests.cancelling = append(s.requests.cancelling, r)
+	}
+	s.cancelForward(r)
+}
+
+func (s *State) cancelForward(r *request) {
+	r.cancelAt = s.now + cancelInterval
+	s.emit(CancelForward{Key: r.request.Key, VM: r.vm})
 }
 
 func (s *State) refuse(r *request, code currantloom.SQLState, reason string, retryAfter time.Duration) {
 	s.finish(r, currantloom.Trailer{Verdict: currantloom.NotRun, Code: code, Reason: reason, RetryAfter: retryAfter})
 }
 
+// finish answers the request. A request of which an earlier attempt may have run is not reported as not run.
 func (s *State) finish(r *request, t currantloom.Trailer) {
 	delete(s.requests.open, r.request.Key)
+	if r.mayHaveRun && t.Verdict == currantloom.NotRun {
+		t.Verdict = currantloom.MayHaveRun
+	}
+	if t.Verdict == currantloom.MayHaveRun && !t.Answered {
+		t.Code = currantloom.CodeOutcomeUnknown
+	}
+	s.emit(Decision{
+		Event: "answer", Key: r.request.Key, Caller: r.request.Caller, Server: r.server, VM: r.vm,
+		Reason: t.Verdict.String() + " " + t.Reason,
+	})
 	s.emit(Answer{Key: r.request.Key, Trailer: t})
 }
 
-// tickRequests routes waiting requests again and refuses those whose deadline has passed.
+// isOpen reports whether the request has not been answered.
+func (s *State) isOpen(r *request) bool { return s.requests.open[r.request.Key] == r }
+
+// tickRequests routes waiting requests again, refuses those whose deadline has come, and repeats cancellations.
 func (s *State) tickRequests() {
-	for _, r := range s.requests.open {
+	s.reviewRequests()
+	q := &s.requests
+	for key, until := range q.passed {
+		if until <= s.now {
+			delete(q.passed, key)
+		}
+	}
+	cancelling := q.cancelling
+	q.cancelling = nil
+	for _, r := range cancelling {
+		if !s.isOpen(r) {
+			continue
+		}
+		q.cancelling = append(q.cancelling, r)
+		if s.now >= r.cancelAt {
+			s.cancelForward(r)
+		}
+	}
+}
+
+// reviewRequests routes the waiting requests whose time has come.
+func (s *State) reviewRequests() {
+	waiting := s.requests.waiting
+	s.requests.waiting = nil
+	for _, r := range waiting {
 		switch {
-		case r.forward:
-		case s.now >= r.deadline:
-			s.refuse(r, currantloom.CodeCannotConnectNow, "no server available before the deadline", time.Second)
+		case !s.isOpen(r) || r.forward:
+		case s.now+finishMargin >= r.deadline:
+			s.refuse(r, currantloom.CodeCannotConnectNow, "no server available before the deadline", retryAfterOutage)
+		case r.parked:
+			s.reviewParked(r)
 		case s.now >= r.retryAt:
 			s.route(r)
+		default:
+			s.requests.waiting = append(s.requests.waiting, r)
 		}
 	}
 }
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -56,6 +56,7 @@
 	s.random = stamp.Random
 	s.effects = s.effects[:0]
 	s.apply(e)
+	s.review(e)
 	return s.effects
 }
 
@@ -103,6 +104,15 @@
 	}
 }
 
+// review lets waiting work and requests act on what the event changed for the groups or the VMs.
+func (s *State) review(e Event) {
+	switch e.(type) {
+	case StatusReceived, StatusFailed, TermAnswered, LeadAnswered, RulesReceived, VMsReceived:
+		s.reviewCarrier()
+		s.reviewRequests()
+	}
+}
+
 // tick lets every part act on the passing of time.
 func (s *State) tick() {
 	s.tickGroups()
--- a/loomcore/stop.go
+++ b/loomcore/stop.go
@@ -16,7 +16,7 @@
 }
 
 func (s *State) tickStop() {
-	if !s.stop.requested || s.stop.stopped || len(s.requests.open) > 0 || len(s.carrier.works) > 0 {
+	if !s.stop.requested || s.stop.stopped || len(s.requests.open) > 0 || !s.carrierIdle() {
 		return
 	}
 	s.stop.stopped = true
