--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -7,15 +7,8 @@
 	"currantloom.example/currantloom"
 )
 
-const (
-	// replicaWait is how long a read waits for a replica to become eligible before it goes to the primary.
-	replicaWait = 50 * time.Millisecond
-	// unreachableFailures is the number of failed polls in a row after which a server gets no new work.
-	unreachableFailures = 2
-	// primaryHeard is how recently a replica must have heard from the primary to prove that it is alive. Replicas
-	// suspect a primary after 700 ms.
-	primaryHeard = 700 * time.Millisecond
-)
+// replicaWait is how long a read waits for a replica to become eligible before it goes to the primary.
+const replicaWait = 50 * time.Millisecond
 
 // carrier holds the work at the servers that this node carries.
 type carrier struct {
@@ -53,8 +46,10 @@
 	state    workState
 	deadline time.Duration
 	// startBy is the latest time at which the work can start and still end before its deadline.
-	startBy      time.Duration
-	pinned       bool
+	startBy time.Duration
+	pinned  bool
+	// running says that the work occupies a slot.
+	running      bool
 	transaction  currantloom.RequestKey
 	class        currantloom.Class
 	reclassified bool
@@ -154,26 +149,6 @@
 	}
 }
 
-// unreachable reports whether this node's polls of the server fail.
-func (g *group) unreachable(server currantloom.ServerName) bool {
-	v := g.members[server]
-	return v != nil && v.failures >= unreachableFailures
-}
-
-// primaryAlive reports whether a replica has heard from the primary lately, by a recent report.
-func (s *State) primaryAlive(g *group) bool {
-	for _, server := range g.database.Servers() {
-		v := g.members[server.Name()]
-		if server.Name() == g.primary || !v.known || v.failures > 0 {
-			continue
-		}
-		if s.now-v.reportedAt+v.status.PrimarySilence < primaryHeard {
-			return true
-		}
-	}
-	return false
-}
-
 // stillEligible repeats the decision on placement right before the work starts, since it may have waited for long. It
 // rejects work that the server may no longer serve.
 func (s *State) stillEligible(q *queue, w *work) bool {
@@ -198,7 +173,7 @@
 			}
 		})
 	}
-	s.admit(q)
+	s.admit(q.group, q)
 }
 
 // reviewCarrier applies what an event of another part changed for waiting work.
@@ -273,7 +248,7 @@
 	if w.state != workRejected {
 		s.emit(Complete{Key: e.Key, Trailer: s.completion(q, w, e.Result)})
 	}
-	s.admit(q)
+	s.admit(q.group, q)
 }
 
 // endRun settles what the work cost and what becomes of its connection.
@@ -303,17 +278,6 @@
 	q.share(w.class).settle(w.header.Caller, took-w.cost)
 }
 
-// noteFailure records what a run's failure says about the server.
-func (s *State) noteFailure(q *queue, r currantloom.WorkResult) {
-	switch {
-	case r.Err == nil:
-	case r.Code == currantloom.CodeTooManyConnections && r.Verdict == currantloom.NotRun:
-		q.connectionRefused(s.now)
-	case r.Code == currantloom.CodeConnectionFailure:
-		q.group.members[q.server].failures++
-	}
-}
-
 // completion returns the trailer of work that ran. A write that was not acknowledged must not be reported as run.
 func (s *State) completion(q *queue, w *work, r currantloom.WorkResult) currantloom.Trailer {
 	t := currantloom.Trailer{
--- a/loomcore/confirm.go
+++ b/loomcore/confirm.go
@@ -87,7 +87,7 @@
 	q.releaseSlot(w)
 	s.carrier.confirming = append(s.carrier.confirming, w)
 	s.ask(w)
-	s.admit(q)
+	s.admit(q.group, q)
 }
 
 // ask sends the questions that are due.
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -100,12 +100,12 @@
 }
 
 // canStart reports whether the work may start as far as connections and the group are concerned.
-func (s *State) canStart(q *queue, w *work) bool {
+func (s *State) canStart(g *group, q *queue, w *work) bool {
 	if w.pinned {
 		return true
 	}
 	h := w.header
-	if w.writes() && q.group.holdsWrites() {
+	if w.writes() && g.holdsWrites() {
 		return false
 	}
 	if q.held >= q.connectionsAllowed(s.now) {
@@ -118,9 +118,9 @@
 }
 
 // admit starts waiting work while slots are free.
-func (s *State) admit(q *queue) {
+func (s *State) admit(g *group, q *queue) {
 	for {
-		w := s.nextWork(q)
+		w := s.nextWork(g, q)
 		if w == nil {
 			return
 		}
@@ -137,10 +137,10 @@
 
 // nextWork takes the work that starts next out of the queue. Long work comes first in the slots it may take, since
 // short work keeps its own.
-func (s *State) nextWork(q *queue) *work {
-	can := func(w *work) bool { return s.canStart(q, w) }
+func (s *State) nextWork(g *group, q *queue) *work {
+	can := func(w *work) bool { return s.canStart(g, q, w) }
 	long, _ := q.longRunning()
-	if long < q.longSlots() && len(q.running) < q.group.database.Slots() {
+	if long < q.longSlots() && len(q.running) < g.database.Slots() {
 		if w := q.long.next(can); w != nil {
 			return w
 		}
@@ -154,6 +154,7 @@
 // start occupies a slot and, outside a transaction, a connection.
 func (s *State) start(q *queue, w *work) {
 	w.state = workRunning
+	w.running = true
 	w.startedAt = s.now
 	q.running = append(q.running, w)
 	if !w.pinned {
@@ -168,6 +169,7 @@
 
 // releaseSlot ends the work's use of a slot.
 func (q *queue) releaseSlot(w *work) {
+	w.running = false
 	for i, other := range q.running {
 		if other == w {
 			q.running = append(q.running[:i], q.running[i+1:]...)
@@ -228,7 +230,7 @@
 	}
 	w.state = workWaiting
 	q.share(w.class).add(w, s.rules.rules.Weight(w.header.Database, w.header.Caller))
-	s.admit(q)
+	s.admit(q.group, q)
 }
 
 // refuseLate refuses work that can no longer start in time.
--- a/loomcore/transaction.go
+++ b/loomcore/transaction.go
@@ -94,7 +94,7 @@
 	}
 	x.queue.pinned--
 	x.queue.releaseConnection(x.caller)
-	s.admit(x.queue)
+	s.admit(x.queue.group, x.queue)
 }
 
 // tickTransactions closes the connections of transactions that were idle for too long.
