--- a/loomrules/rules.go
+++ b/loomrules/rules.go
@@ -2,6 +2,10 @@
 //
 // A file holds one rule per line, each with a comment that names who asked for it. A parsed Rules value is immutable;
 // the zero value holds no rule and answers with the defaults.
+//
+// Of several rules that match, the most specific one applies: first by database (an exact name, then the longest
+// pattern), then by caller, then by the length of the statement prefix. Two rules with the same subject are an error,
+// so the order of the lines never matters.
 package loomrules
 
 import (
@@ -17,43 +21,110 @@
 	DefaultLongDeadline = 10 * time.Minute
 	// DefaultWeight is the share of a caller without a rule.
 	DefaultWeight = 1
+	// DefaultKeepRequestIDs is the age after which recorded request ids are removed.
+	DefaultKeepRequestIDs = 7 * 24 * time.Hour
+	// MaxSize is the largest value that the platform's store accepts.
+	MaxSize = 1 << 20
 )
 
 // Rules is a parsed rules file.
-type Rules struct{}
+type Rules struct {
+	rules     []rule
+	tables    [kinds]table
+	leaving   map[currantloom.ServerName]bool
+	primaries map[currantloom.DatabaseName]currantloom.ServerName
+}
+
+func newRules(rules []rule) *Rules {
+	r := &Rules{
+		rules:     rules,
+		leaving:   make(map[currantloom.ServerName]bool),
+		primaries: make(map[currantloom.DatabaseName]currantloom.ServerName),
+	}
+	for _, u := range rules {
+		switch u.kind {
+		case kindLeave:
+			r.leaving[currantloom.ServerName(u.server)] = true
+		case kindPrimary:
+			r.primaries[currantloom.DatabaseName(u.database)] = currantloom.ServerName(u.server)
+		default:
+			r.tables[u.kind].add(u)
+		}
+	}
+	for i := range r.tables {
+		r.tables[i].sort()
+	}
+	return r
+}
+
+// Parse parses a rules file. The error is a currantloom.Faults with every fault in the text.
+func Parse(text string) (*Rules, error) { return ParseFile("rules", text, nil) }
 
-// Parse parses a rules file. The error names the line and the column of the first fault.
-func Parse(_ string) (*Rules, error) { return &Rules{}, nil }
+// Len returns the number of rules.
+func (r *Rules) Len() int { return len(r.rules) }
 
 // MaxAge returns the accepted age of reads that state none; zero if no rule gives one.
-func (r *Rules) MaxAge(_ currantloom.DatabaseName, _ currantloom.CallerName) time.Duration { return 0 }
+func (r *Rules) MaxAge(database currantloom.DatabaseName, caller currantloom.CallerName) time.Duration {
+	if u := r.tables[kindRead].find(database, caller, "", 0); u != nil {
+		return u.duration
+	}
+	return 0
+}
 
 // RequiresRequestID reports whether the statement must carry a request id.
-func (r *Rules) RequiresRequestID(_ currantloom.DatabaseName, _ string) bool { return false }
+func (r *Rules) RequiresRequestID(database currantloom.DatabaseName, statement string) bool {
+	return r.tables[kindRequireRequestID].find(database, "", statement, 0) != nil
+}
 
 // Class returns the class that a rule gives the statement.
-func (r *Rules) Class(_ currantloom.DatabaseName, _ string) (class currantloom.Class, found bool) {
+func (r *Rules) Class(database currantloom.DatabaseName, statement string) (class currantloom.Class, found bool) {
+	if u := r.tables[kindClass].find(database, "", statement, 0); u != nil {
+		return u.class, true
+	}
 	return currantloom.Short, false
 }
 
 // Weight returns the caller's weight when callers share a server.
-func (r *Rules) Weight(_ currantloom.DatabaseName, _ currantloom.CallerName) int {
+func (r *Rules) Weight(database currantloom.DatabaseName, caller currantloom.CallerName) int {
+	if u := r.tables[kindShare].find(database, caller, "", 0); u != nil {
+		return u.weight
+	}
 	return DefaultWeight
 }
 
 // MaxConnections returns the most connections the caller may hold at one server; zero if no rule gives a limit.
-func (r *Rules) MaxConnections(_ currantloom.DatabaseName, _ currantloom.CallerName) int { return 0 }
+func (r *Rules) MaxConnections(database currantloom.DatabaseName, caller currantloom.CallerName) int {
+	if u := r.tables[kindShare].find(database, caller, "", 0); u != nil {
+		return u.connections
+	}
+	return 0
+}
 
 // Deadline returns the time that a request of the class has if the caller gives none.
-func (r *Rules) Deadline(_ currantloom.DatabaseName, _ currantloom.CallerName, class currantloom.Class) time.Duration {
+func (r *Rules) Deadline(
+	database currantloom.DatabaseName, caller currantloom.CallerName, class currantloom.Class,
+) time.Duration {
+	if u := r.tables[kindDeadline].find(database, caller, "", class); u != nil {
+		return u.duration
+	}
 	if class == currantloom.Long {
 		return DefaultLongDeadline
 	}
 	return DefaultShortDeadline
 }
 
+// KeepRequestIDs returns the age after which recorded request ids of the database are removed.
+func (r *Rules) KeepRequestIDs(database currantloom.DatabaseName) time.Duration {
+	if u := r.tables[kindKeepRequestIDs].find(database, "", "", 0); u != nil {
+		return u.duration
+	}
+	return DefaultKeepRequestIDs
+}
+
 // Leaving reports whether the server is to receive no new work.
-func (r *Rules) Leaving(_ currantloom.ServerName) bool { return false }
+func (r *Rules) Leaving(server currantloom.ServerName) bool { return r.leaving[server] }
 
 // Primary returns the server that shall be primary; empty if no rule names one.
-func (r *Rules) Primary(_ currantloom.DatabaseName) currantloom.ServerName { return "" }
+func (r *Rules) Primary(database currantloom.DatabaseName) currantloom.ServerName {
+	return r.primaries[database]
+}
--- a/verdict.go
+++ b/verdict.go
@@ -112,3 +112,11 @@
 	}
 	return 0
 }
+
+// MessageOf returns the message of an error without the name of its type, for an operator to read.
+func MessageOf(err error) string {
+	if e := errorx.Cast(err); e != nil && e.Cause() == nil {
+		return e.Message()
+	}
+	return err.Error()
+}
