Check settings against a table of keys

Settings were read with the YAML decoder's strict mode, which stops at the first fault and knows no units, bounds or relations between values. Decoding into structs with tags was ruled out, because it loses the positions of values that are well-formed but out of bounds.

--- a/loomsettings/settings.go
+++ b/loomsettings/settings.go
@@ -1,69 +1,74 @@
 // Package loomsettings reads a node's settings from YAML.
+//
+// The table of keys in key.go says what a file may hold. Reading is strict, so that a typing error never leaves a
+// default in effect: an unknown or repeated key, a value without its unit or out of its bounds, and a name that
+// nothing else defines are faults. All faults of a file are reported, each with file, line and column.
 package loomsettings
 
 import (
+	"cmp"
 	"context"
 	"os"
-
-	"github.com/goccy/go-yaml"
+	"slices"
+	"time"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
 )
 
-// file is the YAML form of the settings.
-type file struct {
-	VM     string `yaml:"vm"`
-	Region string `yaml:"region"`
-	Domain string `yaml:"failure-domain"`
-	Listen struct {
-		Callers string `yaml:"callers"`
-		Links   string `yaml:"links"`
-	} `yaml:"listen"`
-	Callers []struct {
-		Name     string `yaml:"name"`
-		Password string `yaml:"password"`
-	} `yaml:"callers"`
-	VMs []struct {
-		Name   string `yaml:"name"`
-		Region string `yaml:"region"`
-		Domain string `yaml:"failure-domain"`
-		Links  string `yaml:"links"`
-	} `yaml:"vms"`
-	Databases []struct {
-		Name        string `yaml:"name"`
-		Slots       int    `yaml:"slots"`
-		Connections int    `yaml:"connections"`
-		Servers     []struct {
-			Name    string `yaml:"name"`
-			Address string `yaml:"address"`
-			Region  string `yaml:"region"`
-			Domain  string `yaml:"failure-domain"`
-		} `yaml:"servers"`
-	} `yaml:"databases"`
-}
-
 // Settings are a node's checked settings.
 type Settings struct {
-	core      loomcore.Config
-	callers   string
-	links     string
-	passwords map[currantloom.CallerName]string
-	vms       []currantloom.VM
+	core            loomcore.Config
+	listen          map[string]string
+	passwords       map[currantloom.CallerName]string
+	vms             []currantloom.VM
+	serverUser      string
+	serverPassword  string
+	platform        string
+	platformTimeout time.Duration
+	stopInterval    time.Duration
+	logLevel        string
 }
 
 // Core returns the settings of the reducer.
 func (s *Settings) Core() loomcore.Config { return s.core }
 
 // CallersAddress returns the "IP:port" for client connections.
-func (s *Settings) CallersAddress() string { return s.callers }
+func (s *Settings) CallersAddress() string { return s.listen["callers"] }
 
 // LinksAddress returns the "IP:port" for request links.
-func (s *Settings) LinksAddress() string { return s.links }
+func (s *Settings) LinksAddress() string { return s.listen["links"] }
+
+// ControlAddress returns the "IP:port" for the control protocol, empty if there is none.
+func (s *Settings) ControlAddress() string { return s.listen["control"] }
+
+// HTTPAddress returns the "IP:port" for liveness, readiness and metrics, empty if there is none.
+func (s *Settings) HTTPAddress() string { return s.listen["http"] }
+
+// PlatformAddress returns the base URL of the platform's store and VM list, empty if there is none.
+func (s *Settings) PlatformAddress() string { return s.platform }
+
+// PlatformTimeout returns the time for a call to the platform.
+func (s *Settings) PlatformTimeout() time.Duration { return s.platformTimeout }
 
 // Passwords returns the callers' passwords.
 func (s *Settings) Passwords() map[currantloom.CallerName]string { return s.passwords }
 
+// ServerUser returns the user name at the database servers.
+func (s *Settings) ServerUser() string { return s.serverUser }
+
+// ServerPassword returns the password at the database servers.
+func (s *Settings) ServerPassword() string { return s.serverPassword }
+
+// StopInterval returns the time in which the load balancer notices that the node is not ready.
+func (s *Settings) StopInterval() time.Duration { return s.stopInterval }
+
+// LogLevel returns the least severe level that is logged.
+func (s *Settings) LogLevel() string { return s.logLevel }
+
+// HasVMs reports whether the settings hold a fixed list of VMs.
+func (s *Settings) HasVMs() bool { return len(s.vms) > 0 }
+
 // VMs returns the list of VMs in the settings; it never changes.
 func (s *Settings) VMs(ctx context.Context, after uint64) (currantloom.VMSet, error) {
 	if after == 1 {
@@ -73,46 +78,70 @@
 	return currantloom.VMSet{VMs: s.vms, Index: 1}, nil
 }
 
-// Read reads the settings file at path.
+// Read reads the settings file at path. The error is a currantloom.Faults if the file could be read.
 func Read(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, currantloom.ErrInput.Wrap(err, "read settings")
 	}
-	var f file
-	if err := yaml.UnmarshalWithOptions(data, &f, yaml.Strict()); err != nil {
-		return nil, currantloom.ErrInput.Wrap(err, "settings %s", path)
+	return Parse(path, data)
+}
+
+// Parse parses settings. The name stands in the faults.
+func Parse(name string, data []byte) (*Settings, error) {
+	d := &decoder{file: name}
+	root := d.decode(data)
+	if root != nil {
+		d.check(root)
+	}
+	if len(d.faults) > 0 {
+		slices.SortStableFunc(d.faults, func(a, b currantloom.Fault) int {
+			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		})
+		return nil, d.faults
 	}
-	return f.settings(), nil
+	return build(root), nil
 }
 
-func (f *file) settings() *Settings {
+func build(root *section) *Settings {
 	s := &Settings{
-		callers: f.Listen.Callers, links: f.Listen.Links, passwords: make(map[currantloom.CallerName]string),
-		core: loomcore.Config{
-			Self:  currantloom.VMName(f.VM),
-			Place: place(f.Region, f.Domain),
-		},
+		listen:          make(map[string]string),
+		passwords:       make(map[currantloom.CallerName]string),
+		serverUser:      root.sub("servers").text("user"),
+		serverPassword:  root.sub("servers").text("password"),
+		platform:        root.sub("platform").text("address"),
+		platformTimeout: root.sub("platform").values["timeout"].duration,
+		stopInterval:    root.sub("stop").values["balancer-interval"].duration,
+		logLevel:        root.sub("log").text("level"),
+		core:            loomcore.Config{Self: currantloom.VMName(root.text("vm")), Place: place(root)},
 	}
-	for _, c := range f.Callers {
-		s.passwords[currantloom.CallerName(c.Name)] = c.Password
+	for name, v := range root.sub("listen").values {
+		s.listen[name] = v.text
 	}
-	for _, v := range f.VMs {
+	for _, c := range root.values["callers"].list {
+		s.passwords[currantloom.CallerName(c.text("name"))] = c.text("password")
+	}
+	for _, v := range root.values["vms"].list {
 		s.vms = append(s.vms, currantloom.NewVM(
-			currantloom.VMName(v.Name), place(v.Region, v.Domain), v.Links, "", currantloom.VMLive))
+			currantloom.VMName(v.text("name")), place(v), v.text("links"), v.text("control"), currantloom.VMLive))
 	}
-	for _, d := range f.Databases {
-		var servers []currantloom.Server
-		for _, v := range d.Servers {
-			servers = append(servers, currantloom.NewServer(
-				currantloom.ServerName(v.Name), currantloom.DatabaseName(d.Name), v.Address, place(v.Region, v.Domain)))
-		}
-		s.core.Databases = append(s.core.Databases,
-			currantloom.NewDatabase(currantloom.DatabaseName(d.Name), d.Slots, d.Connections, servers))
+	for _, d := range root.values["databases"].list {
+		s.core.Databases = append(s.core.Databases, buildDatabase(d))
 	}
 	return s
 }
 
-func place(region, domain string) currantloom.Place {
-	return currantloom.NewPlace(currantloom.Region(region), currantloom.FailureDomain(domain))
+func buildDatabase(d *section) currantloom.Database {
+	name := currantloom.DatabaseName(d.text("name"))
+	var servers []currantloom.Server
+	for _, v := range d.values["servers"].list {
+		servers = append(servers, currantloom.NewServer(
+			currantloom.ServerName(v.text("name")), name, v.text("address"), place(v)))
+	}
+	return currantloom.NewDatabase(name, d.values["slots"].number, d.values["connections"].number, servers)
+}
+
+func place(s *section) currantloom.Place {
+	return currantloom.NewPlace(
+		currantloom.Region(s.text("region")), currantloom.FailureDomain(s.text("failure-domain")))
 }
