Test admission, completion, routing and retries by scripts and against oracles

A write reclassified by a replica after an attempt that may have run was sent again without a request id, and a request that came back from an attempt after its deadline waited for the next tick; the oracles showed both, and both are fixed.

--- /dev/null
+++ b/loomcore/carrier_test.go
@@ -0,0 +1,284 @@
+package loomcore
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// TestCarrier guards the rules of admission and completion, one failure per script.
+func TestCarrier(t *testing.T) {
+	tests := []struct {
+		name        string
+		slots       int
+		connections int
+		rules       string
+		script      string
+	}{
+		{name: "long work leaves a slot to short work", script: `
+			arrive 1 long => run 1
+			arrive 2 long =>
+			arrive 3 => run 3
+			arrive 4 =>
+			finish 3 => complete 3 ran, run 4
+			finish 1 => complete 1 ran, run 2`},
+		{name: "the only slot still serves short work beside long work", slots: 1, script: `
+			arrive 1 long => run 1
+			arrive 2 => run 2
+			arrive 3 => `},
+		{name: "a slot opens for short work that runs past 1 s, at most one over the limit", script: `
+			arrive 1 remaining=10m => run 1
+			arrive 2 remaining=10m => run 2
+			arrive 3 remaining=10m =>
+			arrive 4 remaining=10m =>
+			wait 1s =>
+			wait 50ms => run 3
+			wait 2s =>
+			finish 1 => complete 1 ran, run 4`},
+		{name: "a class from a rule", rules: "class wheel long \"batch\" # ops\n", script: `
+			arrive 1 stmt=batch => run 1
+			arrive 2 stmt=batch => `},
+		{name: "a class from the history of the statement", script: `
+			arrive 1 stmt=batch(1) remaining=10m => run 1
+			wait 4s =>
+			finish 1 => complete 1 ran
+			arrive 2 stmt=batch(2) remaining=10m => run 2
+			arrive 3 stmt=batch(3) remaining=10m =>
+			arrive 4 => run 4`},
+		{name: "connections of a caller are limited", rules: "share wheel caller steyr weight 1 max-connections 1 # ops\n",
+			script: `
+			arrive 1 => run 1
+			arrive 2 =>
+			arrive 3 caller=enns => run 3
+			finish 1 => complete 1 ran, run 2`},
+		{name: "refused connections lower the number tried, until time passes", slots: 3, script: `
+			arrive 1 => run 1
+			arrive 2 => run 2
+			finish 2 verdict=not_run code=53300 => complete 2 not_run 53300
+			arrive 3 =>
+			wait 1s => run 3`},
+		{name: "work that cannot start in time is refused at once with a time to retry", script: `
+			arrive 1 long remaining=10m => run 1
+			arrive 2 long remaining=11s =>
+			arrive 3 long remaining=2s => reject 3 not_run 53300 retry
+			wait 5950ms =>
+			wait 50ms => reject 2 not_run 53300 retry`},
+		{name: "a read without accepted age needs the primary", script: `
+			arrive 1 read server=b => reject 1 not_run 57P03
+			arrive 2 read => run 2`},
+		{name: "a write at a replica is refused", script: `arrive 1 server=b => reject 1 not_run 57P03`},
+		{name: "a leaving replica gets no new work", script: `
+			arrive 1 read token=1/100 age=5s server=b => run 1
+			leaving b =>
+			arrive 2 read token=1/100 age=5s server=b => reject 2 not_run 57P03`},
+		{name: "waiting work leaves a server that is no longer primary", script: `
+			arrive 1 long => run 1
+			arrive 2 long =>
+			status b role=primary term=2 => reject 2 not_run 57P03`},
+		{name: "a second event for finished work is ignored", script: `
+			arrive 1 => run 1
+			finish 1 => complete 1 ran
+			finish 1 =>
+			answer 1 wrote =>
+			cancelwork 1 => `},
+		{name: "an attempt with the key of running work is refused", script: `
+			arrive 1 => run 1
+			arrive 1 => reject 1 not_run 57P03
+			finish 1 => complete 1 ran`},
+		{name: "invariant 2: a confirmed write is acknowledged", script: `
+			arrive 1 => run 1
+			answer 1 wrote => ack 1
+			finish 1 wrote => complete 1 ran`},
+		{name: "invariant 2: a write of an older term is not acknowledged", script: `
+			arrive 1 => run 1
+			status b role=primary term=2 =>
+			answer 1 wrote => reject 1 may_have_run 08007
+			finish 1 wrote => `},
+		{name: "invariant 2: replicas confirm what the server could not", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
+			confirmed 1 b mark=1/100 =>
+			wait 50ms => confirm 1 b
+			confirmed 1 c failed =>
+			confirmed 1 b mark=1/101 => ack 1
+			finish 1 wrote => complete 1 ran`},
+		{name: "invariant 2: a replica that granted a newer term does not confirm", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
+			confirmed 1 b mark=1/101 granted=2 => reject 1 may_have_run 08007`},
+		{name: "invariant 2: a longer log of another term does not confirm", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 mark=2/101 term=2 => confirm 1 b, confirm 1 c
+			confirmed 1 b mark=1/400 term=2 => `},
+		{name: "invariant 2: a newer term ends the wait for confirmation", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
+			status c role=primary term=2 =>
+			confirmed 1 b mark=1/101 => reject 1 may_have_run 08007`},
+		{name: "invariant 2: the wait for confirmation is bounded by 1 s", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
+			wait 950ms =>
+			wait 50ms => reject 1 may_have_run 08007
+			confirmed 1 b mark=1/101 => `},
+		{name: "invariant 2: the wait for confirmation is bounded by the deadline", script: `
+			arrive 1 remaining=200ms => run 1
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
+			wait 200ms => reject 1 may_have_run 08007`},
+		{name: "invariant 2: a write that ended without a decision is not reported as run", script: `
+			arrive 1 => run 1
+			finish 1 wrote => complete 1 may_have_run 08007`},
+		{name: "a read without accepted age needs a confirmed term", script: `
+			arrive 1 read => run 1
+			answer 1 confirmed=2 => ack 1
+			arrive 2 read => run 2
+			answer 2 confirmed=0 => reject 2 may_have_run 08007`},
+		{name: "a statement that does not commit needs no confirmation", script: `
+			arrive 1 begins => run 1
+			answer 1 confirmed=0 => ack 1
+			finish 1 open => complete 1 ran
+			arrive 2 tx=1 => run 2
+			answer 2 confirmed=0 => ack 2
+			finish 2 open => complete 2 ran
+			arrive 3 tx=1 stmt=COMMIT => run 3
+			answer 3 confirmed=0 => reject 3 may_have_run 08007`},
+		{name: "the wait for confirmation leaves the slot to others", slots: 1, script: `
+			arrive 1 => run 1
+			arrive 2 =>
+			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c, run 2`},
+		{name: "invariant 5: cancelled waiting work is not run", script: `
+			arrive 1 long => run 1
+			arrive 2 long =>
+			cancelwork 2 => reject 2 not_run 57014
+			finish 1 => complete 1 ran`},
+		{name: "invariant 5: cancelled running work reports its own outcome", script: `
+			arrive 1 => run 1
+			cancelwork 1 => cancel 1
+			cancelwork 1 =>
+			finish 1 verdict=may_have_run code=08006 => complete 1 may_have_run 08006`},
+		{name: "invariant 5: stop refuses new work and finishes the rest", script: `
+			arrive 1 begins => run 1
+			finish 1 open => complete 1 ran
+			stop a =>
+			arrive 2 => reject 2 not_run 57P01
+			arrive 3 tx=1 => run 3
+			finish 3 => complete 3 ran`},
+		{name: "a transaction uses a slot only while a statement runs", slots: 1, script: `
+			arrive 1 begins => run 1
+			finish 1 open => complete 1 ran
+			arrive 2 => run 2
+			arrive 3 tx=1 =>
+			finish 2 => complete 2 ran, run 3`},
+		{name: "at most half of the connections are pinned", slots: 3, connections: 8, script: `
+			arrive 1 begins => run 1
+			finish 1 open => complete 1 ran
+			arrive 2 begins => run 2
+			arrive 3 begins =>
+			arrive 4 => run 4
+			finish 2 open => complete 2 ran
+			ended 1 => run 3`},
+		{name: "an idle transaction is closed; later statements must not run outside of it", script: `
+			arrive 1 begins => run 1
+			finish 1 open => complete 1 ran
+			wait 9950ms =>
+			wait 50ms => close 1
+			arrive 2 tx=1 => reject 2 not_run 25P03
+			ended 1 =>
+			arrive 3 tx=1 => reject 3 not_run 25P03`},
+		{name: "a transaction whose link closed gives up its waiting statement", slots: 1, script: `
+			arrive 1 begins => run 1
+			finish 1 open => complete 1 ran
+			arrive 2 => run 2
+			arrive 3 tx=1 =>
+			ended 1 => reject 3 not_run 25P03
+			finish 2 => complete 2 ran`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			slots, connections := max(test.slots, 2), max(test.connections, 16)
+			if test.slots == 1 {
+				slots = 1
+			}
+			if test.connections > 0 {
+				connections = test.connections
+			}
+			newScript(t, slots, connections, test.rules).run(test.script)
+		})
+	}
+}
+
+// TestRetryAfterReflectsTheQueue guards against a fixed time to retry, which brings the refused callers back too early.
+func TestRetryAfterReflectsTheQueue(t *testing.T) {
+	x := newScript(t, 2, 16, "")
+	for i := range 20 {
+		x.apply(x.arrival(currantloom.RequestKey{Number: uint64(i)}, options([]string{"long", "remaining=10m"})))
+	}
+	effects := x.state.Reduce(x.arrival(currantloom.RequestKey{Number: 99}, options([]string{"long", "remaining=10s"})))
+	r, ok := effects[len(effects)-1].(Reject)
+	if !ok {
+		t.Fatalf("got %#v, want a refusal", effects)
+	}
+	if want := 95 * time.Second; r.Trailer.RetryAfter < want-5*time.Second || r.Trailer.RetryAfter > want+5*time.Second {
+		t.Errorf("got retry after %v, want about %v", r.Trailer.RetryAfter, want)
+	}
+}
+
+// TestShareWeights guards against a caller below its share: with equal costs, runs are in the proportion of weights.
+func TestShareWeights(t *testing.T) {
+	tests := []struct {
+		name  string
+		costs [2]time.Duration
+		want  [2]int
+	}{
+		{"equal costs", [2]time.Duration{10 * time.Millisecond, 10 * time.Millisecond}, [2]int{15, 5}},
+		{"a caller with long statements gets fewer runs", [2]time.Duration{30 * time.Millisecond, 10 * time.Millisecond},
+			[2]int{10, 10}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var sh share
+			for range 40 {
+				for i, caller := range []currantloom.CallerName{"steyr", "enns"} {
+					w := &work{cost: test.costs[i]}
+					w.header.Caller = caller
+					sh.add(w, 3-2*i)
+				}
+			}
+			var got [2]int
+			for range 20 {
+				if w := sh.next(func(*work) bool { return true }); w.header.Caller == "steyr" {
+					got[0]++
+				} else {
+					got[1]++
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %v runs of 20, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestFingerprint guards against a history per literal value.
+func TestFingerprint(t *testing.T) {
+	for statement, want := range map[string]string{
+		"SELECT *  FROM t1 WHERE a = 'x''y' AND b=12.5": "select * from t1 where a = ? and b=?",
+		"insert into t values ($1,\n'open":              "insert into t values (?, ?",
+	} {
+		if got := fingerprint(statement); got != want {
+			t.Errorf("fingerprint(%q) = %q, want %q", statement, got, want)
+		}
+	}
+}
+
+// TestHistoryIsBounded guards against memory that grows with the number of different statements.
+func TestHistoryIsBounded(t *testing.T) {
+	var h history
+	for i := range 3 * historySize {
+		h.observe(statementKey{fingerprint: string(rune(i + 1000))}, time.Second)
+	}
+	if len(h.times) != historySize || len(h.order) != historySize {
+		t.Errorf("got %d statements, want %d", len(h.times), historySize)
+	}
+}
--- a/loomcore/request.go
+++ b/loomcore/request.go
@@ -88,7 +88,6 @@
 		return
 	}
 	r.forward = false
-	s.groups[r.request.Database].learn(e.Trailer.Term, e.Trailer.Primary)
 	t := e.Trailer
 	if !e.Sent {
 		t.Verdict = currantloom.NotRun
@@ -96,8 +95,13 @@
 	if t.Verdict == currantloom.MayHaveRun {
 		r.mayHaveRun = true
 	}
-	s.noteOutcome(r, t)
-	switch s.nextStep(r, e.Sent, &t) {
+	found := s.noteOutcome(r, t)
+	next := s.nextStep(r, e.Sent, &t)
+	if next != stepFinish && s.isLate(r) {
+		next = stepFinish
+		t.RetryAfter = retryAfterOutage
+	}
+	switch next {
 	case stepFinish:
 		s.finish(r, t)
 	case stepRoute:
@@ -107,12 +111,27 @@
 	case stepPark:
 		s.park(r)
 	}
+	if found {
+		s.reviewRequests()
+	}
 }
 
+// isLate reports whether the request has too little time left for an attempt.
+func (s *State) isLate(r *request) bool { return s.now+finishMargin >= r.deadline }
+
 // wait repeats the request after routeWait.
 func (s *State) wait(r *request) {
 	r.parked = false
 	r.retryAt = s.now + routeWait
+	s.hold(r)
+}
+
+// hold keeps a request until reviewRequests routes it, or refuses it at once if it is too late for that.
+func (s *State) hold(r *request) {
+	if s.isLate(r) {
+		s.refuse(r, currantloom.CodeCannotConnectNow, "no server available before the deadline", retryAfterOutage)
+		return
+	}
 	s.requests.waiting = append(s.requests.waiting, r)
 }
 
@@ -189,8 +208,8 @@
 	for _, r := range waiting {
 		switch {
 		case !s.isOpen(r) || r.forward:
-		case s.now+finishMargin >= r.deadline:
-			s.refuse(r, currantloom.CodeCannotConnectNow, "no server available before the deadline", retryAfterOutage)
+		case s.isLate(r):
+			s.hold(r)
 		case r.parked:
 			s.reviewParked(r)
 		case s.now >= r.retryAt:
--- a/loomcore/retry.go
+++ b/loomcore/retry.go
@@ -99,6 +99,9 @@
 	case currantloom.CodeReadOnly:
 		if r.request.Kind == currantloom.Read {
 			r.request.Kind = currantloom.Write
+			if r.mayHaveRun && r.request.RequestID == "" {
+				return stepFinish
+			}
 			return stepRoute
 		}
 		return s.redirect(g, r, t)
@@ -165,11 +168,18 @@
 	return s.count(r, t, next)
 }
 
-// noteOutcome records that the primary answered, so that requests that wait for it go on.
-func (s *State) noteOutcome(r *request, t currantloom.Trailer) {
+// noteOutcome records what an attempt says about the primary and its carrier. It reports whether requests that wait for
+// a primary may go on.
+func (s *State) noteOutcome(r *request, t currantloom.Trailer) bool {
 	g := s.groups[r.request.Database]
-	h := s.hintOf(g)
-	if r.server == g.primary && (t.Answered || t.Verdict == currantloom.Ran || t.RetryAfter > 0) {
-		h.found()
+	epoch := s.hintOf(g).epoch
+	g.learn(t.Term, t.Primary)
+	if t.Answered || t.Verdict == currantloom.Ran || t.RetryAfter > 0 {
+		delete(s.requests.passed, passedOver{vm: r.vm})
+		delete(s.requests.passed, passedOver{vm: r.vm, server: r.server})
+		if r.server == g.primary {
+			s.hintOf(g).found()
+		}
 	}
+	return s.hintOf(g).epoch != epoch
 }
--- a/loomcore/route.go
+++ b/loomcore/route.go
@@ -53,7 +53,9 @@
 	}
 	if h.term != g.term || h.primary != g.primary {
 		h.term, h.primary = g.term, g.primary
-		h.found()
+		if g.primary != "" {
+			h.found()
+		}
 	}
 	return h
 }
@@ -199,7 +201,7 @@
 	}
 	r.parked = true
 	r.parkedEpoch = h.epoch
-	s.requests.waiting = append(s.requests.waiting, r)
+	s.hold(r)
 }
 
 // reviewParked routes a parked request if a primary was found, or uses it as the next probe. Probes take turns over
@@ -209,6 +211,7 @@
 	h := s.hintOf(g)
 	switch {
 	case h.epoch != r.parkedEpoch || !h.absent:
+		clear(r.avoid)
 		s.route(r)
 	case s.now >= h.probeAt:
 		h.probeAt = s.now + probeInterval
--- /dev/null
+++ b/loomcore/script_test.go
@@ -0,0 +1,330 @@
+package loomcore
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomrules"
+)
+
+// script drives a State with lines of the form "command arguments => effects". It stands for the servers, which report
+// their status as soon as they are polled, unless they are silent or down.
+type script struct {
+	t      *testing.T
+	state  *State
+	now    time.Duration
+	status map[currantloom.ServerName]currantloom.ServerStatus
+	down   map[currantloom.ServerName]bool
+	silent map[currantloom.ServerName]bool
+	shown  []string
+}
+
+// scriptVMs are the nodes; the carriers of server a are vm-1, vm-2 and vm-3 in this order.
+func scriptVMs() []currantloom.VM {
+	return []currantloom.VM{
+		currantloom.NewVM("vm-1", currantloom.NewPlace("ost", "linz"), "", "", currantloom.VMLive),
+		currantloom.NewVM("vm-2", currantloom.NewPlace("ost", "steyr"), "", "", currantloom.VMLive),
+		currantloom.NewVM("vm-3", currantloom.NewPlace("west", "ibk"), "", "", currantloom.VMLive),
+	}
+}
+
+func scriptDatabase(slots, connections int) currantloom.Database {
+	return currantloom.NewDatabase("wheel", slots, connections, []currantloom.Server{
+		currantloom.NewServer("a", "wheel", "", currantloom.NewPlace("ost", "linz")),
+		currantloom.NewServer("b", "wheel", "", currantloom.NewPlace("ost", "steyr")),
+		currantloom.NewServer("c", "wheel", "", currantloom.NewPlace("west", "ibk")),
+	})
+}
+
+// newScript returns a node vm-1 that knows a as the primary of term 1 with the log at 1/100.
+func newScript(t *testing.T, slots, connections int, rules string) *script {
+	x := &script{
+		t: t, status: make(map[currantloom.ServerName]currantloom.ServerStatus),
+		down: make(map[currantloom.ServerName]bool), silent: make(map[currantloom.ServerName]bool),
+	}
+	x.state = New(Config{
+		Self: "vm-1", Place: currantloom.NewPlace("ost", "linz"),
+		Databases: []currantloom.Database{scriptDatabase(slots, connections)},
+	})
+	for i, server := range []currantloom.ServerName{"a", "b", "c"} {
+		role := currantloom.RoleReplica
+		if i == 0 {
+			role = currantloom.RolePrimary
+		}
+		x.status[server] = currantloom.ServerStatus{
+			Role: role, Term: 1, Granted: 1, Mark: currantloom.NewMark(1, 100),
+		}
+	}
+	parsed, err := loomrules.Parse(rules)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.apply(RulesReceived{Stamp: x.stamp(), Document: currantloom.NewRulesDocument(1, "", rules), Rules: parsed})
+	x.apply(VMsReceived{Stamp: x.stamp(), Set: currantloom.VMSet{VMs: scriptVMs()}})
+	x.wait(time.Second)
+	x.shown = nil
+	return x
+}
+
+func (x *script) stamp() Stamp { return Stamp{Now: x.now, Random: uint64(x.now)} }
+
+// apply reduces an event, answers the polls it causes and collects the other effects.
+func (x *script) apply(e Event) {
+	var polls []currantloom.ServerName
+	for _, f := range x.state.Reduce(e) {
+		if p, ok := f.(PollStatus); ok {
+			polls = append(polls, p.Server)
+		}
+		if text := show(f); text != "" {
+			x.shown = append(x.shown, text)
+		}
+	}
+	for _, server := range polls {
+		switch {
+		case x.silent[server]:
+		case x.down[server]:
+			x.apply(StatusFailed{Stamp: x.stamp(), Server: server})
+		default:
+			x.apply(StatusReceived{Stamp: x.stamp(), Server: server, SentAt: x.now, Status: x.status[server]})
+		}
+	}
+}
+
+func (x *script) wait(d time.Duration) {
+	for end := x.now + d; x.now < end; {
+		x.now += TickInterval
+		x.apply(Tick{Stamp: x.stamp()})
+	}
+}
+
+// run executes the lines of a script and compares the effects of each.
+func (x *script) run(lines string) {
+	x.t.Helper()
+	for _, line := range strings.Split(strings.TrimSpace(lines), "\n") {
+		command, want, _ := strings.Cut(strings.TrimSpace(line), "=>")
+		x.shown = nil
+		fields := strings.Fields(command)
+		x.execute(fields[0], fields[1:])
+		got := strings.Join(x.shown, ", ")
+		if got != strings.TrimSpace(want) {
+			x.t.Fatalf("%s: got effects %q, want %q", strings.TrimSpace(command), got, strings.TrimSpace(want))
+		}
+	}
+}
+
+func (x *script) execute(command string, args []string) {
+	o := options(args[1:])
+	key := scriptKey(args[0])
+	switch command {
+	case "wait":
+		x.wait(duration(args[0]))
+	case "arrive":
+		x.apply(x.arrival(key, o))
+	case "answer":
+		x.apply(WorkAnswered{Stamp: x.stamp(), Key: key, Result: o.result()})
+	case "finish":
+		x.apply(WorkFinished{Stamp: x.stamp(), Key: key, Result: o.result()})
+	case "confirmed":
+		server := currantloom.ServerName(args[1])
+		o = options(args[2:])
+		x.apply(MarkConfirmed{
+			Stamp: x.stamp(), Key: key, Server: server, Failed: o.has("failed"),
+			Status: currantloom.ServerStatus{Term: o.term(), Granted: o.granted(), Mark: o.mark("mark", "1/100")},
+		})
+	case "cancelwork":
+		x.apply(WorkCancelled{Stamp: x.stamp(), Key: key})
+	case "ended":
+		x.apply(TransactionEnded{Stamp: x.stamp(), Transaction: key})
+	case "request":
+		x.apply(RequestArrived{Stamp: x.stamp(), Request: o.request(key)})
+	case "done":
+		attempt, _ := strconv.Atoi(o.get("attempt", "1"))
+		x.apply(ForwardFinished{
+			Stamp: x.stamp(), Key: key, Attempt: attempt, Sent: !o.has("unsent"), Trailer: o.trailer(),
+		})
+	case "cancel":
+		x.apply(RequestCancelled{Stamp: x.stamp(), Key: key})
+	default:
+		x.change(command, currantloom.ServerName(args[0]), o)
+	}
+}
+
+// change alters the servers or the node.
+func (x *script) change(command string, server currantloom.ServerName, o scriptOptions) {
+	switch command {
+	case "down":
+		x.down[server] = true
+	case "silent":
+		x.silent[server] = true
+	case "status":
+		x.silent[server] = false
+		x.status[server] = currantloom.ServerStatus{
+			Role: currantloom.ParseRole(o.get("role", "replica")), Term: o.term(), Granted: o.granted(),
+			Mark: o.mark("mark", "1/100"),
+		}
+		x.apply(StatusReceived{Stamp: x.stamp(), Server: server, SentAt: x.now, Status: x.status[server]})
+	case "leaving":
+		x.apply(VMsReceived{Stamp: x.stamp(), Set: currantloom.VMSet{
+			VMs: scriptVMs(), LeavingServers: []currantloom.ServerName{server},
+		}})
+	case "stop":
+		x.apply(StopRequested{Stamp: x.stamp()})
+	default:
+		x.t.Fatalf("unknown command %q", command)
+	}
+}
+
+func (x *script) arrival(key currantloom.RequestKey, o scriptOptions) WorkArrived {
+	q := o.request(key)
+	h := currantloom.RequestHeader{
+		Key: key, Server: currantloom.ServerName(o.get("server", "a")), Caller: q.Caller, Database: q.Database,
+		Kind: q.Kind, Statement: q.Statement, Token: q.Token, MaxAge: q.MaxAge, Begins: q.Begins,
+		Remaining: duration(o.get("remaining", "10s")),
+	}
+	if o.has("long") {
+		h.Class = currantloom.Long
+	}
+	e := WorkArrived{Stamp: x.stamp(), Header: h}
+	if o.has("tx") {
+		e.Pinned, e.Transaction = true, scriptKey(o.get("tx", ""))
+	}
+	return e
+}
+
+// scriptOptions are the arguments of a line: words and name=value pairs.
+type scriptOptions map[string]string
+
+func options(args []string) scriptOptions {
+	o := make(scriptOptions)
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		o[name] = value
+	}
+	return o
+}
+
+func (o scriptOptions) has(name string) bool { _, ok := o[name]; return ok }
+
+func (o scriptOptions) get(name, otherwise string) string {
+	if v, ok := o[name]; ok {
+		return v
+	}
+	return otherwise
+}
+
+func (o scriptOptions) term() currantloom.Term { return currantloom.Term(number(o.get("term", "1"))) }
+
+func (o scriptOptions) granted() currantloom.Term {
+	return currantloom.Term(number(o.get("granted", o.get("term", "1"))))
+}
+
+func (o scriptOptions) mark(name, otherwise string) currantloom.Mark {
+	m, err := currantloom.ParseMark(o.get(name, otherwise))
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func (o scriptOptions) request(key currantloom.RequestKey) currantloom.Request {
+	q := currantloom.Request{
+		Key: key, Caller: currantloom.CallerName(o.get("caller", "steyr")),
+		Database: currantloom.DatabaseName(o.get("database", "wheel")), Statement: o.get("stmt", "s"),
+		RequestID: o.get("id", ""), Begins: o.has("begins"),
+		MaxAge: duration(o.get("age", "0s")), Deadline: duration(o.get("deadline", "0s")),
+	}
+	if o.has("read") {
+		q.Kind = currantloom.Read
+	}
+	if o.has("token") {
+		q.Token = currantloom.NewToken("wheel", o.mark("token", ""))
+	}
+	return q
+}
+
+func (o scriptOptions) result() currantloom.WorkResult {
+	r := currantloom.WorkResult{
+		Verdict: currantloom.ParseVerdict(o.get("verdict", "ran")), Code: currantloom.SQLState(o.get("code", "")),
+		Term: o.term(), Mark: o.mark("mark", "1/101"), Confirmed: int(number(o.get("confirmed", "2"))),
+		Wrote: o.has("wrote"), Transaction: currantloom.TransactionIdle, Started: o.has("started"),
+	}
+	if o.has("open") {
+		r.Transaction = currantloom.TransactionOpen
+	}
+	if o.has("verdict") {
+		r.Err = errors.New("failed")
+	}
+	return r
+}
+
+func (o scriptOptions) trailer() currantloom.Trailer {
+	return currantloom.Trailer{
+		Verdict: currantloom.ParseVerdict(o.get("verdict", "ran")), Code: currantloom.SQLState(o.get("code", "")),
+		RetryAfter: duration(o.get("retry", "0s")), Answered: !o.has("verdict"), Started: o.has("started"),
+		Term: o.term(), Primary: currantloom.ServerName(o.get("primary", "a")),
+	}
+}
+
+func scriptKey(number string) currantloom.RequestKey {
+	n, _ := strconv.ParseUint(number, 10, 64)
+	return currantloom.RequestKey{VM: "vm-1", Number: n}
+}
+
+func number(text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
+
+func duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+// show returns the form of an effect in scripts; empty for those that scripts leave out.
+func show(e Effect) string {
+	switch e := e.(type) {
+	case Run:
+		return fmt.Sprint("run ", e.Key.Number)
+	case Acknowledge:
+		return fmt.Sprint("ack ", e.Key.Number)
+	case Reject:
+		return "reject " + showTrailer(e.Key, e.Trailer)
+	case Complete:
+		return "complete " + showTrailer(e.Key, e.Trailer)
+	case ConfirmMark:
+		return fmt.Sprint("confirm ", e.Key.Number, " ", e.Server)
+	case CancelWork:
+		return fmt.Sprint("cancel ", e.Key.Number)
+	case CloseConnection:
+		return fmt.Sprint("close ", e.Transaction.Number)
+	case Forward:
+		return fmt.Sprint("forward ", e.Header.Key.Number, " ", e.Header.Server, "@", e.VM)
+	case Answer:
+		return "answer " + showTrailer(e.Key, e.Trailer)
+	case CancelForward:
+		return fmt.Sprint("cancelforward ", e.Key.Number, " ", e.VM)
+	}
+	return ""
+}
+
+func showTrailer(key currantloom.RequestKey, t currantloom.Trailer) string {
+	text := fmt.Sprint(key.Number, " ", t.Verdict)
+	if t.Code != "" {
+		text += " " + string(t.Code)
+	}
+	if t.RetryAfter > 0 {
+		text += " retry"
+	}
+	return text
+}
