Promote primaries, change them on purpose, bound the age of reads

Cause: the core polled servers but never replaced a lost or leaving primary, let a replica serve reads of any age, and searched all VMs for the carrier of every server on each tick.

A proposal is sent only while a majority answers polls; without this a node on the small side of a partition raised the term of its replica again and again, and the end of the partition forced a change of primary. Terms granted while a planned change of this node runs are learned with its outcome.

Age uses the time at which a poll of the primary was sent, and counts only if a majority was still in the term afterwards. Samples are thinned to 250 ms, because polls on demand would displace those that a lagging replica needs.

Ruled out: an order of all VMs per server (86 MB for 4,500 servers); the first 8 are kept and the rest is searched only when all 8 failed.

--- /dev/null
+++ b/loomcore/age.go
@@ -0,0 +1,117 @@
+package loomcore
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// maxSamples bounds the positions of the primary that are kept for a database.
+	maxSamples = 64
+	// sampleSpacing thins samples, so that polls asked for by reads do not displace those that a replica that is
+	// seconds behind needs: 64 samples then cover at least 15 s.
+	sampleSpacing = 250 * time.Millisecond
+)
+
+// sample is a position of the primary: the poll was sent at sentAt, and the primary was at or below mark then.
+type sample struct {
+	server     currantloom.ServerName
+	term       currantloom.Term
+	mark       currantloom.Mark
+	sentAt     time.Duration
+	answeredAt time.Duration
+}
+
+// samples holds positions of the primary in the order of their answers.
+type samples struct{ list []sample }
+
+func (l *samples) add(p sample) {
+	if n := len(l.list); n >= 3 && l.list[n-1].sentAt-l.list[n-3].sentAt < sampleSpacing {
+		l.list = append(l.list[:n-2], l.list[n-1])
+	}
+	if len(l.list) >= maxSamples {
+		l.list = append(l.list[:0], l.list[1:]...)
+	}
+	l.list = append(l.list, p)
+}
+
+// eligibility says whether a replica may serve a read.
+type eligibility uint8
+
+const (
+	// ineligible: send the read to the primary.
+	ineligible eligibility = iota
+	// pending: a poll that is under way may make the replica eligible.
+	pending
+	// eligible: run the read.
+	eligible
+)
+
+// readEligibility decides whether a replica may serve a read with the token and the accepted age, by the latest
+// reports. If newer reports could change the answer it polls at once.
+func (s *State) readEligibility(
+	g *group, server currantloom.ServerName, token currantloom.Token, accepted time.Duration,
+) eligibility {
+	s.use(g)
+	v := g.member(server)
+	if v == nil || !token.Known() || accepted <= 0 || s.isLeaving(server) || v.unreachable() {
+		return ineligible
+	}
+	if !v.known {
+		s.pollNow(v)
+		return pending
+	}
+	if v.status.Role != currantloom.RoleReplica {
+		return ineligible
+	}
+	age, known := g.ageOf(v, s.now)
+	covers := v.status.Mark.Covers(token.Mark())
+	if covers && known && age <= accepted {
+		return eligible
+	}
+	return s.refresh(g, v, covers)
+}
+
+// refresh polls the server whose report can make the replica eligible. The age needs a report of the primary and,
+// after it, one of the replica.
+func (s *State) refresh(g *group, v *serverView, covers bool) eligibility {
+	primary := g.member(g.primary)
+	if covers && (primary == nil || primary.unreachable()) {
+		return ineligible
+	}
+	if n := len(g.view.samples.list); covers && (n == 0 || g.view.samples.list[n-1].answeredAt <= v.sentAt) {
+		s.pollNow(primary)
+		return pending
+	}
+	s.pollNow(v)
+	return pending
+}
+
+// ageOf returns an upper bound of the age of the replica's data: the time since a poll of the primary was sent whose
+// answer is at or below the replica's position. The primary was not replaced then if a majority, with the primary
+// itself, was still in its term afterwards.
+func (g *group) ageOf(v *serverView, now time.Duration) (time.Duration, bool) {
+	if v.status.Role != currantloom.RoleReplica || v.status.Granted > v.status.Term {
+		return 0, false
+	}
+	list := g.view.samples.list
+	for i := len(list) - 1; i >= 0; i-- {
+		p := list[i]
+		if p.term == v.status.Term && v.sentAt >= p.answeredAt && v.status.Mark.Covers(p.mark) && g.inOffice(p) {
+			return now - p.sentAt, true
+		}
+	}
+	return 0, false
+}
+
+// inOffice reports whether a majority was still in the sample's term after it was taken.
+func (g *group) inOffice(p sample) bool {
+	count := 1
+	for name, v := range g.view.members {
+		if name != p.server && v.known && v.follows(p.term) && v.sentAt >= p.answeredAt {
+			count++
+		}
+	}
+	return count >= g.database.Majority()
+}
--- a/loomcore/members.go
+++ b/loomcore/members.go
@@ -1,7 +1,6 @@
 package loomcore
 
 import (
-	"hash/fnv"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -15,6 +14,7 @@
 	vms         map[currantloom.VMName]currantloom.VM
 	failedUntil map[currantloom.VMName]time.Duration
 	leaving     map[currantloom.ServerName]bool
+	placement   placement
 }
 
 func (s *State) vmsReceived(e VMsReceived) {
@@ -27,6 +27,8 @@
 	for _, name := range e.Set.LeavingServers {
 		m.leaving[name] = true
 	}
+	s.resetPlacement(e.Set.VMs)
+	s.updateCarried()
 }
 
 func (s *State) peerFailed(e PeerFailed) {
@@ -34,11 +36,24 @@
 		s.members.failedUntil = make(map[currantloom.VMName]time.Duration)
 	}
 	s.members.failedUntil[e.VM] = s.now + peerPenalty
+	s.updateCarried()
 }
 
-func (s *State) peerAnswered(e PeerAnswered) { delete(s.members.failedUntil, e.VM) }
+func (s *State) peerAnswered(e PeerAnswered) {
+	if _, failed := s.members.failedUntil[e.VM]; failed {
+		delete(s.members.failedUntil, e.VM)
+		s.updateCarried()
+	}
+}
 
-func (s *State) tickMembers() {}
+// tickMembers forgets the failures that no longer count.
+func (s *State) tickMembers() {
+	for name, until := range s.members.failedUntil {
+		if until <= s.now {
+			delete(s.members.failedUntil, name)
+		}
+	}
+}
 
 // VM returns the description of a VM.
 func (s *State) VM(name currantloom.VMName) (currantloom.VM, bool) {
@@ -51,48 +66,7 @@
 	return vm.State() == currantloom.VMLive && s.members.failedUntil[vm.Name()] <= s.now
 }
 
-// carrierOf returns the usable VM that carries the server: the nearest to the server, by rendezvous hashing among
-// equally near ones. The VMs in avoid are passed over.
-func (s *State) carrierOf(server currantloom.Server, avoid map[currantloom.VMName]bool) (currantloom.VMName, bool) {
-	var best currantloom.VM
-	found := false
-	for _, vm := range s.members.vms {
-		if !s.usable(vm) || avoid[vm.Name()] {
-			continue
-		}
-		if !found || carriesBefore(vm, best, server) {
-			best, found = vm, true
-		}
-	}
-	return best.Name(), found
-}
-
-// carriesBefore orders two VMs by their claim on a server.
-func carriesBefore(a, b currantloom.VM, server currantloom.Server) bool {
-	da, db := a.Place().Distance(server.Place()), b.Place().Distance(server.Place())
-	if da != db {
-		return da < db
-	}
-	wa, wb := weight(a.Name(), server.Name()), weight(b.Name(), server.Name())
-	if wa != wb {
-		return wa > wb
-	}
-	return a.Name() < b.Name()
-}
-
-// weight is the rendezvous weight of a VM for a server.
-func weight(vm currantloom.VMName, server currantloom.ServerName) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(vm))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(server))
-	return mix(h.Sum64())
-}
-
-// mix spreads the bits of an FNV hash, whose high bits depend little on the last bytes.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
+// isLeaving reports whether the server gets no new work: the rules or the VM list say that it is leaving.
+func (s *State) isLeaving(server currantloom.ServerName) bool {
+	return s.members.leaving[server] || s.rules.rules.Leaving(server)
 }
--- /dev/null
+++ b/loomcore/placement_test.go
@@ -0,0 +1,163 @@
+package loomcore
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// fleet returns VMs and databases of the given numbers, spread over failure domains, three of which form a region.
+func fleet(domains, vms, databases int) ([]currantloom.VM, []currantloom.Database) {
+	place := func(i int) currantloom.Place {
+		i %= domains
+		return currantloom.NewPlace(currantloom.Region(fmt.Sprint("region-", i/3)),
+			currantloom.FailureDomain(fmt.Sprint("domain-", i)))
+	}
+	var vs []currantloom.VM
+	for i := range vms {
+		vs = append(vs, currantloom.NewVM(currantloom.VMName(fmt.Sprint("vm-", i)), place(i), "", "", currantloom.VMLive))
+	}
+	var ds []currantloom.Database
+	for i := range databases {
+		name := currantloom.DatabaseName(fmt.Sprint("db-", i))
+		var servers []currantloom.Server
+		for j := range 3 {
+			servers = append(servers, currantloom.NewServer(
+				currantloom.ServerName(fmt.Sprint("server-", i, "-", j)), name, "", place(i+j)))
+		}
+		ds = append(ds, currantloom.NewDatabase(name, 2, 16, servers))
+	}
+	return vs, ds
+}
+
+func nodeOf(vm currantloom.VM, databases []currantloom.Database) *State {
+	return New(Config{Self: vm.Name(), Place: vm.Place(), Databases: databases})
+}
+
+// checkCarriers fails unless every node answers every server with the same carrier, and carries exactly its own.
+func checkCarriers(t *testing.T, nodes []*State) {
+	t.Helper()
+	for _, g := range nodes[0].ordered {
+		for _, server := range g.database.Servers() {
+			want, _ := nodes[0].findCarrier(server, nil)
+			for _, n := range nodes {
+				if got, _ := n.carrierOf(server, nil); got != want {
+					t.Errorf("got carrier %s of %s on %s, want %s", got, server.Name(), n.self, want)
+				}
+				if n.carries(server.Name()) != (n.self == want) {
+					t.Errorf("%s: got carries %v for %s, want carrier %s", n.self, n.carries(server.Name()), server.Name(), want)
+				}
+			}
+		}
+	}
+}
+
+// TestPlacement guards against nodes that disagree about a server's carrier with the same list, and against a cached
+// order that differs from a search of all VMs.
+func TestPlacement(t *testing.T) {
+	vms, databases := fleet(5, 12, 10)
+	var nodes []*State
+	for _, vm := range vms {
+		nodes = append(nodes, nodeOf(vm, databases))
+	}
+	step := func(name string, e func(Stamp) Event) {
+		t.Run(name, func(t *testing.T) {
+			for _, n := range nodes {
+				n.Reduce(e(Stamp{Now: n.now}))
+			}
+			checkCarriers(t, nodes)
+		})
+	}
+	step("first list", func(s Stamp) Event { return VMsReceived{s, currantloom.VMSet{VMs: vms}} })
+	step("reversed list", func(s Stamp) Event {
+		slices.Reverse(vms)
+		return VMsReceived{s, currantloom.VMSet{VMs: vms}}
+	})
+	step("VM failed", func(s Stamp) Event { return PeerFailed{s, "vm-3"} })
+	step("VM answered", func(s Stamp) Event { return PeerAnswered{Stamp: s, VM: "vm-3"} })
+	step("tick", func(s Stamp) Event { return Tick{s} })
+	step("VM failed again", func(s Stamp) Event { return PeerFailed{s, "vm-4"} })
+	step("penalty over", func(s Stamp) Event { return Tick{Stamp{Now: s.Now + peerPenalty}} })
+	step("VM leaves", func(s Stamp) Event {
+		leaving := slices.Clone(vms)
+		leaving[2] = currantloom.NewVM(vms[2].Name(), vms[2].Place(), "", "", currantloom.VMLeaving)
+		return VMsReceived{s, currantloom.VMSet{VMs: leaving}}
+	})
+	step("most VMs failed", func(s Stamp) Event {
+		for _, vm := range vms[:9] {
+			for _, n := range nodes {
+				n.Reduce(PeerFailed{s, vm.Name()})
+			}
+		}
+		return Tick{s}
+	})
+}
+
+// TestViews guards against state that grows with the fleet, and against a view that vanishes while work is left.
+func TestViews(t *testing.T) {
+	vms, databases := fleet(5, 12, 10)
+	s := nodeOf(vms[0], databases)
+	s.Reduce(VMsReceived{Set: currantloom.VMSet{VMs: vms}})
+	for _, g := range s.ordered {
+		carried := slices.ContainsFunc(g.database.Servers(), func(v currantloom.Server) bool { return s.carries(v.Name()) })
+		if carried != (g.view != nil) {
+			t.Errorf("got a view %v of %s, want %v", g.view != nil, g.database.Name(), carried)
+		}
+	}
+	i := slices.IndexFunc(s.ordered, func(g *group) bool { return g.view == nil })
+	g := s.ordered[i]
+	server := g.database.Servers()[0].Name()
+	s.carrier.works = map[currantloom.RequestKey]*work{{}: {header: currantloom.RequestHeader{Server: server}}}
+	s.Reduce(Tick{Stamp{Now: time.Second}})
+	if g.view == nil {
+		t.Error("got no view of a group that the node has work for")
+	}
+	clear(s.carrier.works)
+	s.Reduce(Tick{Stamp{Now: time.Minute}})
+	if g.view != nil {
+		t.Error("the view stays after the work ended")
+	}
+}
+
+// TestPlacementDecisions guards against a change of carrier that the log does not show.
+func TestPlacementDecisions(t *testing.T) {
+	vms, databases := fleet(1, 2, 1)
+	s := nodeOf(vms[0], databases)
+	count := func(e Event) (n int) {
+		for _, effect := range s.Reduce(e) {
+			if d, ok := effect.(Decision); ok && d.Event == "placement" {
+				n++
+			}
+		}
+		return n
+	}
+	first := count(VMsReceived{Set: currantloom.VMSet{VMs: vms}})
+	if got := count(PeerFailed{VM: vms[1].Name()}); got != 3-first {
+		t.Errorf("got %d decisions, want %d when the other VM fails", got, 3-first)
+	}
+	if got := count(VMsReceived{Set: currantloom.VMSet{}}); got != 3 {
+		t.Errorf("got %d decisions, want 3 when this VM is no longer listed", got)
+	}
+}
+
+// BenchmarkFleetTick measures a tick at the design scale, which is due every 50 ms.
+func BenchmarkFleetTick(b *testing.B) {
+	vms, databases := fleet(21, 1200, 1500)
+	s := nodeOf(vms[0], databases)
+	s.Reduce(VMsReceived{Set: currantloom.VMSet{VMs: vms}})
+	for i := 0; b.Loop(); i++ {
+		s.Reduce(Tick{Stamp{Now: time.Duration(i) * TickInterval}})
+	}
+}
+
+// BenchmarkFleetList measures a new VM list at the design scale.
+func BenchmarkFleetList(b *testing.B) {
+	vms, databases := fleet(21, 1200, 1500)
+	s := nodeOf(vms[0], databases)
+	for b.Loop() {
+		s.Reduce(VMsReceived{Set: currantloom.VMSet{VMs: vms}})
+	}
+}
--- /dev/null
+++ b/loomcore/planned_test.go
@@ -0,0 +1,146 @@
+package loomcore
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// leave marks a server as leaving in the VM list of all nodes but those given.
+func (w *world) leave(server currantloom.ServerName, without ...*worldNode) {
+	for _, n := range w.nodes {
+		n.state.members.leaving[server] = true
+		for _, other := range without {
+			n.state.members.leaving[server] = n.state.members.leaving[server] && n != other
+		}
+	}
+}
+
+// TestLeavingPrimary guards against a leaving primary that gets work after 5 s, and against a change that interrupts
+// writes for longer than 250 ms although all work ended.
+func TestLeavingPrimary(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		work *work
+		// ends is when the work ends after the mark; zero if it does not.
+		ends       time.Duration
+		least      time.Duration
+		most       time.Duration
+		mostOutage time.Duration
+	}{
+		{"no work", nil, 0, 0, 400 * time.Millisecond, 250 * time.Millisecond},
+		{"short work ends within the hold", &work{running: true}, ms(100), 0, ms(500), 250 * time.Millisecond},
+		{"long work ends in time", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
+			2 * time.Second, 2 * time.Second, ms(2500), 250 * time.Millisecond},
+		{"transaction ends in time", &work{running: true, pinned: true}, time.Second, time.Second, ms(1500), ms(250)},
+		{"work does not end", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
+			0, 3 * time.Second, 5 * time.Second, 500 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, 5, t.Fatalf)
+			w.run(3 * time.Second)
+			n := w.carrierIn(serverA)
+			if c.work != nil {
+				c.work.header.Server = serverA
+				n.state.carrier.works = map[currantloom.RequestKey]*work{{}: c.work}
+			}
+			if c.ends > 0 {
+				w.after(c.ends, func() { clear(n.state.carrier.works) })
+			}
+			w.leave(serverA)
+			w.run(TickInterval)
+			if c.work != nil && !n.state.groups[testDatabase].holdsLong() {
+				t.Error("new long work does not wait while running work finishes")
+			}
+			start, outage := w.now-TickInterval, time.Duration(0)
+			for w.primaryName() != serverB {
+				held := n.state.groups[testDatabase].holdsWrites()
+				w.run(time.Millisecond)
+				if held {
+					outage += time.Millisecond
+				}
+				if w.now-start > 10*time.Second {
+					t.Fatalf("the leaving primary was not replaced; decisions: %+v", w.decisions)
+				}
+			}
+			checkBetween(t, "time to the change", w.now-start, c.least, c.most)
+			checkBetween(t, "time with held writes", outage, 0, c.mostOutage)
+			if n.state.groups[testDatabase].holdsWrites() {
+				t.Error("writes are still held after the change")
+			}
+		})
+	}
+}
+
+func checkBetween(t *testing.T, what string, got, least, most time.Duration) {
+	t.Helper()
+	t.Logf("%s: %v", what, got)
+	if got < least || got > most {
+		t.Errorf("got %s %v, want %v to %v", what, got, least, most)
+	}
+}
+
+// TestLeavingServerListsDisagree guards against a leaving primary that stays because only some VM lists show it: the
+// list of its carrier decides, and the others accept the new primary.
+func TestLeavingServerListsDisagree(t *testing.T) {
+	w := newWorld(1, 5, t.Fatalf)
+	w.run(3 * time.Second)
+	n := w.carrierIn(serverA)
+	w.leave(serverA, n)
+	w.run(6 * time.Second)
+	if name := w.primaryName(); name != serverA {
+		t.Fatalf("got primary %q, want no change before the carrier knows", name)
+	}
+	n.state.members.leaving[serverA] = true
+	w.run(5 * time.Second)
+	if name := w.primaryName(); name != serverB {
+		t.Errorf("got primary %q, want %s", name, serverB)
+	}
+}
+
+// TestNoServerTakesOver guards against a leaving primary that is replaced by a server that is leaving too.
+func TestNoServerTakesOver(t *testing.T) {
+	w := newWorld(1, 5, t.Fatalf)
+	w.run(3 * time.Second)
+	for _, m := range w.servers {
+		w.leave(m.name)
+	}
+	w.run(10 * time.Second)
+	if name := w.primaryName(); name != serverA {
+		t.Errorf("got primary %q, want %s to stay", name, serverA)
+	}
+}
+
+// TestHoldEndsWithoutChange guards against writes that stay held when the target falls behind or the proposal fails.
+func TestHoldEndsWithoutChange(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		drop  func(Effect) bool
+		fault func(*world)
+	}{
+		{"proposal without answers", func(e Effect) bool { _, ok := e.(RaiseTerm); return ok }, func(*world) {}},
+		{"lead without an answer", func(e Effect) bool { _, ok := e.(Lead); return ok }, func(*world) {}},
+		{"primary stops", nil, func(w *world) { w.server(serverA).refuses = true }},
+		{"target stops", nil, func(w *world) { w.server(serverB).refuses = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, 5, t.Fatalf)
+			w.run(3 * time.Second)
+			n := w.carrierIn(serverA)
+			w.leave(serverA)
+			for !n.state.groups[testDatabase].holdsWrites() {
+				w.run(time.Millisecond)
+			}
+			w.drop = c.drop
+			c.fault(w)
+			held := w.now
+			for n.state.groups[testDatabase].holdsWrites() {
+				w.run(time.Millisecond)
+			}
+			checkBetween(t, "hold", w.now-held, 0, ms(1300))
+			w.drop = nil
+			w.awaitPrimary(serverA)
+		})
+	}
+}
--- /dev/null
+++ b/loomcore/promotion.go
@@ -0,0 +1,228 @@
+package loomcore
+
+import (
+	"fmt"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// proposalExpiry is when a proposal without an outcome counts as failed; calls to servers time out after 400 ms.
+	proposalExpiry = time.Second
+	// A proposer that failed tries again with a higher term after a random delay between these bounds.
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = 400 * time.Millisecond
+	// followInterval is the least time between two Follow effects for a server.
+	followInterval = 500 * time.Millisecond
+)
+
+// proposal is this node's attempt to make a server primary of a new term.
+type proposal struct {
+	term currantloom.Term
+	// target is the server that a planned change wants, from is the primary it replaces.
+	target, from currantloom.ServerName
+	grants       map[currantloom.ServerName]currantloom.Mark
+	refused      map[currantloom.ServerName]bool
+	// granted is the highest term that a server is known to have granted while this planned change runs.
+	granted   currantloom.Term
+	leader    currantloom.ServerName
+	startedAt time.Duration
+}
+
+// endProposal ends the proposal. Its term may have been granted in part, so no older primary may continue.
+func (g *group) endProposal() {
+	p := g.view.proposal
+	g.view.proposal = nil
+	if len(p.grants) > 0 {
+		p.granted = max(p.granted, p.term)
+	}
+	if p.granted > g.term {
+		g.learn(p.granted, "")
+	}
+}
+
+// propose asks all servers for a term that is higher than any this node has seen.
+func (s *State) propose(g *group, target currantloom.ServerName, reason string) {
+	term := max(g.term, g.proposed)
+	for _, v := range g.view.members {
+		term = max(term, v.status.Granted, v.status.Term)
+	}
+	term++
+	g.proposed = term
+	g.view.suspicion = nil
+	g.view.proposal = &proposal{
+		term: term, target: target, from: g.primary, startedAt: s.now,
+		grants:  make(map[currantloom.ServerName]currantloom.Mark),
+		refused: make(map[currantloom.ServerName]bool),
+	}
+	s.emit(Decision{Event: "proposal", Server: target, VM: s.self, Term: term, Reason: reason})
+	for _, server := range g.database.Servers() {
+		s.emit(RaiseTerm{Server: server.Name(), Term: term})
+	}
+}
+
+func (s *State) termAnswered(e TermAnswered) {
+	g, ok := s.servers[e.Server]
+	if !ok {
+		return
+	}
+	if !e.Failed {
+		granted := e.Grant.Highest
+		if e.Grant.Granted {
+			granted = max(granted, e.Term)
+		}
+		g.learnGranted(granted)
+	}
+	if g.view == nil {
+		return
+	}
+	s.noticeTerm(g)
+	p := g.view.proposal
+	if p == nil || p.term != e.Term || p.leader != "" {
+		return
+	}
+	if e.Failed || !e.Grant.Granted {
+		p.refused[e.Server] = true
+	} else {
+		p.grants[e.Server] = e.Grant.Mark
+	}
+	s.countGrants(g, p)
+}
+
+// countGrants lets the best granting server lead once a majority has granted the term.
+func (s *State) countGrants(g *group, p *proposal) {
+	majority := g.database.Majority()
+	if len(g.database.Servers())-len(p.refused) < majority {
+		s.failProposal(g, "a majority of the servers did not grant the term")
+		return
+	}
+	if len(p.grants) < majority {
+		return
+	}
+	leader := s.chooseLeader(g, p, "")
+	if p.target != "" && leader != p.target {
+		others := len(p.grants)
+		if _, ok := p.grants[p.from]; ok {
+			others--
+		}
+		switch {
+		case others >= majority:
+			leader = s.chooseLeader(g, p, p.from)
+		case len(p.grants)+len(p.refused) < len(g.database.Servers()):
+			// A planned change waits for more grants, because the old primary is to be replaced.
+			return
+		}
+	}
+	p.leader = leader
+	s.emit(Lead{Server: p.leader, Term: p.term})
+}
+
+// chooseLeader returns the granting server with the highest mark; it holds every acknowledged entry, because the
+// servers considered are a majority.
+func (s *State) chooseLeader(g *group, p *proposal, skip currantloom.ServerName) currantloom.ServerName {
+	best := currantloom.ServerName("")
+	for _, server := range g.database.Servers() {
+		name := server.Name()
+		mark, ok := p.grants[name]
+		if !ok || name == skip {
+			continue
+		}
+		c := mark.Compare(p.grants[best])
+		if best == "" || c > 0 || c == 0 && s.preferred(g, p, name, best) {
+			best = name
+		}
+	}
+	return best
+}
+
+// preferred decides between servers with equal marks.
+func (s *State) preferred(g *group, p *proposal, a, b currantloom.ServerName) bool {
+	if a == p.target || b == p.target {
+		return a == p.target
+	}
+	if s.isLeaving(a) != s.isLeaving(b) {
+		return s.isLeaving(b)
+	}
+	return a == s.rules.rules.Primary(g.database.Name())
+}
+
+func (s *State) leadAnswered(e LeadAnswered) {
+	g, ok := s.servers[e.Server]
+	if !ok {
+		return
+	}
+	if !e.Failed {
+		g.learn(e.Term, e.Server)
+	}
+	if g.view == nil {
+		return
+	}
+	p := g.view.proposal
+	if p == nil || p.term != e.Term || p.leader != e.Server {
+		s.noticeTerm(g)
+		return
+	}
+	if e.Failed {
+		s.failProposal(g, "the chosen server did not take the lead")
+		return
+	}
+	reason := fmt.Sprintf("%d of %d servers granted the term; highest mark %s",
+		len(p.grants), len(g.database.Servers()), p.grants[p.leader])
+	s.emit(Decision{Event: "promotion", Server: e.Server, VM: s.self, Term: e.Term, Reason: reason})
+	s.noticeTerm(g)
+}
+
+// dropProposal ends a proposal that the newest known term has decided.
+func (s *State) dropProposal(g *group) {
+	p := g.view.proposal
+	if p == nil || g.term < p.term || g.term == p.term && g.primary == "" {
+		return
+	}
+	g.endProposal()
+	if g.term > p.term {
+		s.emit(Decision{Event: "proposal", VM: s.self, Term: p.term, Reason: "lost to a proposer with a higher term"})
+		s.retryProposal(g)
+	}
+}
+
+func (s *State) expireProposal(g *group) {
+	if s.now-g.view.proposal.startedAt > proposalExpiry {
+		s.failProposal(g, "no outcome within 1 s")
+	}
+}
+
+// failProposal gives up the proposal.
+func (s *State) failProposal(g *group, reason string) {
+	p := g.view.proposal
+	g.endProposal()
+	s.emit(Decision{Event: "proposal", VM: s.self, Term: p.term, Reason: reason})
+	s.noticeTerm(g)
+	if g.view.change != nil {
+		s.endChange(g, "the proposal failed")
+	}
+	s.retryProposal(g)
+}
+
+// retryProposal sets the time of the next proposal; it is made only if the primary is still lost.
+func (s *State) retryProposal(g *group) {
+	g.view.suspicion = &suspicion{proposeAt: s.now + s.delay(minRetryDelay, maxRetryDelay)}
+}
+
+// followPrimary tells all other servers to follow the newest primary.
+func (s *State) followPrimary(g *group) {
+	for _, server := range g.database.Servers() {
+		s.follow(g, g.view.members[server.Name()])
+	}
+}
+
+// follow tells a server to follow the newest primary, unless it does or was told just before. It also repairs servers
+// that come back or still work in an older term.
+func (s *State) follow(g *group, v *serverView) {
+	name := v.server.Name()
+	if name == g.primary || g.primary == "" || v.known && v.follows(g.term) || s.now < v.followAt {
+		return
+	}
+	v.followAt = s.now + followInterval
+	s.emit(Follow{Server: name, Term: g.term, Primary: g.primary})
+}
