Use the view of the groups for placement, planned changes and failures

Work that waits for confirmation counts as running for a planned change; a change of the term would otherwise leave its outcome unknown.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -92,6 +92,7 @@
 		s.reject(w, currantloom.CodeCannotConnectNow, "unknown server", 0)
 		return
 	}
+	s.use(g)
 	s.classify(w)
 	w.startBy = w.deadline - min(w.cost, e.Header.Remaining/2)
 	q := s.queueOf(g, e.Header.Server)
@@ -244,6 +245,7 @@
 	q := s.carrier.queues[w.header.Server]
 	q.releaseSlot(w)
 	s.endRun(q, w, e.Result)
+	s.observeMark(q, e.Result)
 	s.noteFailure(q, e.Result)
 	if w.state != workRejected {
 		s.emit(Complete{Key: e.Key, Trailer: s.completion(q, w, e.Result)})
--- a/loomcore/carrier_fuzz_test.go
+++ b/loomcore/carrier_fuzz_test.go
@@ -45,7 +45,7 @@
 	decided   bool
 }
 
-// TestFuzzShare drives the deficit round robin alone. A caller that waits must get its turn: meanwhile each other caller
+// TestFuzzShare drives deficit round robin alone. A caller that waits must get its turn: meanwhile each other caller
 // gets at most what the waiting one needs to earn, by the proportion of weights, and one statement ahead of its turn.
 func TestFuzzShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -72,6 +72,20 @@
 			arrive 1 read token=1/100 age=5s server=b => run 1
 			leaving b =>
 			arrive 2 read token=1/100 age=5s server=b => reject 2 not_run 57P03`},
+		{name: "a read waits 50 ms for a replica that is behind", script: `
+			arrive 1 read token=1/105 age=5s server=b =>
+			wait 50ms => reject 1 not_run 57P03
+			arrive 2 read token=1/105 age=5s server=b =>
+			status b mark=1/105 => run 2`},
+		{name: "a read that waited for a slot is checked again", slots: 1, script: `
+			arrive 1 read token=1/100 age=1s server=b => run 1
+			arrive 2 read token=1/100 age=1s server=b =>
+			down a =>
+			wait 2s => reject 2 not_run 57P03`},
+		{name: "a carrier that cannot reach the primary refuses work", script: `
+			down a =>
+			wait 1s =>
+			arrive 1 => reject 1 not_run 08006`},
 		{name: "waiting work leaves a server that is no longer primary", script: `
 			arrive 1 long => run 1
 			arrive 2 long =>
--- a/loomcore/confirm.go
+++ b/loomcore/confirm.go
@@ -42,6 +42,7 @@
 	if e.Result.Wrote {
 		g.learn(e.Result.Term, q.server)
 	}
+	s.observeMark(q, e.Result)
 	switch {
 	case !e.Result.Wrote && !w.confirmsTerm(g):
 		w.state = workAcknowledged
--- a/loomcore/load.go
+++ b/loomcore/load.go
@@ -2,7 +2,7 @@
 
 import "currantloom.example/currantloom"
 
-// load counts the work at a server. Requests between the statements of a transaction are not known to it.
+// load counts the work at a server.
 type load struct {
 	running int
 	// lasting counts the running work that a planned change waits for before it holds writes: long work and
@@ -10,15 +10,21 @@
 	lasting int
 }
 
-// loadOf counts the running work at the server.
+// loadOf counts the work at the server that has started and not ended. Work that waits for replicas to confirm its mark
+// counts, because a change of the term would leave its outcome unknown.
 func (s *State) loadOf(server currantloom.ServerName) load {
 	var l load
 	for _, w := range s.carrier.works {
-		if !w.running || w.header.Server != server {
+		if !w.running && w.state < workRunning || w.header.Server != server {
 			continue
 		}
 		l.running++
-		if w.pinned || w.header.Begins || w.header.Class == currantloom.Long {
+		if w.pinned || w.header.Begins || w.header.Class == currantloom.Long || w.class == currantloom.Long {
+			l.lasting++
+		}
+	}
+	for _, x := range s.carrier.transactions.ordered {
+		if x.queue.server == server {
 			l.lasting++
 		}
 	}
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -105,7 +105,7 @@
 		return true
 	}
 	h := w.header
-	if w.writes() && g.holdsWrites() {
+	if q.server == g.primary && s.isHeld(g, w) {
 		return false
 	}
 	if q.held >= q.connectionsAllowed(s.now) {
@@ -117,6 +117,14 @@
 	return !h.Begins || q.pinned+q.beginning < max(1, q.maxConnections()/2)
 }
 
+// isHeld reports whether a planned change of the primary holds the work back.
+func (s *State) isHeld(g *group, w *work) bool {
+	if w.class == currantloom.Long || w.header.Begins {
+		return g.holdsLong()
+	}
+	return w.writes() && g.holdsWrites()
+}
+
 // admit starts waiting work while slots are free.
 func (s *State) admit(g *group, q *queue) {
 	for {
