--- /dev/null
+++ b/loommeasure/node.go
@@ -0,0 +1,288 @@
+package loommeasure
+
+import (
+	"reflect"
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+)
+
+// pollTimeout is when a poll without an answer counts as failed.
+const pollTimeout = 400 * time.Millisecond
+
+// node runs one State of the core.
+type node struct {
+	world   *world
+	vm      currantloom.VM
+	state   *loomcore.State
+	queries map[currantloom.RequestKey]*query
+	works   map[currantloom.RequestKey]*runtimeWork
+	queues  map[currantloom.ServerName]*plainQueue
+}
+
+// runtimeWork is a work that this node carries.
+type runtimeWork struct {
+	query   *query
+	attempt int
+	header  currantloom.RequestHeader
+	server  *server
+	result  currantloom.WorkResult
+}
+
+func newNode(w *world, vm currantloom.VM) *node {
+	return &node{
+		world: w, vm: vm,
+		state:   loomcore.New(loomcore.Config{Self: vm.Name(), Place: vm.Place(), Databases: w.list}),
+		queries: make(map[currantloom.RequestKey]*query),
+		works:   make(map[currantloom.RequestKey]*runtimeWork),
+		queues:  make(map[currantloom.ServerName]*plainQueue),
+	}
+}
+
+func (n *node) tick() {
+	n.deliver(loomcore.Tick{})
+	n.world.after(loomcore.TickInterval, n.tick)
+}
+
+// deliver reduces an event with the time of the world and executes its effects.
+func (n *node) deliver(e loomcore.Event) {
+	stamp := loomcore.Stamp{Now: n.world.now, Random: n.world.random.Uint64()}
+	v := reflect.New(reflect.TypeOf(e)).Elem()
+	v.Set(reflect.ValueOf(e))
+	v.FieldByName("Stamp").Set(reflect.ValueOf(stamp))
+	for _, f := range slices.Clone(n.state.Reduce(v.Interface().(loomcore.Event))) {
+		n.execute(f)
+	}
+}
+
+func (n *node) execute(e loomcore.Effect) {
+	switch e := e.(type) {
+	case loomcore.PollStatus:
+		n.poll(e.Server)
+	case loomcore.RaiseTerm:
+		n.raise(e)
+	case loomcore.Lead:
+		n.lead(e)
+	case loomcore.Follow:
+		n.ask(e.Server, func(s *server) { s.follow(e.Term, n.world.servers[e.Primary]) }, func() {})
+	case loomcore.Forward:
+		n.forward(e)
+	case loomcore.Answer:
+		q := n.queries[e.Key]
+		delete(n.queries, e.Key)
+		n.world.answer(q, e.Trailer)
+	case loomcore.Run:
+		n.run(e)
+	case loomcore.Acknowledge:
+		n.finishRun(e.Key)
+	case loomcore.Reject:
+		n.reject(e)
+	case loomcore.Complete:
+		x := n.works[e.Key]
+		delete(n.works, e.Key)
+		n.respond(x, e.Trailer)
+	case loomcore.ConfirmMark:
+		n.confirmMark(e)
+	}
+}
+
+// ask runs do at a server and then, after the way back, what it left to be done; failed if the server is down.
+func (n *node) ask(name currantloom.ServerName, do func(*server), failed func()) {
+	s := n.world.servers[name]
+	n.world.send(n.vm.Place(), s.server.Place(), pollSize, trafficControl, func() {
+		if !s.up {
+			n.world.send(s.server.Place(), n.vm.Place(), pollSize, trafficControl, failed)
+			return
+		}
+		do(s)
+	})
+}
+
+// back brings the answer of a server to this node.
+func (n *node) back(s *server, deliver func()) {
+	n.world.send(s.server.Place(), n.vm.Place(), reportSize, trafficControl, deliver)
+}
+
+func (n *node) poll(name currantloom.ServerName) {
+	sentAt := n.world.now
+	n.ask(name, func(s *server) {
+		status := s.status()
+		n.back(s, func() { n.deliver(loomcore.StatusReceived{Server: name, SentAt: sentAt, Status: status}) })
+	}, func() {
+		if n.world.policy == policyNoSuspicion {
+			n.world.after(pollTimeout, func() { n.deliver(loomcore.StatusFailed{Server: name}) })
+			return
+		}
+		n.deliver(loomcore.StatusFailed{Server: name, Refused: true})
+	})
+}
+
+func (n *node) raise(e loomcore.RaiseTerm) {
+	n.ask(e.Server, func(s *server) {
+		grant := s.raise(e.Term)
+		n.back(s, func() { n.deliver(loomcore.TermAnswered{Server: e.Server, Term: e.Term, Grant: grant}) })
+	}, func() { n.deliver(loomcore.TermAnswered{Server: e.Server, Term: e.Term, Failed: true}) })
+}
+
+func (n *node) lead(e loomcore.Lead) {
+	n.ask(e.Server, func(s *server) {
+		led := s.lead(e.Term)
+		n.back(s, func() { n.deliver(loomcore.LeadAnswered{Server: e.Server, Term: e.Term, Failed: !led}) })
+	}, func() { n.deliver(loomcore.LeadAnswered{Server: e.Server, Term: e.Term, Failed: true}) })
+}
+
+func (n *node) confirmMark(e loomcore.ConfirmMark) {
+	n.ask(e.Server, func(s *server) {
+		status := s.status()
+		n.back(s, func() { n.deliver(loomcore.MarkConfirmed{Key: e.Key, Server: e.Server, Status: status}) })
+	}, func() { n.deliver(loomcore.MarkConfirmed{Key: e.Key, Server: e.Server, Failed: true}) })
+}
+
+// receive takes a statement from a client.
+func (n *node) receive(q *query) {
+	if n.world.policy == policySplit {
+		n.runSplit(q)
+		return
+	}
+	n.queries[q.request.Key] = q
+	n.deliver(loomcore.RequestArrived{Request: q.request})
+}
+
+// forward sends an attempt to its carrier.
+func (n *node) forward(e loomcore.Forward) {
+	q := n.queries[e.Header.Key]
+	carrier := n.world.node(e.VM)
+	x := &runtimeWork{query: q, attempt: e.Attempt, header: e.Header, server: n.world.servers[e.Header.Server]}
+	arrive := func() {
+		q.queuedAt = n.world.now
+		if n.world.policy == policyQueue {
+			carrier.queuePlainly(x)
+			return
+		}
+		if _, ok := carrier.works[e.Header.Key]; ok {
+			carrier.respond(x, currantloom.Trailer{
+				Verdict: currantloom.NotRun, Code: currantloom.CodeCannotConnectNow, Reason: "an earlier attempt runs",
+			})
+			return
+		}
+		carrier.works[e.Header.Key] = x
+		carrier.deliver(loomcore.WorkArrived{Header: e.Header})
+	}
+	if carrier == n {
+		n.world.after(0, arrive)
+		return
+	}
+	n.world.send(n.vm.Place(), carrier.vm.Place(), requestSize, trafficStatement, arrive)
+}
+
+// respond sends the end of an attempt to the entry node.
+func (n *node) respond(x *runtimeWork, t currantloom.Trailer) {
+	entry := x.query.entry
+	finished := func() {
+		entry.deliver(loomcore.ForwardFinished{Key: x.header.Key, Attempt: x.attempt, Sent: true, Trailer: t})
+	}
+	if entry == n {
+		n.world.after(0, finished)
+		return
+	}
+	n.world.send(n.vm.Place(), entry.vm.Place(), responseSize, trafficStatement, finished)
+}
+
+// run runs admitted work on a connection.
+func (n *node) run(e loomcore.Run) {
+	x := n.works[e.Key]
+	x.query.ranAt = n.world.now
+	n.connect(x.server, func(failure *currantloom.WorkResult) {
+		if failure != nil {
+			n.deliver(loomcore.WorkFinished{Key: e.Key, Result: *failure})
+			return
+		}
+		n.runOn(x.server, x.query, e.ConfirmTerm, func(r currantloom.WorkResult) {
+			x.result = r
+			if e.WithholdCompletion && r.Err == nil {
+				n.deliver(loomcore.WorkAnswered{Key: e.Key, Result: r})
+				return
+			}
+			n.finishRun(e.Key)
+		})
+	})
+}
+
+// finishRun reports the end of a run and returns its connection.
+func (n *node) finishRun(key currantloom.RequestKey) {
+	x := n.works[key]
+	if x.server.up && x.result.Code != currantloom.CodeConnectionFailure {
+		x.server.idle[n]++
+	}
+	r := x.result
+	if n.world.policy == policyNoSuspicion && r.Code == currantloom.CodeConnectionFailure {
+		r.Code = currantloom.CodeOutcomeUnknown
+		if r.Verdict == currantloom.NotRun {
+			r.Code = currantloom.CodeCannotConnectNow
+		}
+	}
+	n.deliver(loomcore.WorkFinished{Key: key, Result: r})
+}
+
+// reject ends work that was not admitted, or whose completion is withheld for good.
+func (n *node) reject(e loomcore.Reject) {
+	x := n.works[e.Key]
+	started := x.result.Verdict == currantloom.Ran
+	if started {
+		n.finishRun(e.Key)
+	}
+	delete(n.works, e.Key)
+	n.respond(x, e.Trailer)
+}
+
+// connect takes an idle connection or opens one.
+func (n *node) connect(s *server, then func(failure *currantloom.WorkResult)) {
+	switch {
+	case s.up && s.idle[n] > 0:
+		s.idle[n]--
+		then(nil)
+	case !s.up:
+		lost := connectionLost(currantloom.NotRun)
+		n.world.after(2*domainTime, func() { then(&lost) })
+	case s.connections >= n.world.deployment.connections:
+		refused := currantloom.WorkResult{
+			Verdict: currantloom.NotRun, Code: currantloom.CodeTooManyConnections,
+			Err: currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeTooManyConnections, 0, "too many"),
+		}
+		n.world.after(2*domainTime, func() { then(&refused) })
+	default:
+		s.connections++
+		n.world.after(n.world.deployment.openTime, func() { then(nil) })
+	}
+}
+
+// runOn runs a statement at a server and brings the result back.
+func (n *node) runOn(s *server, q *query, confirm bool, done func(currantloom.WorkResult)) {
+	back := func(r currantloom.WorkResult) {
+		n.world.send(s.server.Place(), n.vm.Place(), responseSize, trafficStatement, func() { done(r) })
+	}
+	n.world.send(n.vm.Place(), s.server.Place(), requestSize, trafficStatement, func() {
+		if !s.up {
+			back(connectionLost(currantloom.MayHaveRun))
+			return
+		}
+		s.run(&statement{
+			write: q.request.Kind == currantloom.Write, confirm: confirm, left: q.work,
+			done: func(r currantloom.WorkResult) {
+				q.ranOn, q.held, q.ran = s, len(s.log), r.Verdict == currantloom.Ran
+				back(r)
+			},
+		})
+	})
+}
+
+func (w *world) node(name currantloom.VMName) *node {
+	for _, n := range w.nodes {
+		if n.vm.Name() == name {
+			return n
+		}
+	}
+	return nil
+}
