Refuse work whose turn comes too late to end in time

Work started up to its deadline and then ran past it. It is now refused once it can no longer end in time.

--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -132,7 +132,7 @@
 		if w == nil {
 			return
 		}
-		if s.now >= w.deadline {
+		if s.now >= w.startBy {
 			s.refuseLate(q, w)
 			continue
 		}
