--- a/loomcore/class.go
+++ b/loomcore/class.go
@@ -14,7 +14,7 @@
 	// hundred different statements.
 	historySize = 1024
 	// historyWeight is the part of a new run time in the moving average: one in historyWeight.
-	historyWeight = 4
+	historyWeight = 16
 	// shortCost and longCost are the expected run times of statements without a history.
 	shortCost = 10 * time.Millisecond
 	longCost  = 5 * time.Second
