--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -10,6 +10,10 @@
 // replicaWait is how long a read waits for a replica to become eligible before it goes to the primary.
 const replicaWait = 50 * time.Millisecond
 
+// runMargin times the expected run time is kept free before the deadline: 5% of exponentially distributed run times
+// exceed three times their mean, and work that ends after its deadline takes capacity from work that would not.
+const runMargin = 3
+
 // carrier holds the work at the servers that this node carries.
 type carrier struct {
 	works   map[currantloom.RequestKey]*work
@@ -94,7 +98,7 @@
 	}
 	s.use(g)
 	s.classify(w)
-	w.startBy = w.deadline - min(w.cost, e.Header.Remaining/2)
+	w.startBy = w.deadline - min(runMargin*w.cost, e.Header.Remaining/2)
 	q := s.queueOf(g, e.Header.Server)
 	switch {
 	case e.Header.Remaining <= 0:
