--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -10,6 +10,9 @@
 	// controlConnections of each server's limit are kept for control, because the carriers of the three servers of a
 	// database poll all three.
 	controlConnections = 4
+	// admittedWait is the part in percent of the time until work has to start that it may be expected to wait. The
+	// rest covers errors of the estimate, so that work is refused when it arrives and not after a wait.
+	admittedWait = 75
 	// minRetryAfter is the least time after which a refused request shall be retried.
 	minRetryAfter = 100 * time.Millisecond
 	// allowanceStep is the time after which one more connection is tried after the server refused some.
@@ -231,9 +234,9 @@
 // enqueue puts work into the queue, or refuses it if it cannot start in time.
 func (s *State) enqueue(q *queue, w *work) {
 	wait := s.estimateWait(q, w)
-	if s.now+wait > w.startBy {
+	if limit := (w.startBy - s.now) * admittedWait / 100; wait > limit {
 		s.reject(w, currantloom.CodeTooManyConnections, "estimated wait exceeds the deadline",
-			max(minRetryAfter, s.now+wait-w.startBy))
+			max(minRetryAfter, wait-limit))
 		return
 	}
 	w.state = workWaiting
