Estimate the wait from what the other callers leave

The estimate took the caller's backlog by the weights of the callers that wait at that moment. During a swing the others rarely wait but still use their slots, so the caller with the backlog waited longer than estimated. The run time that each caller started lately, decaying over 1 s, now gives the rate that is left.

--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -25,6 +25,9 @@
 	group  *group
 	short  share
 	long   share
+	// shortUsage and longUsage hold what each caller used of the class lately.
+	shortUsage usages
+	longUsage  usages
 	// running holds the work that occupies a slot, in the order of start.
 	running []*work
 	// held counts the connections in use, byCaller those of each caller.
@@ -45,7 +48,10 @@
 	if q, ok := c.queues[server]; ok {
 		return q
 	}
-	q := &queue{server: server, group: g, byCaller: make(map[currantloom.CallerName]int)}
+	q := &queue{
+		server: server, group: g, byCaller: make(map[currantloom.CallerName]int),
+		shortUsage: make(usages), longUsage: make(usages),
+	}
 	c.queues[server] = q
 	c.ordered = append(c.ordered, q)
 	return q
@@ -58,6 +64,13 @@
 	return &q.short
 }
 
+func (q *queue) usage(class currantloom.Class) usages {
+	if class == currantloom.Long {
+		return q.longUsage
+	}
+	return q.shortUsage
+}
+
 // longSlots is the number of slots that long work may take; one is reserved for short work.
 func (q *queue) longSlots() int { return max(1, q.group.database.Slots()-1) }
 
@@ -168,6 +181,8 @@
 	w.running = true
 	w.startedAt = s.now
 	q.running = append(q.running, w)
+	weight := s.rules.rules.Weight(w.header.Database, w.header.Caller)
+	q.usage(w.class).add(w.header.Caller, weight, w.cost, s.now)
 	if !w.pinned {
 		q.held++
 		q.byCaller[w.header.Caller]++
@@ -199,26 +214,14 @@
 }
 
 // estimateWait returns how long new work of the caller is expected to wait. Under deficit round robin it waits for its
-// caller's earlier work at the caller's share of the slots, and at most for all waiting work of its class.
+// caller's earlier work, at the rate that the other callers leave to it, and for running work if no slot is free.
 func (s *State) estimateWait(q *queue, w *work) time.Duration {
 	sh := q.share(w.class)
 	lanes := q.longSlots()
 	if w.class == currantloom.Short {
 		lanes = max(1, q.shortSlots())
 	}
-	ahead := sh.total
-	if len(sh.accounts) > 0 {
-		weight := time.Duration(max(1, s.rules.rules.Weight(w.header.Database, w.header.Caller)))
-		all := time.Duration(sh.weights())
-		own := time.Duration(0)
-		if a := sh.account(w.header.Caller); a != nil {
-			own = a.total
-		} else {
-			all += weight
-		}
-		ahead = min(ahead, own*all/weight)
-	}
-	busy := 0
+	busy, ahead := 0, time.Duration(0)
 	for _, r := range q.running {
 		if r.class == w.class {
 			busy++
@@ -228,7 +231,11 @@
 	if busy < lanes && len(sh.accounts) == 0 {
 		return 0
 	}
-	return ahead / time.Duration(lanes)
+	if a := sh.account(w.header.Caller); a != nil {
+		ahead += a.total
+	}
+	weight := s.rules.rules.Weight(w.header.Database, w.header.Caller)
+	return ahead * 1000 / time.Duration(q.usage(w.class).available(w.header.Caller, weight, lanes, s.now))
 }
 
 // enqueue puts work into the queue, or refuses it if it cannot start in time.
--- a/loomcore/share.go
+++ b/loomcore/share.go
@@ -138,15 +138,6 @@
 	}
 }
 
-// weights returns the sum of the weights of the callers with waiting work.
-func (sh *share) weights() int {
-	sum := 0
-	for _, a := range sh.accounts {
-		sum += a.weight
-	}
-	return sum
-}
-
 // each calls f for each waiting work; f may remove it.
 func (sh *share) each(f func(*work)) {
 	for _, a := range append([]*account(nil), sh.accounts...) {
--- a/loommeasure/peak.go
+++ b/loommeasure/peak.go
@@ -96,6 +96,17 @@
 	}
 }
 
+// partAbove returns the part of the values that exceed the limit.
+func partAbove(values []time.Duration, limit time.Duration) float64 {
+	above := 0
+	for _, v := range values {
+		if v > limit {
+			above++
+		}
+	}
+	return ratio(above, len(values))
+}
+
 func peakValues(counts []peakCount, full float64, refusals, late []time.Duration) []value {
 	total, worst := 0, 1.0
 	fair := full / float64(len(counts)) * peakHold.Seconds()
@@ -109,6 +120,7 @@
 		{"worst caller, of its share or demand", "%", 100 * worst},
 		{"time to a refusal, median", "ms", milliseconds(percentile(refusals, 0.5))},
 		{"time to a refusal, p99", "ms", milliseconds(percentile(refusals, 0.99))},
+		{"refusals after more than 100 ms", "%", 100 * partAbove(refusals, 100*time.Millisecond)},
 		{"statements that ran after their deadline", "", float64(len(late))},
 	}
 }
