--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -13,6 +13,8 @@
 	// admittedWait is the part in percent of the time until work has to start that it may be expected to wait. The
 	// rest covers errors of the estimate, so that work is refused when it arrives and not after a wait.
 	admittedWait = 75
+	// busyShort is the run time that short work starts per usageWindow from which on it gets a second slot.
+	busyShort = usageWindow / 20
 	// minRetryAfter is the least time after which a refused request shall be retried.
 	minRetryAfter = 100 * time.Millisecond
 	// allowanceStep is the time after which one more connection is tried after the server refused some.
@@ -71,8 +73,15 @@
 	return q.shortUsage
 }
 
-// longSlots is the number of slots that long work may take; one is reserved for short work.
-func (q *queue) longSlots() int { return max(1, q.group.database.Slots()-1) }
+// longSlots is the number of slots that long work may take. One is reserved for short work; a second one is while there
+// is short work, because a single slot makes it wait for itself.
+func (q *queue) longSlots(now time.Duration) int {
+	reserved := 1
+	if q.shortUsage.total(now) > busyShort {
+		reserved = 2
+	}
+	return max(1, q.group.database.Slots()-reserved)
+}
 
 // longRunning counts the running long work, and says whether some of it started as short work.
 func (q *queue) longRunning() (count int, reclassified bool) {
@@ -164,7 +173,7 @@
 func (s *State) nextWork(g *group, q *queue) *work {
 	can := func(w *work) bool { return s.canStart(g, q, w) }
 	long, _ := q.longRunning()
-	if long < q.longSlots() && len(q.running) < g.database.Slots() {
+	if long < q.longSlots(s.now) && len(q.running) < g.database.Slots() {
 		if w := q.long.next(can); w != nil {
 			return w
 		}
@@ -217,7 +226,7 @@
 // caller's earlier work, at the rate that the other callers leave to it, and for running work if no slot is free.
 func (s *State) estimateWait(q *queue, w *work) time.Duration {
 	sh := q.share(w.class)
-	lanes := q.longSlots()
+	lanes := q.longSlots(s.now)
 	if w.class == currantloom.Short {
 		lanes = max(1, q.shortSlots())
 	}
--- a/loomcore/usage.go
+++ b/loomcore/usage.go
@@ -40,6 +40,16 @@
 	u.amount += cost
 }
 
+// total returns the run time that all callers started lately.
+func (us usages) total(now time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, u := range us {
+		u.decay(now)
+		sum += u.amount
+	}
+	return sum
+}
+
 // available returns the part of the lanes, in thousandths of a lane, that the caller can expect: what the others leave,
 // and at least its share by weight. The sums are of integers, so that the order of the map has no influence.
 func (us usages) available(caller currantloom.CallerName, weight, lanes int, now time.Duration) int64 {
