Follow a redirect to a primary whose carrier does not know the term yet

After a promotion entries sent writes to the new primary before its carrier had polled it. The carrier refused them, and the entry either waited for a probe of other servers or, after three redirects, gave the refusal to the caller. The carrier now polls the server at once when it refuses for that reason, and the entry tries again after 50 ms; a request without redirects left waits for the primary like all others.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -116,6 +116,8 @@
 func (s *State) placeWork(q *queue, w *work) {
 	code, reason := s.obstacle(q, w)
 	if reason != "" {
+		// The entry node may know a newer primary than this node; the next attempt shall find it known.
+		s.pollNow(q.group.view.members[q.server])
 		s.reject(w, code, reason, 0)
 		return
 	}
--- a/loomcore/request_test.go
+++ b/loomcore/request_test.go
@@ -97,6 +97,16 @@
 			request 1 => forward 1 a@vm-1
 			done 1 verdict=not_run code=57P03 term=2 primary=b => forward 1 b@vm-2
 			request 2 => forward 2 b@vm-2`},
+		{name: "the carrier of the new primary does not know the term yet", script: `
+			request 1 => forward 1 a@vm-1
+			done 1 verdict=not_run code=57P03 term=2 primary=b => forward 1 b@vm-2
+			done 1 attempt=2 verdict=not_run code=57P03 =>
+			request 2 => forward 2 b@vm-2
+			wait 50ms => forward 1 b@vm-2
+			done 1 attempt=3 verdict=not_run code=57P03 =>
+			wait 50ms => forward 1 b@vm-2
+			done 1 attempt=4 verdict=not_run code=57P03 =>
+			wait 100ms => forward 1 a@vm-1`},
 		{name: "without a primary one request at a time looks for it", script: `
 			request 1 => forward 1 a@vm-1
 			done 1 verdict=not_run code=57P03 =>
--- a/loomcore/retry.go
+++ b/loomcore/retry.go
@@ -128,10 +128,19 @@
 	}
 }
 
-// redirect sends the request to the primary that the trailer named, or lets it wait for one.
+// redirect sends the request to the primary that the trailer named. If the carrier of that primary does not know the
+// term yet, the request is tried again a little later; without a known primary it waits for one.
 func (s *State) redirect(g *group, r *request, t *currantloom.Trailer) step {
-	if g.primary != "" && g.primary != r.server && !s.hintOf(g).absent {
-		return s.count(r, t, stepRoute)
+	if g.primary == "" || r.retries >= maxRetries || s.hintOf(g).absent {
+		return stepPark
+	}
+	if g.primary != r.server {
+		r.retries++
+		return stepRoute
+	}
+	if t.Term < g.term {
+		r.retries++
+		return stepWait
 	}
 	return stepPark
 }
--- a/loommeasure/run.go
+++ b/loommeasure/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"text/tabwriter"
 )
 
@@ -107,10 +108,12 @@
 
 // runSeeds runs one measure with the seeds 1 to seeds.
 func runSeeds(d deployment, m measure, p namedPolicy, seeds int) []row {
-	var results [][]value
+	results := make([][]value, seeds)
+	var wait sync.WaitGroup
 	for seed := range seeds {
-		results = append(results, m.run(d, p.policy, uint64(seed+1)))
+		wait.Go(func() { results[seed] = m.run(d, p.policy, uint64(seed+1)) })
 	}
+	wait.Wait()
 	var rows []row
 	for i, v := range results[0] {
 		var amounts []float64
