--- a/loomcore/age_test.go
+++ b/loomcore/age_test.go
@@ -80,6 +80,9 @@
 		{"older sample is too old", []poll{first, {serverA, 1500, 1502, report(primary, 3, 3, 20)},
 			{serverB, 1503, 1505, report(replica, 3, 3, 12)}}, token(3, 1), 504, pending,
 			[]currantloom.ServerName{serverA}},
+		{"only another replica was polled after the primary answered", []poll{first,
+			{serverB, 1001, 1005, report(replica, 3, 3, 10)}, {serverC, 1003, 1065, report(replica, 3, 3, 10)}},
+			token(3, 1), 5000, pending, []currantloom.ServerName{serverB}},
 		{"sample of another term", []poll{first, {serverB, 1003, 1005, report(replica, 4, 4, 11)}},
 			token(3, 1), 5000, ineligible, nil},
 		{"replica granted a newer term", []poll{first, {serverB, 1003, 1005, currantloom.ServerStatus{
@@ -104,6 +107,32 @@
 	}
 }
 
+// TestAgeNeedsMajority guards against a replica that vouches alone for a replaced primary: of five servers, two more
+// have to be in the term after the primary's answer.
+func TestAgeNeedsMajority(t *testing.T) {
+	var servers []currantloom.Server
+	for _, name := range []currantloom.ServerName{serverA, serverB, serverC, "d", "e"} {
+		servers = append(servers, currantloom.NewServer(name, testDatabase, "", currantloom.Place{}))
+	}
+	g := &group{database: currantloom.NewDatabase(testDatabase, 2, 16, servers)}
+	g.activate(0)
+	mark := currantloom.NewMark(3, 10)
+	g.view.samples.add(sample{server: serverA, term: 3, mark: mark, sentAt: ms(10), answeredAt: ms(12)})
+	answer := func(name currantloom.ServerName, sent int, term currantloom.Term) {
+		g.member(name).record(StatusReceived{SentAt: ms(sent), Status: report(currantloom.RoleReplica, term, 3, 10)})
+	}
+	answer(serverB, 13, 3)
+	answer(serverC, 11, 3)
+	answer("d", 13, 4)
+	if _, known := g.ageOf(g.member(serverB), ms(20)); known {
+		t.Error("got an age from two of five servers")
+	}
+	answer(serverC, 13, 3)
+	if age, known := g.ageOf(g.member(serverB), ms(20)); !known || age != ms(10) {
+		t.Errorf("got age %v, known %v, from three of five servers, want 10ms", age, known)
+	}
+}
+
 func checkPolls(t *testing.T, s *State, want ...currantloom.ServerName) {
 	t.Helper()
 	var got []currantloom.ServerName
--- a/loomcore/planned_test.go
+++ b/loomcore/planned_test.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// runWhile runs as long as the condition holds, but no longer than the limit.
+func (w *world) runWhile(limit time.Duration, condition func() bool) {
+	for end := w.now + limit; condition() && w.now < end; {
+		w.run(time.Millisecond)
+	}
+}
+
 func checkBetween(t *testing.T, what string, got, least, most time.Duration) {
 	t.Helper()
 	t.Logf("%s: %v", what, got)
@@ -110,6 +117,9 @@
 	if name := w.primaryName(); name != serverA {
 		t.Errorf("got primary %q, want %s to stay", name, serverA)
 	}
+	if term := w.server(serverA).term; term != 1 {
+		t.Errorf("got term %d, want no change of primary", term)
+	}
 }
 
 // TestHoldEndsWithoutChange guards against writes that stay held when the target falls behind or the proposal fails.
@@ -129,15 +139,11 @@
 			w.run(3 * time.Second)
 			n := w.carrierIn(serverA)
 			w.leave(serverA)
-			for !n.state.groups[testDatabase].holdsWrites() {
-				w.run(time.Millisecond)
-			}
+			w.runWhile(5*time.Second, func() bool { return !n.state.groups[testDatabase].holdsWrites() })
 			w.drop = c.drop
 			c.fault(w)
 			held := w.now
-			for n.state.groups[testDatabase].holdsWrites() {
-				w.run(time.Millisecond)
-			}
+			w.runWhile(5*time.Second, func() bool { return n.state.groups[testDatabase].holdsWrites() })
 			checkBetween(t, "hold", w.now-held, 0, ms(1300))
 			w.drop = nil
 			w.awaitPrimary(serverA)
--- a/loomcore/promotion_fuzz_test.go
+++ b/loomcore/promotion_fuzz_test.go
@@ -64,13 +64,8 @@
 			// A planned change at the time of the last check would make the nodes disagree for a moment.
 			clear(n.state.members.leaving)
 		}
-		w.awaitPrimary("")
-		w.run(2 * time.Second)
-		for _, n := range w.nodes {
-			if g := n.state.groups[testDatabase]; g.view != nil && g.primary != w.primaryName() {
-				t.Fatalf("%s believes in primary %q of term %d, want %q", n.name, g.primary, g.term, w.primaryName())
-			}
-		}
+		w.run(8 * time.Second)
+		w.checkAgreement()
 	})
 }
 
--- a/loomcore/promotion_test.go
+++ b/loomcore/promotion_test.go
@@ -136,13 +136,9 @@
 	w.awaitPrimary(serverA)
 	w.heal()
 	w.run(2 * time.Second)
-	if m := w.server(serverA); m.role != currantloom.RoleReplica || m.term == 1 {
-		t.Errorf("got role %v in term %d after the return, want replica in a newer term", m.role, m.term)
-	}
-	for _, n := range w.nodes {
-		if g := n.state.groups[testDatabase]; g.view != nil && g.primary != w.primaryName() {
-			t.Errorf("%s believes in %s, want %s", n.name, g.primary, w.primaryName())
-		}
+	w.checkAgreement()
+	if w.primaryName() == serverA {
+		t.Error("the replaced primary is primary again")
 	}
 }
 
--- a/loomcore/world_test.go
+++ b/loomcore/world_test.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if w.now < n.pausedUntil {
-		w.after(n.pausedUntil-w.now, func() { w.deliver(n, restamp(e, w.stamp())) })
+		w.after(min(n.pausedUntil-w.now, TickInterval), func() { w.deliver(n, restamp(e, w.stamp())) })
 		return
 	}
 	n.noteTerm(e)
@@ -255,7 +255,7 @@
 		switch {
 		case m.refuses || w.isCut(string(n.name), string(name)) || w.random.Float64() < w.loss:
 		case w.now < m.pausedUntil:
-			w.after(m.pausedUntil-w.now, arrive)
+			w.after(min(m.pausedUntil-w.now, TickInterval), arrive)
 		default:
 			e := do(m)
 			if !w.isCut(string(n.name), string(name)) {
@@ -430,6 +430,25 @@
 	}
 }
 
+// checkAgreement fails unless a primary confirms writes, all other servers follow it, and all nodes know it.
+func (w *world) checkAgreement() {
+	p := w.primaryInOffice()
+	if p == nil {
+		w.fail("at %v: no primary confirms writes; decisions: %+v", w.now, w.decisions)
+		return
+	}
+	for _, m := range w.servers {
+		if m != p && (m.role != currantloom.RoleReplica || m.term != p.term) {
+			w.fail("%s is %v in term %d, want replica in term %d", m.name, m.role, m.term, p.term)
+		}
+	}
+	for _, n := range w.nodes {
+		if g := n.state.groups[testDatabase]; g.view != nil && g.primary != p.name {
+			w.fail("%s believes in primary %q of term %d, want %s of term %d", n.name, g.primary, g.term, p.name, p.term)
+		}
+	}
+}
+
 // read asks a node whether a server may serve a read. If it may, the server must hold the entry of the token, and all
 // entries that were confirmed before the accepted age.
 func (w *world) read(n *worldNode, m *modelServer, accepted time.Duration) {
