--- a/loomcore/planned_test.go
+++ b/loomcore/planned_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomrules"
 )
 
 // leave marks a server as leaving in the VM list of all nodes but those given.
@@ -150,3 +151,46 @@
 		})
 	}
 }
+
+// TestRulePrimary guards against a rule that has no effect, that moves the primary away from a server again and again,
+// or that cuts off running work.
+func TestRulePrimary(t *testing.T) {
+	for _, c := range []struct {
+		name, rules string
+		work        *work
+		want        currantloom.ServerName
+		wantTerm    currantloom.Term
+	}{
+		{"named replica", "primary wheel-core-1 wheel-core-1-c # op", nil, serverC, 2},
+		{"named server is primary", "primary wheel-core-1 wheel-core-1-a # op", nil, serverA, 1},
+		{"named server is leaving", "primary wheel-core-1 wheel-core-1-b # op", nil, serverA, 1},
+		{"leaving by rule", "leave wheel-core-1-a # op", nil, serverB, 2},
+		{"work does not end", "primary wheel-core-1 wheel-core-1-b # op", &work{running: true}, serverA, 1},
+		{"unknown server", "primary wheel-core-1 wheel-core-9-x # op", nil, serverA, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rules, err := loomrules.Parse(c.rules + "\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := newWorld(1, 5, t.Fatalf)
+			w.run(3 * time.Second)
+			if c.work != nil {
+				c.work.header.Server = serverA
+				w.carrierIn(serverA).state.carrier.works = map[currantloom.RequestKey]*work{{}: c.work}
+			}
+			if c.name == "named server is leaving" {
+				w.leave(serverB)
+			}
+			for _, n := range w.nodes {
+				w.deliver(n, RulesReceived{
+					Stamp: w.stamp(), Document: currantloom.NewRulesDocument(1, "1", c.rules), Rules: rules,
+				})
+			}
+			w.run(20 * time.Second)
+			if name := w.primaryName(); name != c.want || w.server(name).term != c.wantTerm {
+				t.Errorf("got primary %q, want %s in term %d", name, c.want, c.wantTerm)
+			}
+		})
+	}
+}
