Spread rules by a tree per region and repair losses by pulls

New rules now reach every node: two relays per region watch the store, a node forwards what it receives first along a tree of fan-out 4 in rendezvous order, the first relay sends to one node of each other region, and every node pulls from one peer each second. Gossip to random peers was ruled out: the tree reaches all 200 VMs of a region in at most 4 hops with one copy each, and pulls repair the losses of both.

VMs next in order to the relays ask them every other second, so that a dead relay is replaced before the platform's list shows it.

--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -37,7 +37,9 @@
 		Server currantloom.ServerName
 		VM     currantloom.VMName
 		Term   currantloom.Term
-		Reason string
+		// Revision is that of rules; zero for decisions on anything else.
+		Revision currantloom.Revision
+		Reason   string
 	}
 )
 
--- /dev/null
+++ b/loomcore/rules_test.go
@@ -0,0 +1,135 @@
+package loomcore
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomrules"
+)
+
+// rulesMember returns a State in a list of VMs in two regions, and the effects of receiving the list.
+func rulesMember(self string, perRegion int) (*State, []Effect) {
+	place := currantloom.NewPlace("ost", "ost-linz")
+	s := New(Config{Self: currantloom.VMName(self), Place: place})
+	var set currantloom.VMSet
+	for i := range perRegion {
+		for _, p := range []currantloom.Place{place, currantloom.NewPlace("west", "west-ibk")} {
+			name := currantloom.VMName(fmt.Sprintf("%s-%d", p.Region(), i))
+			set.VMs = append(set.VMs, currantloom.NewVM(name, p, "", "", currantloom.VMLive))
+		}
+	}
+	return s, append([]Effect(nil), s.Reduce(VMsReceived{Stamp: Stamp{Random: 5}, Set: set})...)
+}
+
+func received(revision currantloom.Revision, from currantloom.VMName) RulesReceived {
+	return RulesReceived{
+		Document: currantloom.NewRulesDocument(revision, "", ""), Rules: &loomrules.Rules{}, From: from,
+	}
+}
+
+func effectsOf[T Effect](effects []Effect) []T {
+	var found []T
+	for _, e := range effects {
+		if e, ok := e.(T); ok {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// TestRulesSpreadReachesAll guards against VMs that no forwarded copy reaches, and against copies to oneself.
+func TestRulesSpreadReachesAll(t *testing.T) {
+	const perRegion = 200
+	first, _ := rulesMember("ost-0", perRegion)
+	relay := first.rules.order[0]
+	hops := map[currantloom.VMName]int{relay: 0}
+	distant := 0
+	queue := []currantloom.VMName{relay}
+	from := map[currantloom.VMName]currantloom.VMName{}
+	for len(queue) > 0 {
+		vm := queue[0]
+		queue = queue[1:]
+		s, _ := rulesMember(string(vm), perRegion)
+		for _, e := range effectsOf[SpreadRules](s.Reduce(received(1, from[vm]))) {
+			for _, to := range e.VMs {
+				if to == vm {
+					t.Fatalf("%s sends the rules to itself", vm)
+				}
+				if v, _ := s.VM(to); v.Place().Region() != "ost" {
+					distant++
+				} else if _, ok := hops[to]; !ok {
+					hops[to], from[to] = hops[vm]+1, vm
+					queue = append(queue, to)
+				}
+			}
+		}
+	}
+	deepest := 0
+	for _, h := range hops {
+		deepest = max(deepest, h)
+	}
+	if len(hops) != perRegion || deepest > 4 || distant != 1 {
+		t.Errorf("%d of %d VMs reached in %d hops, %d copies to the other region; want all, at most 4, 1",
+			len(hops), perRegion, deepest, distant)
+	}
+}
+
+// TestRulesEffectsAreDeterministic guards against an order of effects that depends on the order of a map.
+func TestRulesEffectsAreDeterministic(t *testing.T) {
+	var want []Effect
+	for range 20 {
+		s, effects := rulesMember("ost-3", 8)
+		effects = append(effects, s.Reduce(received(1, ""))...)
+		if want != nil && !reflect.DeepEqual(effects, want) {
+			t.Fatalf("got effects %v, then %v", want, effects)
+		}
+		want = effects
+	}
+}
+
+// TestRulesAtStart guards against a node that waits with its first question, or asks only its own region.
+func TestRulesAtStart(t *testing.T) {
+	s, effects := rulesMember("ost-0", 8)
+	regions := map[currantloom.Region]int{}
+	for _, e := range effectsOf[PullRules](effects) {
+		vm, _ := s.VM(e.VM)
+		regions[vm.Place().Region()]++
+	}
+	if regions["ost"] != 2 || regions["west"] != 1 {
+		t.Errorf("got first pulls by region %v, want 2 in the own region and 1 in the other", regions)
+	}
+}
+
+// TestRulesOfferedToOlderPeer guards against a peer that keeps older rules although a newer node met it.
+func TestRulesOfferedToOlderPeer(t *testing.T) {
+	s, _ := rulesMember("ost-0", 8)
+	s.Reduce(received(5, "ost-1"))
+	for what, e := range map[string]Event{
+		"answer": PeerAnswered{VM: "ost-2", Revision: 4}, "push": received(4, "ost-2"),
+	} {
+		spread := effectsOf[SpreadRules](s.Reduce(e))
+		if len(spread) != 1 || len(spread[0].VMs) != 1 || spread[0].VMs[0] != "ost-2" {
+			t.Errorf("after an older %s: got %v, want the rules sent to ost-2", what, spread)
+		}
+	}
+	if pulls := effectsOf[PullRules](s.Reduce(PeerAnswered{VM: "ost-2", Revision: 6})); len(pulls) != 1 {
+		t.Errorf("after a newer answer: got %v, want a pull", pulls)
+	}
+}
+
+// TestRulesRelayIsReplaced guards against a region without a watch on the store while the list still holds a dead VM.
+func TestRulesRelayIsReplaced(t *testing.T) {
+	probe, _ := rulesMember("ost-0", 8)
+	order := probe.rules.order
+	s, effects := rulesMember(string(order[2]), 8)
+	if watches := effectsOf[WatchRules](effects); len(watches) != 0 {
+		t.Fatalf("the third VM watches the store at the start: %v", watches)
+	}
+	on := effectsOf[WatchRules](s.Reduce(PeerFailed{VM: order[1]}))
+	off := effectsOf[WatchRules](s.Reduce(PeerAnswered{VM: order[1]}))
+	if len(on) != 1 || !on[0].On || len(off) != 1 || off[0].On {
+		t.Errorf("got %v when a relay failed and %v when it answered", on, off)
+	}
+}
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -70,10 +70,13 @@
 		s.rulesReceived(e)
 	case VMsReceived:
 		s.vmsReceived(e)
+		s.rulesVMsReceived()
 	case PeerFailed:
 		s.peerFailed(e)
+		s.rulesPeerFailed(e)
 	case PeerAnswered:
 		s.peerAnswered(e)
+		s.rulesPeerAnswered(e)
 	case StatusReceived:
 		s.statusReceived(e)
 	case StatusFailed:
@@ -109,6 +112,7 @@
 	s.tickCarrier()
 	s.tickRequests()
 	s.tickMembers()
+	s.tickRules()
 	s.tickStop()
 }
 
