--- /dev/null
+++ b/loomcore/deadline.go
@@ -0,0 +1,15 @@
+package loomcore
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// Deadline returns the time that the rules give a statement whose session states none.
+func (s *State) Deadline(
+	database currantloom.DatabaseName, caller currantloom.CallerName, statement string,
+) time.Duration {
+	class, _ := s.rules.rules.Class(database, statement)
+	return s.rules.rules.Deadline(database, caller, class)
+}
--- a/loomentry/auth.go
+++ b/loomentry/auth.go
@@ -1,13 +1,18 @@
 package loomentry
 
 import (
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
 	"strings"
+	"sync"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/joomcode/errorx"
 	"github.com/xdg-go/scram"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomwire"
 )
 
 const (
@@ -19,6 +24,26 @@
 // Credentials holds the SCRAM verifiers of the callers. The zero value admits nobody.
 type Credentials struct {
 	stored map[currantloom.CallerName]scram.StoredCredentials
+	once   sync.Once
+	// mockKey makes the verifiers of unknown callers, which no password matches.
+	mockKey [sha256.Size]byte
+}
+
+// lookUp returns the verifier of a caller. An unknown caller gets one with a stable salt, so that neither the messages
+// nor the time of a failed authentication tell whether a caller exists.
+func (c *Credentials) lookUp(caller currantloom.CallerName) scram.StoredCredentials {
+	c.once.Do(func() { _, _ = rand.Read(c.mockKey[:]) })
+	mac := hmac.New(sha256.New, c.mockKey[:])
+	_, _ = mac.Write([]byte(caller))
+	sum := mac.Sum(nil)
+	if stored, ok := c.stored[caller]; ok {
+		return stored
+	}
+	key := sha256.Sum256(sum)
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(sum[:saltSize]), Iters: scramIterations},
+		StoredKey:  key[:], ServerKey: key[:],
+	}
 }
 
 // Add registers a caller's password.
@@ -52,17 +77,13 @@
 func (s *Session) authenticate(user string) error {
 	caller := callerOf(user)
 	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) {
-		stored, ok := s.server.Credentials.stored[caller]
-		if !ok {
-			return stored, currantloom.ErrInput.New("unknown caller %s", caller)
-		}
-		return stored, nil
+		return s.server.Credentials.lookUp(caller), nil
 	})
 	if err != nil {
 		return err
 	}
 	conversation := server.NewConversation()
-	if err := s.send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}}); err != nil {
+	if err := s.sendNow(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}}); err != nil {
 		return err
 	}
 	var initial pgproto3.SASLInitialResponse
@@ -73,7 +94,7 @@
 	if err != nil {
 		return badPassword(user)
 	}
-	if err := s.send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}); err != nil {
+	if err := s.sendNow(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}); err != nil {
 		return err
 	}
 	var response pgproto3.SASLResponse
@@ -85,7 +106,15 @@
 		return badPassword(user)
 	}
 	s.caller = caller
-	return s.send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return s.writer.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+}
+
+// sendNow sends a message whose answer the session waits for.
+func (s *Session) sendNow(m loomwire.Encoder) error {
+	if err := s.writer.Send(m); err != nil {
+		return err
+	}
+	return s.writer.Flush()
 }
 
 func badPassword(user string) error {
@@ -112,6 +141,14 @@
 	return nil
 }
 
+// messageOf returns the text of an error without the name of its type.
+func messageOf(err error) string {
+	if e := errorx.Cast(err); e != nil {
+		return e.Message()
+	}
+	return err.Error()
+}
+
 // protocolError is the error of a malformed or misplaced message; it ends the connection.
 func protocolError(format string, args ...any) error {
 	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeProtocolViolation, 0, format, args...)
--- a/loomentry/parameter.go
+++ b/loomentry/parameter.go
@@ -1,86 +1,185 @@
 package loomentry
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"currantloom.example/currantloom"
 )
 
-// The session parameters of currantloom.
+// The session parameters, in lower case as they are compared.
 const (
-	parameterPrefix    = "currantloom."
-	parameterToken     = "currantloom.token"
-	parameterMaxAge    = "currantloom.max_age"
-	parameterRequestID = "currantloom.request_id"
+	parameterPrefix           = "currantloom."
+	parameterToken            = "currantloom.token"
+	parameterMaxAge           = "currantloom.max_age"
+	parameterRequestID        = "currantloom.request_id"
+	parameterDeadline         = "currantloom.deadline"
+	parameterApplicationName  = "application_name"
+	parameterExtraFloatDigits = "extra_float_digits"
+	parameterStatementTimeout = "statement_timeout"
 )
 
+// maxParameterSize bounds the values that a session keeps, because there are many sessions.
+const maxParameterSize = 256
+
+// fixedParameters are the standard parameters that may only be set to the value that all server connections have.
+var fixedParameters = map[string][]string{
+	"client_encoding":             {"UTF8", "utf-8", "unicode"},
+	"datestyle":                   {"ISO, MDY", "iso", "iso,mdy"},
+	"timezone":                    {"UTC", "etc/utc", "gmt"},
+	"standard_conforming_strings": {"on", "true", "1"},
+	// Every value above 0 gives the shortest exact form, which is the default of the servers.
+	parameterExtraFloatDigits: {"1", "2", "3"},
+}
+
+// reportedParameters are the parameters of which the client is told each change.
+var reportedParameters = []string{
+	"client_encoding", "DateStyle", "TimeZone", "standard_conforming_strings", parameterApplicationName,
+}
+
 // parameters are the values a session has set.
 type parameters struct {
-	token     currantloom.Token
-	maxAge    time.Duration
-	requestID string
+	token            currantloom.Token
+	maxAge           time.Duration
+	requestID        string
+	deadline         time.Duration
+	statementTimeout time.Duration
+	applicationName  string
+	// startup holds the values of the startup message, to which RESET returns.
+	startup map[string]string
+}
+
+// limit returns the time the session gives a request, zero if it states none.
+func (p *parameters) limit() time.Duration {
+	if p.deadline > 0 {
+		return p.deadline
+	}
+	return p.statementTimeout
 }
 
-func isOwnParameter(name string) bool { return strings.HasPrefix(name, parameterPrefix) }
+// isKept reports whether the session keeps the parameter itself.
+func isKept(name string) bool {
+	if strings.HasPrefix(name, parameterPrefix) || fixedParameters[name] != nil {
+		return true
+	}
+	return name == parameterApplicationName || name == parameterStatementTimeout
+}
 
-// setParameter sets one of currantloom's parameters.
-func (s *Session) setParameter(name, value string) error {
+// set sets a parameter. The name is in lower case.
+func (p *parameters) set(name, value string, database currantloom.DatabaseName) error {
+	if len(value) > maxParameterSize {
+		return invalidParameter("%s: value of %d bytes exceeds the limit of %d", name, len(value), maxParameterSize)
+	}
+	if allowed := fixedParameters[name]; allowed != nil {
+		return checkFixed(name, value, allowed)
+	}
+	var err error
 	switch name {
 	case parameterToken:
-		token, err := currantloom.ParseToken(value, s.database)
-		if err != nil {
+		var token currantloom.Token
+		if token, err = currantloom.ParseToken(value, database); err != nil {
 			return invalidParameter("%s: %v", name, err)
 		}
-		s.parameters.token = token
+		p.token = token
 	case parameterMaxAge:
-		age, err := time.ParseDuration(value)
-		if err != nil || age < 0 {
-			return invalidParameter("%s: %q is not a duration such as 5s", name, value)
-		}
-		s.parameters.maxAge = age
+		p.maxAge, err = parseTime(name, value, p.maxAge)
+	case parameterDeadline:
+		p.deadline, err = parseTime(name, value, p.deadline)
+	case parameterStatementTimeout:
+		p.statementTimeout, err = parseTime(name, value, p.statementTimeout)
 	case parameterRequestID:
-		s.parameters.requestID = value
+		p.requestID = value
+	case parameterApplicationName:
+		p.applicationName = value
 	default:
-		return invalidParameter("unknown parameter %s", name)
+		if strings.HasPrefix(name, parameterPrefix) {
+			return invalidParameter("unknown parameter %s", name)
+		}
+		return unsupported("SET %s is not supported", name)
 	}
-	return nil
+	return err
 }
 
-func invalidParameter(format string, args ...any) error {
-	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeInvalidParameter, 0, format, args...)
+func checkFixed(name, value string, allowed []string) error {
+	for _, v := range allowed {
+		if strings.EqualFold(strings.ReplaceAll(v, " ", ""), strings.ReplaceAll(value, " ", "")) {
+			return nil
+		}
+	}
+	return unsupported("%s may only be %s, got %q", name, allowed[0], value)
 }
 
-// runLocal handles SET of currantloom's parameters, which no server sees.
-func (s *Session) runLocal(statement string) (handled bool, err error) {
-	rest, ok := cutWord(statement, "set")
-	if !ok || !isOwnParameter(rest) {
-		return false, nil
+// parseTime reads a duration such as 5s; a bare number is in milliseconds, as in statement_timeout.
+func parseTime(name, value string, previous time.Duration) (time.Duration, error) {
+	text := strings.ReplaceAll(value, " ", "")
+	if ms, err := strconv.ParseInt(text, 10, 32); err == nil && ms >= 0 {
+		return time.Duration(ms) * time.Millisecond, nil
+	}
+	if number, ok := strings.CutSuffix(text, "min"); ok {
+		text = number + "m"
 	}
-	name, value, ok := strings.Cut(strings.TrimSuffix(rest, ";"), "=")
-	if !ok {
-		name, value, _ = strings.Cut(rest, " to ")
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 {
+		return previous, invalidParameter("%s: %q is not a duration such as 5s", name, value)
 	}
-	if err := s.setParameter(strings.TrimSpace(name), strings.Trim(value, " '")); err != nil {
-		_ = s.send(&pgproto3.ErrorResponse{
-			Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: string(currantloom.CodeOf(err)), Message: err.Error(),
-			Detail: "verdict=not_run retry_after_ms=0",
-		})
-		return true, s.ready()
+	return d, nil
+}
+
+// reset returns a parameter, or all if the name is empty, to its value at startup. The token becomes unknown, which
+// is always safe: the startup token may be older than the session's own writes.
+func (p *parameters) reset(name string) error {
+	if name == "" {
+		token := currantloom.Token{}
+		*p = parameters{token: token, startup: p.startup}
+		for name, value := range p.startup {
+			if name != parameterToken {
+				_ = p.set(name, value, "")
+			}
+		}
+		return nil
 	}
-	if err := s.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")}); err != nil {
-		return true, err
+	if !isKept(name) {
+		return unsupported("RESET %s is not supported", name)
 	}
-	return true, s.ready()
+	if fixedParameters[name] != nil {
+		return nil
+	}
+	if value, ok := p.startup[name]; ok && name != parameterToken {
+		return p.set(name, value, "")
+	}
+	if name == parameterMaxAge || name == parameterDeadline || name == parameterStatementTimeout {
+		return p.set(name, "0", "")
+	}
+	return p.set(name, "", "")
 }
 
-// cutWord removes a leading keyword.
-func cutWord(statement, word string) (rest string, ok bool) {
-	trimmed := strings.TrimSpace(statement)
-	if len(trimmed) <= len(word) || !strings.EqualFold(trimmed[:len(word)], word) {
-		return statement, false
+// show returns the value of a parameter that the session keeps.
+func (p *parameters) show(name string) string {
+	switch name = strings.ToLower(name); name {
+	case parameterToken:
+		return p.token.String()
+	case parameterMaxAge:
+		return p.maxAge.String()
+	case parameterDeadline:
+		return p.deadline.String()
+	case parameterStatementTimeout:
+		return strconv.FormatInt(p.statementTimeout.Milliseconds(), 10)
+	case parameterRequestID:
+		return p.requestID
+	case parameterApplicationName:
+		return p.applicationName
+	}
+	if allowed := fixedParameters[name]; allowed != nil {
+		return allowed[0]
 	}
-	return strings.TrimSpace(trimmed[len(word):]), true
+	return ""
+}
+
+func invalidParameter(format string, args ...any) error {
+	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeInvalidParameter, 0, format, args...)
+}
+
+func unsupported(format string, args ...any) error {
+	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeUnsupported, 0, format, args...)
 }
--- a/loomentry/server.go
+++ b/loomentry/server.go
@@ -2,41 +2,66 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"currantloom.example/currantloom"
 )
 
+const (
+	defaultIdleInTransaction = 10 * time.Second
+	// acceptPause separates attempts to accept while the process is out of file descriptors.
+	acceptPause = 10 * time.Millisecond
+)
+
 // Server accepts client connections.
 type Server struct {
 	Gateway     currantloom.Gateway
 	Credentials *Credentials
+	// VM is the name of this node's VM; it determines the process ids that are reported to clients.
+	VM currantloom.VMName
+	// ForwardCancel passes a CancelRequest on to the node that reported the process id; nil if there is none.
+	ForwardCancel func(pid uint32, secret []byte)
+	// IdleInTransaction is how long a transaction may wait for its next request; zero means 10 s.
+	IdleInTransaction time.Duration
 
 	mu       sync.Mutex
-	sessions map[*Session]bool
-	stopping bool
+	sessions map[uint32]*Session
+	closed   bool
 	wait     sync.WaitGroup
-	nextPID  uint32
+	lastPID  uint32
+}
+
+func (s *Server) idleInTransaction() time.Duration {
+	if s.IdleInTransaction > 0 {
+		return s.IdleInTransaction
+	}
+	return defaultIdleInTransaction
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
-		go s.serveConn(conn)
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		session := newSession(s, conn)
+		if !s.add(session) {
+			_ = conn.Close()
+			continue
+		}
+		go s.serveSession(session)
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
-	session := newSession(s, conn)
-	if !s.add(session) {
-		_ = conn.Close()
-		return
-	}
+func (s *Server) serveSession(session *Session) {
 	defer s.remove(session)
 	session.serve(context.Background())
 }
@@ -44,38 +69,39 @@
 func (s *Server) add(session *Session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping {
+	if s.closed {
 		return false
 	}
 	if s.sessions == nil {
-		s.sessions = make(map[*Session]bool)
+		s.sessions = make(map[uint32]*Session)
 	}
-	s.sessions[session] = true
+	session.pid = s.newPID()
+	s.sessions[session.pid] = session
 	s.wait.Add(1)
-	s.nextPID++
-	session.pid = s.nextPID
 	return true
 }
 
 func (s *Server) remove(session *Session) {
 	s.mu.Lock()
-	delete(s.sessions, session)
+	delete(s.sessions, session.pid)
 	s.mu.Unlock()
 	s.wait.Done()
 }
 
-// CloseSessions closes idle sessions now and the others when their request or transaction ends.
+// CloseSessions closes the idle sessions now and the other present ones when their request or transaction ends.
 func (s *Server) CloseSessions() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
-	for session := range s.sessions {
+	for _, session := range s.sessions {
 		session.stopWhenIdle()
 	}
 }
 
-// Close closes sessions as CloseSessions does and waits for them.
+// Close accepts no more sessions, closes them as CloseSessions does and waits for them.
 func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	s.CloseSessions()
 	s.wait.Wait()
 	return nil
--- a/loomentry/session.go
+++ b/loomentry/session.go
@@ -1,23 +1,27 @@
 package loomentry
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"strings"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/joomcode/errorx"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomwire"
 )
 
+const (
+	// readAhead is the size of a session's read buffer; an idle session keeps it.
+	readAhead = 2 << 10
+	// writeLimit is the time a client has to take one buffer of its response.
+	writeLimit = 30 * time.Second
+)
+
 // Session serves one client connection.
 type Session struct {
 	server     *Server
@@ -25,24 +29,46 @@
 	reader     *loomwire.Reader
 	writer     *loomwire.Writer
 	pid        uint32
+	secret     [secretSize]byte
 	caller     currantloom.CallerName
 	database   currantloom.DatabaseName
 	parameters parameters
+	statements statements
 	link       currantloom.Link
 	status     currantloom.TransactionStatus
+	// kind is the kind of the open transaction.
+	kind currantloom.Kind
 
 	mu       sync.Mutex
 	busy     bool
 	stopping bool
+	running  currantloom.RequestKey
+}
+
+// clientConn gives each write to a client a time limit.
+type clientConn struct{ net.Conn }
+
+// Write sends p within the time limit.
+func (c clientConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeLimit))
+	return c.Conn.Write(p)
 }
 
 func newSession(s *Server, conn net.Conn) *Session {
+	conn = clientConn{conn}
 	return &Session{
-		server: s, conn: conn, reader: loomwire.NewReader(conn), writer: loomwire.NewWriter(conn),
+		server: s, conn: conn, reader: loomwire.NewReaderSize(conn, readAhead), writer: loomwire.NewWriter(conn),
 		status: currantloom.TransactionIdle,
 	}
 }
 
+var (
+	// errTerminated ends a session whose client sent Terminate, or that carried a CancelRequest.
+	errTerminated = currantloom.ErrInput.New("client ended the connection")
+	// errBroken ends a session whose client received a part of a message.
+	errBroken = currantloom.ErrInput.New("response was cut off in the middle of a message")
+)
+
 // serve runs the session until the client or the node ends it.
 func (s *Session) serve(ctx context.Context) {
 	defer func() { _ = s.conn.Close() }()
@@ -51,8 +77,9 @@
 	for err == nil {
 		err = s.serveRequest(ctx)
 	}
-	if !errors.Is(err, io.EOF) && !errors.Is(err, errTerminated) {
-		s.sendError(err)
+	// Any other error comes from the connection itself, where nothing can be sent.
+	if errorx.IsOfType(err, currantloom.ErrRequest) {
+		s.sendFatal(err)
 		_ = s.writer.Flush()
 	}
 }
@@ -64,6 +91,38 @@
 	}
 }
 
+// serveRequest reads and runs one request.
+func (s *Session) serveRequest(ctx context.Context) error {
+	if s.status != currantloom.TransactionIdle {
+		_ = s.conn.SetReadDeadline(time.Now().Add(s.server.idleInTransaction()))
+	}
+	p := &pipeline{session: s}
+	if err := s.readRequest(p); err != nil {
+		return s.readError(err)
+	}
+	s.setBusy(true)
+	err := s.runRequest(ctx, p)
+	s.setBusy(s.status != currantloom.TransactionIdle)
+	return err
+}
+
+// readError turns the end of a read limit into the error that the client sees.
+func (s *Session) readError(err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if s.status != currantloom.TransactionIdle {
+		return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeIdleInTransaction, 0,
+			"transaction was idle for %s", s.server.idleInTransaction())
+	}
+	return errShuttingDown()
+}
+
+func errShuttingDown() error {
+	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeShuttingDown, time.Second,
+		"node is shutting down")
+}
+
 // stopWhenIdle makes the session end as soon as it has no request and no transaction.
 func (s *Session) stopWhenIdle() {
 	s.mu.Lock()
@@ -74,177 +133,110 @@
 	}
 }
 
+// setBusy says whether the session has a request or a transaction, which a shutdown does not interrupt.
 func (s *Session) setBusy(busy bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.busy = busy
 	if s.stopping && !busy {
 		_ = s.conn.SetReadDeadline(time.Now())
+		return
 	}
+	_ = s.conn.SetReadDeadline(time.Time{})
 }
 
-func (s *Session) isStopping() bool {
+func (s *Session) setRunning(key currantloom.RequestKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stopping
+	s.running = key
 }
 
-// errTerminated ends a session whose client sent Terminate.
-var errTerminated = currantloom.ErrInput.New("client terminated the connection")
-
-// serveRequest reads and runs one request.
-func (s *Session) serveRequest(ctx context.Context) error {
-	body, statement, err := s.readRequest()
-	if err != nil {
-		if s.isStopping() && !s.busy {
-			return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeShuttingDown, time.Second,
-				"node is shutting down")
-		}
-		return err
+// cancel gives up the request that runs now, if any. The lock keeps it from hitting a later one.
+func (s *Session) cancel() {
+	s.mu.Lock()
+	key := s.running
+	s.mu.Unlock()
+	if key != (currantloom.RequestKey{}) {
+		s.server.Gateway.Cancel(key)
 	}
-	s.setBusy(true)
-	err = s.runRequest(ctx, body, statement)
-	s.setBusy(s.status != currantloom.TransactionIdle)
-	return err
 }
 
-// readRequest reads messages up to Query or Sync and returns them with the first statement's text.
-func (s *Session) readRequest() (body []byte, statement string, err error) {
-	var buffer bytes.Buffer
+// readRequest reads messages up to a Query or a Sync.
+func (s *Session) readRequest(p *pipeline) error {
 	for {
-		kind, length, err := s.reader.Next()
-		if err != nil {
-			return nil, "", err
-		}
-		if kind == 'X' {
-			return nil, "", errTerminated
-		}
-		content, err := s.reader.Body()
+		kind, _, err := s.reader.Next()
 		if err != nil {
-			return nil, "", err
+			return err
 		}
-		buffer.WriteByte(kind)
-		_ = binary.Write(&buffer, binary.BigEndian, uint32(length+4))
-		buffer.Write(content)
-		switch kind {
-		case 'Q':
-			var m pgproto3.Query
-			if err := m.Decode(content); err != nil {
-				return nil, "", protocolError("query message: %v", err)
-			}
-			return buffer.Bytes(), m.String, nil
-		case 'P':
-			var m pgproto3.Parse
-			if err := m.Decode(content); err != nil {
-				return nil, "", protocolError("parse message: %v", err)
-			}
-			statement = m.Query
-		case 'S':
-			return buffer.Bytes(), statement, nil
+		done, err := s.readMessage(p, kind)
+		if done || err != nil {
+			return err
 		}
 	}
 }
 
-func (s *Session) runRequest(ctx context.Context, body []byte, statement string) error {
-	if handled, err := s.runLocal(statement); handled {
-		return err
-	}
-	request := s.newRequest(statement)
-	var t currantloom.Trailer
-	if s.link != nil {
-		t = s.link.Run(ctx, headerOf(request), body, s.writer)
-	} else {
-		t, s.link = s.server.Gateway.Execute(ctx, request, body, s.writer)
-	}
-	if t.Transaction != currantloom.TransactionOpen && t.Transaction != currantloom.TransactionFailed {
-		s.releaseLink()
-	}
-	return s.finishRequest(request, t)
-}
-
-// headerOf describes a request that continues a transaction; its carrier knows the rest.
-func headerOf(r currantloom.Request) currantloom.RequestHeader {
-	return currantloom.RequestHeader{
-		Key: r.Key, Caller: r.Caller, Database: r.Database, Kind: r.Kind, Statement: r.Statement, Token: r.Token,
-		Remaining: 10 * time.Second, RequestID: r.RequestID,
-	}
-}
-
-func (s *Session) newRequest(statement string) currantloom.Request {
-	return currantloom.Request{
-		Key: s.server.Gateway.NextKey(), Caller: s.caller, Database: s.database, Kind: classify(statement),
-		Statement: statement, Token: s.parameters.token, MaxAge: s.parameters.maxAge,
-		RequestID: s.parameters.requestID, Begins: begins(statement),
+// readMessage reads one message and reports whether it ends the request. After an error the rest of a pipeline is
+// skipped.
+func (s *Session) readMessage(p *pipeline, kind byte) (done bool, err error) {
+	switch kind {
+	case 'X':
+		return true, errTerminated
+	case 'S':
+		return true, p.append(&pgproto3.Sync{})
 	}
-}
-
-// finishRequest reports the outcome of a request and the session's new token.
-func (s *Session) finishRequest(r currantloom.Request, t currantloom.Trailer) error {
-	if !t.Answered {
-		s.sendTrailerError(r, t)
+	if p.failed() {
+		return false, nil
 	}
-	if t.Token.Known() && t.Token != s.parameters.token {
-		s.parameters.token = t.Token
-		if err := s.send(&pgproto3.ParameterStatus{Name: parameterToken, Value: t.Token.String()}); err != nil {
-			return err
-		}
+	switch kind {
+	case 'H':
+		p.fail(unsupported("Flush message is not supported"))
+		return false, s.reportEarly(p)
+	case 'F':
+		p.fail(unsupported("FunctionCall message is not supported"))
+		return true, nil
+	case 'd', 'c', 'f':
+		// PostgreSQL ignores copy messages outside a COPY.
+		return false, nil
 	}
-	s.status = t.Transaction
-	if s.status == 0 {
-		s.status = currantloom.TransactionIdle
+	body, err := s.reader.Body()
+	if err != nil {
+		return true, err
 	}
-	return s.ready()
+	return kind == 'Q', p.add(kind, body)
 }
 
-func (s *Session) ready() error {
-	if err := s.send(&pgproto3.ReadyForQuery{TxStatus: byte(s.status)}); err != nil {
-		return err
+// reportEarly sends an error before the end of the pipeline, because the client of a Flush waits for it.
+func (s *Session) reportEarly(p *pipeline) error {
+	if !p.reported {
+		p.reported = true
+		s.refuse(p.err)
 	}
 	return s.writer.Flush()
 }
 
-func (s *Session) send(m loomwire.Encoder) error {
-	if err := s.writer.Send(m); err != nil {
-		return err
-	}
-	switch m.(type) {
-	case *pgproto3.AuthenticationSASL, *pgproto3.AuthenticationSASLContinue, *pgproto3.AuthenticationSASLFinal:
-		return s.writer.Flush()
+// add decodes one message and adds it to the pipeline.
+func (p *pipeline) add(kind byte, body []byte) error {
+	switch kind {
+	case 'Q':
+		return decoded(body, &pgproto3.Query{}, p.query)
+	case 'P':
+		return decoded(body, &pgproto3.Parse{}, p.parse)
+	case 'B':
+		return decoded(body, &pgproto3.Bind{}, p.bind)
+	case 'D':
+		return decoded(body, &pgproto3.Describe{}, p.describe)
+	case 'E':
+		return decoded(body, &pgproto3.Execute{}, p.executePortal)
+	case 'C':
+		return decoded(body, &pgproto3.Close{}, p.close)
+	default:
+		return protocolError("unexpected message of type %q", kind)
 	}
-	return nil
 }
 
-// sendTrailerError writes the error of a request that has no answer of the server.
-func (s *Session) sendTrailerError(r currantloom.Request, t currantloom.Trailer) {
-	_ = s.send(&pgproto3.ErrorResponse{
-		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: string(t.Code), Message: t.Reason,
-		Detail: detail(t.Verdict, t.RetryAfter, r.Key),
-	})
-}
-
-func detail(v currantloom.Verdict, retryAfter time.Duration, key currantloom.RequestKey) string {
-	return fmt.Sprintf("verdict=%s retry_after_ms=%d request=%s", v, retryAfter.Milliseconds(), key)
-}
-
-// sendError writes the error that ends the connection.
-func (s *Session) sendError(err error) {
-	_ = s.send(&pgproto3.ErrorResponse{
-		Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: string(currantloom.CodeOf(err)), Message: err.Error(),
-		Detail: fmt.Sprintf("verdict=%s retry_after_ms=%d", currantloom.VerdictOf(err),
-			currantloom.RetryAfterOf(err).Milliseconds()),
-	})
-}
-
-// classify says by the first keyword whether a statement may write.
-func classify(statement string) currantloom.Kind {
-	fields := strings.Fields(strings.ToLower(statement))
-	if len(fields) > 0 && (fields[0] == "select" || fields[0] == "show" || fields[0] == "values") {
-		return currantloom.Read
+func decoded[M interface{ Decode([]byte) error }](body []byte, m M, add func(M) error) error {
+	if err := m.Decode(body); err != nil {
+		return protocolError("malformed message: %v", err)
 	}
-	return currantloom.Write
-}
-
-func begins(statement string) bool {
-	fields := strings.Fields(strings.ToLower(statement))
-	return len(fields) > 0 && (strings.HasPrefix(fields[0], "begin") || fields[0] == "start")
+	return add(m)
 }
--- a/loomentry/startup.go
+++ b/loomentry/startup.go
@@ -1,9 +1,15 @@
 package loomentry
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -11,83 +17,211 @@
 )
 
 const (
-	maxStartupSize   = 10 << 10
-	protocolVersion3 = 3 << 16
-	sslRequestCode   = 80877103
-	gssRequestCode   = 80877104
-	secretSize       = 4
+	maxStartupSize    = 10 << 10
+	protocolVersion3  = 3
+	sslRequestCode    = 80877103
+	gssRequestCode    = 80877104
+	cancelRequestCode = 80877102
+	secretSize        = 4
+	// startupLimit bounds the time from the connection to the end of the authentication.
+	startupLimit = 10 * time.Second
 )
 
+// serverVersion is reported to drivers, which derive the features they use from it.
+const serverVersion = "15.0"
+
+// startup is a decoded startup message.
+type startup struct {
+	minor      uint16
+	parameters map[string]string
+	// unknown holds the protocol options that this version does not know.
+	unknown []string
+}
+
 // start reads the startup message, authenticates the client and reports the session's parameters.
 func (s *Session) start() error {
+	_ = s.conn.SetReadDeadline(time.Now().Add(startupLimit))
+	err := s.startSession()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return protocolError("no complete startup within %s", startupLimit)
+	}
+	s.setBusy(false)
+	return err
+}
+
+func (s *Session) startSession() error {
 	body, err := s.readStartup()
 	if err != nil {
 		return err
 	}
-	var m pgproto3.StartupMessage
-	if binary.BigEndian.Uint32(body)>>16 != protocolVersion3>>16 {
-		return protocolError("protocol version %#x is not supported", binary.BigEndian.Uint32(body))
+	m, err := decodeStartup(body)
+	if err != nil {
+		return err
+	}
+	if m.minor > 0 || len(m.unknown) > 0 {
+		if err := s.writer.Send(&pgproto3.NegotiateProtocolVersion{UnrecognizedOptions: m.unknown}); err != nil {
+			return err
+		}
+	}
+	user := m.parameters["user"]
+	if err := s.authenticate(user); err != nil {
+		return err
 	}
-	if err := m.Decode(body); err != nil {
-		return protocolError("startup message: %v", err)
+	s.database = currantloom.DatabaseName(m.parameters["database"])
+	if s.database == "" {
+		s.database = currantloom.DatabaseName(user)
 	}
-	if err := s.authenticate(m.Parameters["user"]); err != nil {
+	if err := s.setStartupParameters(m.parameters); err != nil {
 		return err
 	}
-	s.database = currantloom.DatabaseName(m.Parameters["database"])
-	for name, value := range m.Parameters {
-		if isOwnParameter(name) {
-			if err := s.setParameter(name, value); err != nil {
+	return s.welcome()
+}
+
+// decodeStartup reads the version and the pairs of names and values. pgproto3 knows only the versions 3.0 and 3.2.
+func decodeStartup(body []byte) (startup, error) {
+	version := binary.BigEndian.Uint32(body)
+	m := startup{minor: uint16(version), parameters: make(map[string]string)}
+	if version>>16 != protocolVersion3 {
+		return m, protocolError("protocol version %d.%d is not supported", version>>16, m.minor)
+	}
+	rest := body[4:]
+	for len(rest) > 0 && rest[0] != 0 {
+		name, after, ok := bytes.Cut(rest, []byte{0})
+		if !ok {
+			break
+		}
+		value, after, ok := bytes.Cut(after, []byte{0})
+		if !ok {
+			return m, protocolError("startup message is cut off")
+		}
+		rest = after
+		if bytes.HasPrefix(name, []byte("_pq_.")) {
+			m.unknown = append(m.unknown, string(name))
+			continue
+		}
+		m.parameters[string(name)] = string(value)
+	}
+	if len(rest) != 1 {
+		return m, protocolError("startup message is not terminated")
+	}
+	return m, nil
+}
+
+func (s *Session) setStartupParameters(values map[string]string) error {
+	startup := make(map[string]string)
+	for name, value := range values {
+		switch name {
+		case "user", "database":
+		case "options":
+			if err := parseOptions(value, startup); err != nil {
 				return err
 			}
+		case "replication":
+			if value != "false" && value != "off" && value != "0" {
+				return unsupported("replication connections are not supported")
+			}
+		default:
+			startup[strings.ToLower(name)] = value
 		}
 	}
-	return s.welcome()
+	for name, value := range startup {
+		if err := s.parameters.set(name, value, s.database); err != nil {
+			return err
+		}
+	}
+	if len(startup) > 0 {
+		s.parameters.startup = startup
+	}
+	return nil
+}
+
+// parseOptions reads "-c name=value" and "--name=value". A backslash escapes a space.
+func parseOptions(options string, into map[string]string) error {
+	const escapedSpace = "\x00"
+	fields := strings.Fields(strings.ReplaceAll(options, `\ `, escapedSpace))
+	for i := 0; i < len(fields); i++ {
+		field := strings.ReplaceAll(fields[i], escapedSpace, " ")
+		setting, ok := strings.CutPrefix(field, "--")
+		switch {
+		case ok:
+		case field == "-c" && i+1 < len(fields):
+			i++
+			setting = strings.ReplaceAll(fields[i], escapedSpace, " ")
+		case strings.HasPrefix(field, "-c"):
+			setting = field[2:]
+		}
+		name, value, ok := strings.Cut(setting, "=")
+		if !ok {
+			return invalidParameter("options: %q is not of the form -c name=value", field)
+		}
+		into[strings.ToLower(strings.ReplaceAll(name, "-", "_"))] = value
+	}
+	return nil
 }
 
 func (s *Session) welcome() error {
-	secret := make([]byte, secretSize)
-	if _, err := rand.Read(secret); err != nil {
+	if err := s.writer.Send(&pgproto3.AuthenticationOk{}); err != nil {
 		return err
 	}
-	if err := s.send(&pgproto3.AuthenticationOk{}); err != nil {
-		return err
+	for _, p := range [][2]string{{"server_version", serverVersion}, {"integer_datetimes", "on"}} {
+		if err := s.writer.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]}); err != nil {
+			return err
+		}
 	}
-	for _, p := range [][2]string{
-		{"server_version", "15.0"}, {"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"},
-		{"integer_datetimes", "on"}, {"DateStyle", "ISO, MDY"}, {"TimeZone", "UTC"},
-	} {
-		if err := s.send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]}); err != nil {
+	for _, name := range reportedParameters {
+		m := &pgproto3.ParameterStatus{Name: name, Value: s.parameters.show(name)}
+		if err := s.writer.Send(m); err != nil {
 			return err
 		}
 	}
-	if err := s.send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: secret}); err != nil {
+	if err := s.newSecret(); err != nil {
+		return err
+	}
+	if err := s.writer.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret[:]}); err != nil {
 		return err
 	}
 	return s.ready()
 }
 
+// newSecret draws the secret under the lock of the server, because a CancelRequest may come at any time.
+func (s *Session) newSecret() error {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	_, err := rand.Read(s.secret[:])
+	return err
+}
+
 // readStartup reads the first message, after declining encryption requests.
 func (s *Session) readStartup() ([]byte, error) {
 	for {
-		var header [4]byte
-		if _, err := io.ReadFull(s.conn, header[:]); err != nil {
+		body, err := readFirst(s.conn)
+		if err != nil {
 			return nil, err
 		}
-		size := binary.BigEndian.Uint32(header[:])
-		if size < 8 || size > maxStartupSize {
-			return nil, protocolError("startup message has invalid length %d", size)
-		}
-		body := make([]byte, size-4)
-		if _, err := io.ReadFull(s.conn, body); err != nil {
-			return nil, err
-		}
-		code := binary.BigEndian.Uint32(body)
-		if code != sslRequestCode && code != gssRequestCode {
+		switch binary.BigEndian.Uint32(body) {
+		case sslRequestCode, gssRequestCode:
+			if _, err := s.conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case cancelRequestCode:
+			s.receiveCancel(body)
+			return nil, errTerminated
+		default:
 			return body, nil
 		}
-		if _, err := s.conn.Write([]byte{'N'}); err != nil {
-			return nil, err
-		}
 	}
 }
+
+func readFirst(conn net.Conn) ([]byte, error) {
+	var header [4]byte
+	if _, err := io.ReadFull(conn, header[:]); err != nil {
+		return nil, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size < 8 || size > maxStartupSize {
+		return nil, protocolError("startup message has invalid length %d", size)
+	}
+	body := make([]byte, size-4)
+	_, err := io.ReadFull(conn, body)
+	return body, err
+}
--- /dev/null
+++ b/loomnode/effect.go
@@ -0,0 +1,158 @@
+package loomnode
+
+import (
+	"context"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+)
+
+// serverTimeout bounds a control call to a database server. It is less than the poll interval, so that two failed
+// polls take about a second.
+const serverTimeout = 400 * time.Millisecond
+
+// Control executes the effects of the control plane. Its methods are called under the node's lock and must not block.
+type Control interface {
+	// Spread sends the rules in effect to VMs.
+	Spread(e loomcore.SpreadRules)
+	// Pull asks a VM for newer rules.
+	Pull(e loomcore.PullRules)
+	// Watch starts or stops this node's watch on the store.
+	Watch(on bool)
+}
+
+// submit applies an event and executes its effects. Effects are handed to goroutines or mailboxes, so submit does not
+// block on I/O.
+func (n *Node) submit(e loomcore.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, effect := range n.state.Reduce(e) {
+		n.execute(effect)
+	}
+}
+
+func (n *Node) execute(e loomcore.Effect) {
+	switch e := e.(type) {
+	case loomcore.Decision:
+		n.decisions.put(e)
+	case loomcore.SetReady:
+		n.ready.Store(e.Ready)
+	case loomcore.CloseSessions:
+		n.spawn(n.entry.CloseSessions)
+	case loomcore.Stopped:
+		n.stoppedOnce.Do(func() { close(n.stopped) })
+	case loomcore.Forward:
+		n.deliverEntry(e.Header.Key, e)
+	case loomcore.Answer:
+		n.deliverEntry(e.Key, e)
+	case loomcore.CancelForward:
+		n.cancelForward(e.Key)
+	case loomcore.SpreadRules, loomcore.PullRules, loomcore.WatchRules:
+		n.executeControl(e)
+	default:
+		n.executeWork(e)
+	}
+}
+
+// executeControl executes the effects of the control plane.
+func (n *Node) executeControl(e loomcore.Effect) {
+	c := n.config.Control
+	if c == nil {
+		return
+	}
+	switch e := e.(type) {
+	case loomcore.SpreadRules:
+		c.Spread(e)
+	case loomcore.PullRules:
+		c.Pull(e)
+	case loomcore.WatchRules:
+		c.Watch(e.On)
+	}
+}
+
+// executeWork executes the effects at carriers and on database groups.
+func (n *Node) executeWork(e loomcore.Effect) {
+	switch e := e.(type) {
+	case loomcore.Run:
+		n.deliverWork(e.Key, e)
+	case loomcore.Acknowledge:
+		n.deliverWork(e.Key, e)
+	case loomcore.Reject:
+		n.deliverWork(e.Key, e)
+	case loomcore.Complete:
+		n.deliverWork(e.Key, e)
+	case loomcore.CancelWork:
+		if w, ok := n.works[e.Key]; ok {
+			n.spawn(w.cancel)
+		}
+	case loomcore.ConfirmMark:
+		n.call(e.Server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
+			status, err := s.Status(ctx)
+			return loomcore.MarkConfirmed{
+				Stamp: n.stamp(), Key: e.Key, Server: e.Server, Status: status, Failed: err != nil,
+			}
+		})
+	case loomcore.PollStatus:
+		n.pollStatus(e.Server)
+	case loomcore.RaiseTerm:
+		n.call(e.Server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
+			grant, err := s.RaiseTerm(ctx, e.Term, n.config.Core.Self)
+			return loomcore.TermAnswered{
+				Stamp: n.stamp(), Server: e.Server, Term: e.Term, Grant: grant, Failed: err != nil,
+			}
+		})
+	case loomcore.Lead:
+		n.call(e.Server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
+			err := s.Lead(ctx, e.Term)
+			return loomcore.LeadAnswered{Stamp: n.stamp(), Server: e.Server, Term: e.Term, Failed: err != nil}
+		})
+	case loomcore.Follow:
+		n.follow(e)
+	}
+}
+
+// call runs a control call to a server and submits its answer.
+func (n *Node) call(
+	server currantloom.ServerName, f func(context.Context, currantloom.DatabaseServer) loomcore.Event,
+) {
+	s, ok := n.pools[server]
+	if !ok {
+		return
+	}
+	n.spawn(func() {
+		ctx, cancel := context.WithTimeout(n.background, serverTimeout)
+		defer cancel()
+		if e := f(ctx, s); e != nil {
+			n.submit(e)
+		}
+	})
+}
+
+// follow executes Follow, which has no answer: the next polls show whether the server follows.
+func (n *Node) follow(e loomcore.Follow) {
+	primary, ok := n.servers[e.Primary]
+	if !ok {
+		return
+	}
+	n.call(e.Server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
+		if err := s.Follow(ctx, e.Term, primary); err != nil {
+			n.log.Warn("follow", "server", e.Server, "term", e.Term, "primary", e.Primary, "error", err)
+		}
+		return nil
+	})
+}
+
+func (n *Node) pollStatus(server currantloom.ServerName) {
+	n.call(server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
+		sentAt := time.Since(n.start)
+		status, err := s.Status(ctx)
+		if err != nil {
+			return loomcore.StatusFailed{Stamp: n.stamp(), Server: server, Refused: isRefused(err)}
+		}
+		return loomcore.StatusReceived{Stamp: n.stamp(), Server: server, SentAt: sentAt, Status: status}
+	})
+}
+
+// spawn runs a task that Run waits for.
+func (n *Node) spawn(task func()) { n.tasks.Go(task) }
--- a/loomnode/gateway.go
+++ b/loomnode/gateway.go
@@ -7,42 +7,61 @@
 	"currantloom.example/currantloom/loomcore"
 )
 
+// cancelLink is a link that can give up its running request.
+type cancelLink interface {
+	currantloom.Link
+	// Cancel gives up the request if it runs on the link.
+	Cancel(key currantloom.RequestKey)
+}
+
+// entryRequest is the runtime side of a request in the core of its entry node.
+type entryRequest struct {
+	*mailbox
+	// link runs the current attempt; nil between attempts.
+	link      cancelLink
+	cancelled bool
+}
+
 // NextKey returns the key of a new request.
 func (n *Node) NextKey() currantloom.RequestKey {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.number++
-	return currantloom.RequestKey{VM: n.config.Core.Self, Number: n.number}
+	return currantloom.RequestKey{VM: n.config.Core.Self, Number: n.number.Add(1)}
 }
 
 // Execute routes a request and runs it, with retries, until the core answers it.
 func (n *Node) Execute(
 	ctx context.Context, request currantloom.Request, body []byte, out currantloom.ResponseWriter,
 ) (currantloom.Trailer, currantloom.Link) {
-	// A request has at most one effect outstanding, so one place in the channel keeps the reducer from blocking.
-	effects := make(chan loomcore.Effect, 1)
+	r := &entryRequest{mailbox: newMailbox()}
 	n.mu.Lock()
-	n.entries[request.Key] = effects
+	n.entries[request.Key] = r
 	n.mu.Unlock()
 	defer n.forgetEntry(request.Key)
 	n.submit(loomcore.RequestArrived{Stamp: n.stamp(), Request: request})
-	var link currantloom.Link
+	var link cancelLink
 	for {
-		switch e := (<-effects).(type) {
+		switch e := r.take().(type) {
 		case loomcore.Forward:
 			releaseLink(link)
-			link = n.forward(ctx, e, body, out)
+			link = n.forward(ctx, r, e, body, out)
 		case loomcore.Answer:
-			if e.Trailer.Transaction != currantloom.TransactionOpen && e.Trailer.Transaction != currantloom.TransactionFailed {
-				releaseLink(link)
-				link = nil
-			}
-			return e.Trailer, link
+			return e.Trailer, n.keepLink(link, e.Trailer)
 		}
 	}
 }
 
-func releaseLink(l currantloom.Link) {
+// keepLink returns the link of a transaction that the request left open, and releases any other.
+func (n *Node) keepLink(link cancelLink, t currantloom.Trailer) currantloom.Link {
+	if link == nil {
+		return nil
+	}
+	if t.Transaction != currantloom.TransactionOpen && t.Transaction != currantloom.TransactionFailed {
+		link.Release()
+		return nil
+	}
+	return &transactionLink{cancelLink: link, node: n}
+}
+
+func releaseLink(l cancelLink) {
 	if l != nil {
 		l.Release()
 	}
@@ -50,24 +69,47 @@
 
 // forward makes one attempt and reports its end to the core.
 func (n *Node) forward(
-	ctx context.Context, e loomcore.Forward, body []byte, out currantloom.ResponseWriter,
-) currantloom.Link {
+	ctx context.Context, r *entryRequest, e loomcore.Forward, body []byte, out currantloom.ResponseWriter,
+) cancelLink {
 	finished := loomcore.ForwardFinished{Key: e.Header.Key, Attempt: e.Attempt}
 	link, err := n.linkTo(ctx, e.VM)
+	if err == nil && !n.setLink(r, link) {
+		err = currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeQueryCanceled, 0,
+			"cancelled before it was sent")
+	}
 	if err != nil {
 		finished.Trailer = currantloom.Trailer{
 			Verdict: currantloom.VerdictOf(err), Code: currantloom.CodeOf(err), Reason: err.Error(),
 		}
 	} else {
-		finished.Sent = true
 		finished.Trailer = link.Run(ctx, e.Header, body, out)
+		n.setLink(r, nil)
+		failed := hasFailed(link)
+		finished.Sent = !failed || finished.Trailer.Verdict != currantloom.NotRun
+		if failed && ctx.Err() == nil {
+			n.submit(loomcore.PeerFailed{Stamp: n.stamp(), VM: e.VM})
+		}
 	}
 	finished.Stamp = n.stamp()
 	n.submit(finished)
 	return link
 }
 
-func (n *Node) linkTo(ctx context.Context, name currantloom.VMName) (currantloom.Link, error) {
+// hasFailed reports whether the connection of a link was lost.
+func hasFailed(l currantloom.Link) bool {
+	f, ok := l.(interface{ Failed() bool })
+	return ok && f.Failed()
+}
+
+// setLink notes the link of the current attempt. It reports false if the request was cancelled before.
+func (n *Node) setLink(r *entryRequest, link cancelLink) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r.link = link
+	return !r.cancelled
+}
+
+func (n *Node) linkTo(ctx context.Context, name currantloom.VMName) (cancelLink, error) {
 	if name == n.config.Core.Self {
 		return &localLink{node: n}, nil
 	}
@@ -78,14 +120,40 @@
 		return nil, currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeConnectionFailure, 0,
 			"VM %s is not in the list", name)
 	}
-	return n.dialer.Link(ctx, vm)
+	link, err := n.dialer.Link(ctx, vm)
+	if err != nil {
+		if ctx.Err() == nil {
+			n.submit(loomcore.PeerFailed{Stamp: n.stamp(), VM: name})
+		}
+		return nil, err
+	}
+	return link.(cancelLink), nil
 }
 
-// Cancel gives up a request.
+// Cancel gives up a request. A request inside a transaction is known only to its link.
 func (n *Node) Cancel(key currantloom.RequestKey) {
+	n.mu.Lock()
+	link := n.transactions[key]
+	n.mu.Unlock()
+	if link != nil {
+		link.Cancel(key)
+		return
+	}
 	n.submit(loomcore.RequestCancelled{Stamp: n.stamp(), Key: key})
 }
 
+// cancelForward executes the effect of the same name; the node's lock is held.
+func (n *Node) cancelForward(key currantloom.RequestKey) {
+	r, ok := n.entries[key]
+	if !ok {
+		return
+	}
+	r.cancelled = true
+	if link := r.link; link != nil {
+		n.spawn(func() { link.Cancel(key) })
+	}
+}
+
 func (n *Node) forgetEntry(key currantloom.RequestKey) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,7 +161,32 @@
 }
 
 func (n *Node) deliverEntry(key currantloom.RequestKey, e loomcore.Effect) {
-	if effects, ok := n.entries[key]; ok {
-		effects <- e
+	if r, ok := n.entries[key]; ok {
+		r.put(e)
 	}
 }
+
+// transactionLink runs the further requests of a transaction, which the core of the entry node does not see.
+type transactionLink struct {
+	cancelLink
+	node *Node
+}
+
+// Run runs one request of the transaction.
+func (l *transactionLink) Run(
+	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
+) currantloom.Trailer {
+	n := l.node
+	n.mu.Lock()
+	if header.Remaining == 0 {
+		header.Remaining = n.state.Deadline(header.Database, header.Caller, header.Statement)
+	}
+	n.transactions[header.Key] = l.cancelLink
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.transactions, header.Key)
+	}()
+	return l.cancelLink.Run(ctx, header, body, out)
+}
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -18,8 +22,12 @@
 	"currantloom.example/currantloom/loomserver"
 )
 
-// pollTimeout is less than the poll interval, so that two failed polls take about a second.
-const pollTimeout = 400 * time.Millisecond
+// drainInterval is the load balancer's interval: how long it may still send new connections to a node that reports
+// that it is not ready.
+const drainInterval = 2 * time.Second
+
+// stopLimit bounds the graceful shutdown; the longest requests and transactions are bounded by their own deadlines.
+const stopLimit = 10 * time.Minute
 
 // Config is what a node needs to start.
 type Config struct {
@@ -31,77 +39,171 @@
 	Callers, Links net.Listener
 	VMs            currantloom.VMList
 	Store          currantloom.ConfigStore
-	Log            io.Writer
+	// Control executes the effects of the control plane; nil ignores them.
+	Control Control
+	// ForwardCancel passes a CancelRequest on to the node that reported the process id; nil ignores it.
+	ForwardCancel func(pid uint32, secret []byte)
+	// DrainInterval is how long a stopping node still accepts client connections; zero means 2 s.
+	DrainInterval time.Duration
+	Log           io.Writer
 }
 
 // Node is one running node.
 type Node struct {
-	config Config
-	log    *log.Logger
-	start  time.Time
-	pools  map[currantloom.ServerName]currantloom.DatabaseServer
-	dialer loompeer.Dialer
-	entry  *loomentry.Server
-	links  *loompeer.Server
-
-	mu      sync.Mutex
-	state   *loomcore.State
-	number  uint64
-	entries map[currantloom.RequestKey]chan loomcore.Effect
-	works   map[currantloom.RequestKey]*localWork
-	stopped chan struct{}
+	config    Config
+	log       *log.Logger
+	decisions *decisionLog
+	start     time.Time
+	servers   map[currantloom.ServerName]currantloom.Server
+	pools     map[currantloom.ServerName]currantloom.DatabaseServer
+	dialer    loompeer.Dialer
+	entry     *loomentry.Server
+	links     *loompeer.Server
+	number    atomic.Uint64
+	ready     atomic.Bool
+	tasks     sync.WaitGroup
+	// background ends when the graceful shutdown has finished.
+	background context.Context
+	cancel     context.CancelFunc
+
+	mu           sync.Mutex
+	state        *loomcore.State
+	entries      map[currantloom.RequestKey]*entryRequest
+	transactions map[currantloom.RequestKey]cancelLink
+	works        map[currantloom.RequestKey]*localWork
+	stopped      chan struct{}
+	stoppedOnce  sync.Once
+	stopping     chan struct{}
+	stoppingOnce sync.Once
+	running      bool
+	finished     chan struct{}
 }
 
 // New returns a node that is ready to run.
 func New(c Config) *Node {
 	n := &Node{
 		config: c, log: log.NewWithOptions(c.Log, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true}),
-		start: time.Now(), pools: make(map[currantloom.ServerName]currantloom.DatabaseServer),
-		state:   loomcore.New(c.Core),
-		entries: make(map[currantloom.RequestKey]chan loomcore.Effect),
-		works:   make(map[currantloom.RequestKey]*localWork),
-		stopped: make(chan struct{}),
+		start: time.Now(), servers: make(map[currantloom.ServerName]currantloom.Server),
+		pools: make(map[currantloom.ServerName]currantloom.DatabaseServer),
+		state: loomcore.New(c.Core), entries: make(map[currantloom.RequestKey]*entryRequest),
+		transactions: make(map[currantloom.RequestKey]cancelLink), works: make(map[currantloom.RequestKey]*localWork),
+		stopped: make(chan struct{}), stopping: make(chan struct{}), finished: make(chan struct{}),
 	}
+	n.decisions = newDecisionLog(n.log)
+	n.background, n.cancel = context.WithCancel(context.Background())
+	n.ready.Store(true)
 	for _, d := range c.Core.Databases {
 		for _, s := range d.Servers() {
+			n.servers[s.Name()] = s
 			n.pools[s.Name()] = loomserver.NewPool(s, c.ServerUser, c.ServerPassword)
 		}
 	}
-	n.entry = &loomentry.Server{Gateway: n, Credentials: c.Credentials}
-	n.links = &loompeer.Server{Open: func() currantloom.Link { return &localLink{node: n} }}
+	n.entry = &loomentry.Server{
+		Gateway: n, Credentials: c.Credentials, VM: c.Core.Self, ForwardCancel: c.ForwardCancel,
+	}
+	n.links = &loompeer.Server{Open: func() currantloom.Link { return &localLink{node: n} }, Cancel: n.CancelWork}
 	return n
 }
 
-// Run serves until the context is cancelled, then shuts down gracefully.
+// Ready reports whether the load balancer may send new connections.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// CancelSession gives up what runs in the session with the process id and the secret. It reports whether this node
+// has the session.
+func (n *Node) CancelSession(pid uint32, secret []byte) bool { return n.entry.Cancel(pid, secret) }
+
+// Run serves until the context is cancelled or Close is called, then shuts down gracefully. It returns after
+// everything in progress has finished.
 func (n *Node) Run(ctx context.Context) error {
+	n.mu.Lock()
+	n.running = true
+	n.mu.Unlock()
+	defer close(n.finished)
 	var g run.Group
-	background, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return n.tick(background) }, func(error) { cancel() })
-	g.Add(func() error { return n.watchVMs(background) }, func(error) { cancel() })
-	g.Add(func() error { return n.entry.Serve(n.config.Callers) }, func(error) { _ = n.config.Callers.Close() })
-	g.Add(func() error { return n.links.Serve(n.config.Links) }, func(error) { _ = n.config.Links.Close() })
-	g.Add(func() error { return n.awaitStop(ctx, background) }, func(error) { cancel() })
+	actor := func(f func(context.Context) error) {
+		g.Add(func() error { return f(n.background) }, func(error) { n.cancel() })
+	}
+	actor(n.tick)
+	actor(n.watchVMs)
+	actor(n.decisions.run)
+	actor(func(ctx context.Context) error { return serveUntil(ctx, n.entry.Serve, n.config.Callers) })
+	actor(func(ctx context.Context) error { return serveUntil(ctx, n.links.Serve, n.config.Links) })
+	actor(func(background context.Context) error { return n.awaitStop(ctx, background) })
 	err := g.Run()
-	n.close()
+	n.closeParts()
 	return err
 }
 
-// awaitStop returns once the graceful shutdown has finished.
+// serveUntil serves a listener. The end of the listener alone, which is part of the shutdown, is not an error.
+func serveUntil(ctx context.Context, serve func(net.Listener) error, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	err := serve(listener)
+	if !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// Close stops the node gracefully and waits for the end of Run.
+func (n *Node) Close() error {
+	n.stoppingOnce.Do(func() { close(n.stopping) })
+	n.mu.Lock()
+	running := n.running
+	n.mu.Unlock()
+	if running {
+		<-n.finished
+	}
+	return nil
+}
+
+// awaitStop returns once the graceful shutdown has finished. The clock, the VM list and the links go on until then,
+// because requests and transactions in progress need them.
 func (n *Node) awaitStop(ctx, background context.Context) error {
 	select {
 	case <-ctx.Done():
+	case <-n.stopping:
 	case <-background.Done():
 		return nil
 	}
+	n.log.Info("stop requested")
 	n.submit(loomcore.StopRequested{Stamp: n.stamp()})
-	<-n.stopped
+	interval := n.config.DrainInterval
+	if interval == 0 {
+		interval = drainInterval
+	}
+	sleep(background, interval)
+	_ = n.config.Callers.Close()
+	closed := make(chan struct{})
+	n.spawn(func() {
+		defer close(closed)
+		_ = n.entry.Close()
+		_ = n.links.Close()
+	})
+	limit := time.NewTimer(stopLimit)
+	defer limit.Stop()
+	for _, done := range []<-chan struct{}{closed, n.stopped} {
+		select {
+		case <-done:
+		case <-limit.C:
+			n.log.Error("shutdown limit exceeded", "limit", stopLimit)
+			return currantloom.ErrUnavailable.New("graceful shutdown did not finish within %s", stopLimit)
+		}
+	}
+	n.log.Info("stopped")
 	return nil
 }
 
-func (n *Node) close() {
+// closeParts closes what is left once nothing is in progress.
+func (n *Node) closeParts() {
+	n.cancel()
+	_ = n.config.Links.Close()
+	_ = n.config.Callers.Close()
 	_ = n.entry.Close()
 	_ = n.links.Close()
 	_ = n.dialer.Close()
+	n.tasks.Wait()
 	for _, p := range n.pools {
 		_ = p.Close()
 	}
@@ -145,53 +247,6 @@
 	}
 }
 
-// submit applies an event and executes its effects. Effects are handed to goroutines or channels, so submit does not
-// block on I/O.
-func (n *Node) submit(e loomcore.Event) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, effect := range n.state.Reduce(e) {
-		n.execute(effect)
-	}
-}
-
-func (n *Node) execute(e loomcore.Effect) {
-	switch e := e.(type) {
-	case loomcore.Decision:
-		n.logDecision(e)
-	case loomcore.PollStatus:
-		go n.pollStatus(e.Server)
-	case loomcore.Forward:
-		n.deliverEntry(e.Header.Key, e)
-	case loomcore.Answer:
-		n.deliverEntry(e.Key, e)
-	case loomcore.Run:
-		n.deliverWork(e.Key, e)
-	case loomcore.Acknowledge:
-		n.deliverWork(e.Key, e)
-	case loomcore.Reject:
-		n.deliverWork(e.Key, e)
-	case loomcore.Complete:
-		n.deliverWork(e.Key, e)
-	case loomcore.CloseSessions:
-		go n.entry.CloseSessions()
-	case loomcore.Stopped:
-		close(n.stopped)
-	}
-}
-
-func (n *Node) logDecision(e loomcore.Decision) {
-	n.log.Info(e.Event, "request", e.Key, "caller", e.Caller, "server", e.Server, "vm", e.VM, "reason", e.Reason)
-}
-
-func (n *Node) pollStatus(server currantloom.ServerName) {
-	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
-	defer cancel()
-	sentAt := time.Since(n.start)
-	status, err := n.pools[server].Status(ctx)
-	if err != nil {
-		n.submit(loomcore.StatusFailed{Stamp: n.stamp(), Server: server})
-		return
-	}
-	n.submit(loomcore.StatusReceived{Stamp: n.stamp(), Server: server, SentAt: sentAt, Status: status})
-}
+// isRefused reports whether a server's address refused the connection. The cause is only in the text, because errors
+// with a verdict have none.
+func isRefused(err error) bool { return strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()) }
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -2,14 +2,65 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
 )
 
-// localWork is the runtime side of a work in the core.
+const (
+	// cancelLimit bounds a cancel at a server.
+	cancelLimit = time.Second
+	// cancelGrace is the time that cancelled work has to end before its connection is closed.
+	cancelGrace = 2 * time.Second
+)
+
+// localWork is the runtime side of a work in the core of its carrier.
 type localWork struct {
-	effects chan loomcore.Effect
+	*mailbox
+
+	// mu is held during a cancel, so that the work ends only after the server has processed it.
+	mu        sync.Mutex
+	conn      currantloom.ServerConn
+	cancelled bool
+	finished  bool
+	// giveUp ends the wait for a connection.
+	giveUp context.CancelFunc
+}
+
+// cancel executes CancelWork.
+func (w *localWork) cancel() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.finished {
+		return
+	}
+	w.cancelled = true
+	if w.conn == nil {
+		if w.giveUp != nil {
+			w.giveUp()
+		}
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
+	defer cancel()
+	_ = w.conn.Cancel(ctx)
+}
+
+// start notes the connection that the work runs on. It reports false if the work was cancelled before.
+func (w *localWork) start(conn currantloom.ServerConn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn = conn
+	return !w.cancelled
+}
+
+// finish waits for a cancel in progress and keeps later ones from hitting the connection.
+func (w *localWork) finish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.finished = true
 }
 
 // localLink runs requests at servers that this node carries. It holds the server connection of an open transaction.
@@ -20,7 +71,15 @@
 	transaction currantloom.RequestKey
 }
 
-// Run runs one request.
+// Cancel gives up the request if it is known to the core of this node.
+func (l *localLink) Cancel(key currantloom.RequestKey) { l.node.CancelWork(key) }
+
+// CancelWork gives up a request that this node carries.
+func (n *Node) CancelWork(key currantloom.RequestKey) {
+	n.submit(loomcore.WorkCancelled{Stamp: n.stamp(), Key: key})
+}
+
+// Run runs one request. Once the context ends the work is cancelled, as on CancelWork.
 func (l *localLink) Run(
 	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
 ) currantloom.Trailer {
@@ -28,52 +87,96 @@
 	if l.conn != nil {
 		header.Server = l.server
 	}
-	w := &localWork{effects: make(chan loomcore.Effect, 2)}
+	w := &localWork{mailbox: newMailbox()}
 	n.mu.Lock()
 	n.works[header.Key] = w
 	n.mu.Unlock()
 	defer n.forgetWork(header.Key)
+	stop := context.AfterFunc(ctx, func() { n.CancelWork(header.Key) })
+	defer stop()
 	n.submit(loomcore.WorkArrived{
 		Stamp: n.stamp(), Header: header, Pinned: l.conn != nil, Transaction: l.transaction,
 	})
-	switch e := (<-w.effects).(type) {
-	case loomcore.Reject:
-		return e.Trailer
-	case loomcore.Run:
-		return l.runWork(ctx, w, e, header, body, out)
+	if ctx.Err() != nil {
+		n.CancelWork(header.Key)
+	}
+	for {
+		switch e := w.take().(type) {
+		case loomcore.Reject:
+			return e.Trailer
+		case loomcore.Run:
+			return l.runWork(ctx, w, e, header, body, out)
+		}
 	}
-	return currantloom.Trailer{}
 }
 
-// runWork runs admitted work on the transaction's connection or one of the pool.
+// runWork runs admitted work on the transaction's connection or one of the pool. At the deadline the work is cancelled
+// at the server; only if that does not end it the connection is closed.
 func (l *localLink) runWork(
 	ctx context.Context, w *localWork, e loomcore.Run, header currantloom.RequestHeader, body []byte,
 	out currantloom.ResponseWriter,
 ) currantloom.Trailer {
-	ctx, cancel := context.WithTimeout(ctx, e.Limit)
-	defer cancel()
 	n := l.node
-	var result currantloom.WorkResult
-	if err := l.acquire(ctx, e, header); err != nil {
-		result = currantloom.WorkResult{Verdict: currantloom.VerdictOf(err), Code: currantloom.CodeOf(err), Err: err}
-	} else {
-		result = l.conn.Run(ctx, currantloom.Work{
-			Body: body, ReadOnly: e.ReadOnly, ConfirmTerm: e.ConfirmTerm, WithholdCompletion: e.WithholdCompletion,
-			Caller: header.Caller, RequestID: header.RequestID,
-			Accept: func(r currantloom.WorkResult) error { return n.accept(w, header.Key, r) },
-		}, out)
+	hard, giveUp := context.WithCancel(context.WithoutCancel(ctx))
+	defer giveUp()
+	soft, cancel := context.WithTimeout(ctx, e.Limit)
+	defer cancel()
+	var grace *time.Timer
+	var graceLock sync.Mutex
+	stop := context.AfterFunc(soft, func() {
+		graceLock.Lock()
+		grace = time.AfterFunc(cancelGrace, giveUp)
+		graceLock.Unlock()
+		n.CancelWork(header.Key)
+	})
+	result := l.runOnServer(hard, giveUp, w, e, header, body, out)
+	stop()
+	graceLock.Lock()
+	if grace != nil {
+		grace.Stop()
 	}
+	graceLock.Unlock()
+	w.finish()
 	n.submit(loomcore.WorkFinished{Stamp: n.stamp(), Key: header.Key, Result: result})
 	if result.Transaction != currantloom.TransactionOpen && result.Transaction != currantloom.TransactionFailed {
 		l.Release()
 	}
 	for {
-		if c, ok := (<-w.effects).(loomcore.Complete); ok {
-			return c.Trailer
+		switch e := w.take().(type) {
+		case loomcore.Complete:
+			return e.Trailer
+		case loomcore.Reject:
+			return e.Trailer
 		}
 	}
 }
 
+func (l *localLink) runOnServer(
+	ctx context.Context, giveUp context.CancelFunc, w *localWork, e loomcore.Run, header currantloom.RequestHeader,
+	body []byte, out currantloom.ResponseWriter,
+) currantloom.WorkResult {
+	w.mu.Lock()
+	w.giveUp = giveUp
+	cancelled := w.cancelled
+	w.mu.Unlock()
+	var err error
+	if !cancelled {
+		err = l.acquire(ctx, e, header)
+	}
+	if cancelled || err == nil && !w.start(l.conn) {
+		err = currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeQueryCanceled, 0,
+			"cancelled before it was sent to a server")
+	}
+	if err != nil {
+		return currantloom.WorkResult{Verdict: currantloom.VerdictOf(err), Code: currantloom.CodeOf(err), Err: err}
+	}
+	return l.conn.Run(ctx, currantloom.Work{
+		Body: body, ReadOnly: e.ReadOnly, ConfirmTerm: e.ConfirmTerm, WithholdCompletion: e.WithholdCompletion,
+		Caller: header.Caller, RequestID: header.RequestID,
+		Accept: func(r currantloom.WorkResult) error { return l.node.accept(w, header.Key, r) },
+	}, out)
+}
+
 func (l *localLink) acquire(ctx context.Context, e loomcore.Run, header currantloom.RequestHeader) error {
 	if l.conn != nil {
 		return nil
@@ -89,10 +192,15 @@
 // accept asks the core whether a withheld completion may pass.
 func (n *Node) accept(w *localWork, key currantloom.RequestKey, r currantloom.WorkResult) error {
 	n.submit(loomcore.WorkAnswered{Stamp: n.stamp(), Key: key, Result: r})
-	if e, ok := (<-w.effects).(loomcore.Reject); ok {
-		return currantloom.NewRequestError(e.Trailer.Verdict, e.Trailer.Code, e.Trailer.RetryAfter, "%s", e.Trailer.Reason)
+	for {
+		switch e := w.take().(type) {
+		case loomcore.Acknowledge:
+			return nil
+		case loomcore.Reject:
+			return currantloom.NewRequestError(
+				e.Trailer.Verdict, e.Trailer.Code, e.Trailer.RetryAfter, "%s", e.Trailer.Reason)
+		}
 	}
-	return nil
 }
 
 // Release returns the connection; an open transaction is rolled back by closing it.
@@ -113,6 +221,6 @@
 
 func (n *Node) deliverWork(key currantloom.RequestKey, e loomcore.Effect) {
 	if w, ok := n.works[key]; ok {
-		w.effects <- e
+		w.put(e)
 	}
 }
--- a/loompeer/codec.go
+++ b/loompeer/codec.go
@@ -7,8 +7,29 @@
 	"currantloom.example/currantloom"
 )
 
+// Types of the messages in CopyData besides headers and trailers, which have no type.
+const (
+	// frameProbe asks an idle peer for frameAlive.
+	frameProbe = "probe"
+	frameAlive = "alive"
+	// frameWorking tells the entry node that its request still runs.
+	frameWorking = "working"
+	// frameCancel asks the carrier to give up the running request.
+	frameCancel = "cancel"
+	// frameClosing tells the entry node that the link takes no further request.
+	frameClosing = "closing"
+)
+
+// frame is a message without a header or a trailer.
+type frame struct {
+	Type string `json:"type"`
+	// Number is the number of the request that a cancel is for.
+	Number uint64 `json:"number,omitempty"`
+}
+
 // headerMessage is the wire form of currantloom.RequestHeader. Times are in microseconds.
 type headerMessage struct {
+	Type      string `json:"type,omitempty"`
 	VM        string `json:"vm"`
 	Number    uint64 `json:"number"`
 	Server    string `json:"server"`
@@ -33,11 +54,7 @@
 	})
 }
 
-func decodeHeader(data []byte) (currantloom.RequestHeader, error) {
-	var m headerMessage
-	if err := json.Unmarshal(data, &m); err != nil {
-		return currantloom.RequestHeader{}, currantloom.ErrInput.Wrap(err, "request header")
-	}
+func decodeHeader(m headerMessage) (currantloom.RequestHeader, error) {
 	token, err := currantloom.ParseToken(m.Token, currantloom.DatabaseName(m.Database))
 	if err != nil {
 		return currantloom.RequestHeader{}, err
@@ -54,6 +71,11 @@
 
 // trailerMessage is the wire form of currantloom.Trailer. Times are in microseconds.
 type trailerMessage struct {
+	Type string `json:"type,omitempty"`
+	// Number is the number of the request, so that a trailer cannot end another one.
+	Number uint64 `json:"number"`
+	// Closing says that the link takes no further request.
+	Closing     bool   `json:"closing,omitempty"`
 	Verdict     string `json:"verdict"`
 	Code        string `json:"code,omitempty"`
 	Reason      string `json:"reason,omitempty"`
@@ -67,19 +89,16 @@
 	Primary     string `json:"primary,omitempty"`
 }
 
-func encodeTrailer(t currantloom.Trailer) ([]byte, error) {
+func encodeTrailer(t currantloom.Trailer, number uint64, closing bool) ([]byte, error) {
 	return json.Marshal(trailerMessage{
+		Number: number, Closing: closing,
 		Verdict: t.Verdict.String(), Code: string(t.Code), Reason: t.Reason, RetryAfter: t.RetryAfter.Microseconds(),
 		Database: string(t.Token.Database()), Token: t.Token.String(), Transaction: byte(t.Transaction),
 		Started: t.Started, Answered: t.Answered, Term: uint64(t.Term), Primary: string(t.Primary),
 	})
 }
 
-func decodeTrailer(data []byte) (currantloom.Trailer, error) {
-	var m trailerMessage
-	if err := json.Unmarshal(data, &m); err != nil {
-		return currantloom.Trailer{}, currantloom.ErrInput.Wrap(err, "trailer")
-	}
+func decodeTrailer(m trailerMessage) (currantloom.Trailer, error) {
 	token, err := currantloom.ParseToken(m.Token, currantloom.DatabaseName(m.Database))
 	if err != nil {
 		return currantloom.Trailer{}, err
--- a/loompeer/link.go
+++ b/loompeer/link.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"net"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -11,117 +11,147 @@
 )
 
 const (
-	// maxIdleLinks bounds the idle links to one VM. At 530 statements/s a node has a few in use at a time.
-	maxIdleLinks = 4
-	// maxIdleTime is how long a link stays open without use.
-	maxIdleTime = 60 * time.Second
 	// answerGrace is added to a request's remaining time before the link is given up.
 	answerGrace = 500 * time.Millisecond
+	// workingInterval is the time between two signs of life from the carrier while a request runs.
+	workingInterval = 2 * time.Second
+	// silenceLimit is how long a link in use may be silent: two signs of life may be lost or late.
+	silenceLimit = 5 * time.Second
 )
 
-// Dialer keeps the links to other VMs. The zero value is ready for use.
-type Dialer struct {
-	mu   sync.Mutex
-	idle map[currantloom.VMName][]*Link
-}
+// Link is the entry node's end of a link.
+type Link struct {
+	dialer      *Dialer
+	vm          currantloom.VM
+	conn        *progressConn
+	reader      *loomwire.Reader
+	transaction currantloom.TransactionStatus
+	usedAt      time.Time
+	expiry      *time.Timer
+	failed      bool
+	closing     bool
 
-// Link returns an idle link to the VM or opens one.
-func (d *Dialer) Link(ctx context.Context, vm currantloom.VM) (currantloom.Link, error) {
-	if l := d.takeIdle(vm.Name()); l != nil {
-		return l, nil
-	}
-	var n net.Dialer
-	conn, err := n.DialContext(ctx, "tcp", vm.LinkAddress())
-	if err != nil {
-		return nil, currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeConnectionFailure, 0,
-			"link to VM %s: %v", vm.Name(), err)
-	}
-	return &Link{
-		dialer: d, vm: vm.Name(), conn: conn, reader: loomwire.NewReader(conn), writer: loomwire.NewWriter(conn),
-		transaction: currantloom.TransactionIdle,
-	}, nil
+	mu     sync.Mutex
+	writer *loomwire.Writer
+	// number is the number of the running request, zero if there is none.
+	number uint64
+	// sent says that the request was sent, cancelled that it has to be cancelled once it was.
+	sent, cancelled bool
 }
 
-func (d *Dialer) takeIdle(vm currantloom.VMName) *Link {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for len(d.idle[vm]) > 0 {
-		n := len(d.idle[vm]) - 1
-		l := d.idle[vm][n]
-		d.idle[vm] = d.idle[vm][:n]
-		if time.Since(l.usedAt) < maxIdleTime {
-			return l
-		}
-		_ = l.conn.Close()
-	}
-	return nil
+// Failed reports whether the link was lost or went silent.
+func (l *Link) Failed() bool { return l.failed }
+
+// Release returns the link to the idle ones, or closes it.
+func (l *Link) Release() { l.dialer.release(l) }
+
+func (l *Link) isClean() bool {
+	return !l.failed && !l.closing && l.transaction == currantloom.TransactionIdle && l.reader.Buffered() == 0
 }
 
-func (d *Dialer) release(l *Link) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	clean := !l.failed && l.transaction == currantloom.TransactionIdle && l.reader.Buffered() == 0
-	if !clean || len(d.idle[l.vm]) >= maxIdleLinks {
-		_ = l.conn.Close()
-		return
+// isUsable reports whether an idle link still has its peer. A link that was idle for long is probed, because a
+// connection that has gone silent looks like an idle one.
+func (l *Link) isUsable() bool {
+	if !l.conn.isQuiet() {
+		return false
 	}
-	if d.idle == nil {
-		d.idle = make(map[currantloom.VMName][]*Link)
+	if time.Since(l.usedAt) < probeAfter {
+		return true
 	}
-	l.usedAt = time.Now()
-	d.idle[l.vm] = append(d.idle[l.vm], l)
+	l.conn.readLimit = probeLimit
+	defer func() { l.conn.readLimit = silenceLimit }()
+	if l.sendFrame(frame{Type: frameProbe}) != nil {
+		return false
+	}
+	var answer frame
+	return l.readFrame(&answer) == nil && answer.Type == frameAlive
 }
 
-// Close closes the idle links.
-func (d *Dialer) Close() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, links := range d.idle {
-		for _, l := range links {
-			_ = l.conn.Close()
-		}
+func (l *Link) sendFrame(f frame) error {
+	data, err := json.Marshal(f)
+	if err != nil {
+		return err
 	}
-	d.idle = nil
-	return nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.writer.WriteBody(copyData, data); err != nil {
+		return err
+	}
+	return l.writer.Flush()
 }
 
-// Link is the entry node's end of a link.
-type Link struct {
-	dialer      *Dialer
-	vm          currantloom.VMName
-	conn        net.Conn
-	reader      *loomwire.Reader
-	writer      *loomwire.Writer
-	transaction currantloom.TransactionStatus
-	usedAt      time.Time
-	failed      bool
+func (l *Link) readFrame(into any) error {
+	kind, _, err := l.reader.Next()
+	if err != nil {
+		return err
+	}
+	if kind != copyData {
+		return currantloom.ErrInput.New("message of type %q in place of a frame", kind)
+	}
+	data, err := l.reader.Body()
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, into)
 }
 
-// Release returns the link to the idle ones, or closes it.
-func (l *Link) Release() { l.dialer.release(l) }
-
 // Run sends one request and passes its response on.
 func (l *Link) Run(
 	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
 ) currantloom.Trailer {
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetDeadline(time.Now()) })
+	ctx, cancel := context.WithTimeout(ctx, header.Remaining+answerGrace)
+	defer cancel()
+	stop := context.AfterFunc(ctx, l.conn.giveUp)
 	defer stop()
-	_ = l.conn.SetDeadline(time.Now().Add(header.Remaining + answerGrace))
 	t, err := l.exchange(header, body, out)
 	if err != nil {
 		l.failed = true
-		t.Verdict, t.Code, t.Reason = currantloom.MayHaveRun, currantloom.CodeConnectionFailure, err.Error()
+		t.Code, t.Reason = currantloom.CodeConnectionFailure, "link to VM "+string(l.vm.Name())+": "+err.Error()
+		t.Answered, t.Transaction = false, 0
 		return t
 	}
 	l.transaction = t.Transaction
 	return t
 }
 
+// Cancel asks the carrier to give up the request if it still runs.
+func (l *Link) Cancel(key currantloom.RequestKey) {
+	l.mu.Lock()
+	running := l.number == key.Number
+	l.cancelled = l.cancelled || running
+	send := running && l.sent
+	l.mu.Unlock()
+	if send {
+		_ = l.sendFrame(frame{Type: frameCancel, Number: key.Number})
+	}
+}
+
+// setRunning notes the request that runs, and reports whether it was cancelled before it was sent.
+func (l *Link) setRunning(number uint64, sent bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !sent {
+		l.cancelled = false
+	}
+	l.number, l.sent = number, sent
+	return l.cancelled
+}
+
+// exchange returns an error together with the verdict that it allows. The carrier starts a request only when it has
+// received all of it, so a request of which a part was not even handed to the network has not run.
 func (l *Link) exchange(
 	header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
 ) (currantloom.Trailer, error) {
+	number := header.Key.Number
+	l.setRunning(number, false)
+	defer l.setRunning(0, false)
 	if err := l.send(header, body); err != nil {
-		return currantloom.Trailer{}, err
+		return currantloom.Trailer{Verdict: currantloom.NotRun}, err
+	}
+	if l.setRunning(number, true) {
+		if err := l.sendFrame(frame{Type: frameCancel, Number: number}); err != nil {
+			return currantloom.Trailer{}, err
+		}
 	}
 	var t currantloom.Trailer
 	for {
@@ -129,18 +159,40 @@
 		if err != nil {
 			return t, err
 		}
-		if kind == copyData {
-			data, err := l.reader.Body()
-			if err != nil {
+		if kind != copyData {
+			t.Started = true
+			if err := out.WriteMessage(kind, length, l.reader); err != nil {
 				return t, err
 			}
-			return decodeTrailer(data)
+			continue
 		}
-		t.Started = true
-		if err := out.WriteMessage(kind, length, l.reader); err != nil {
+		m, err := l.readTrailer()
+		if err != nil {
 			return t, err
 		}
+		if m.Type == "" {
+			return l.finish(header, m, t)
+		}
+	}
+}
+
+func (l *Link) readTrailer() (trailerMessage, error) {
+	var m trailerMessage
+	data, err := l.reader.Body()
+	if err != nil {
+		return m, err
+	}
+	return m, json.Unmarshal(data, &m)
+}
+
+func (l *Link) finish(
+	header currantloom.RequestHeader, m trailerMessage, t currantloom.Trailer,
+) (currantloom.Trailer, error) {
+	if m.Number != header.Key.Number {
+		return t, currantloom.ErrInput.New("trailer of request %d in place of %d", m.Number, header.Key.Number)
 	}
+	l.closing = m.Closing
+	return decodeTrailer(m)
 }
 
 func (l *Link) send(header currantloom.RequestHeader, body []byte) error {
@@ -148,6 +200,8 @@
 	if err != nil {
 		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err := l.writer.WriteBody(copyData, data); err != nil {
 		return err
 	}
--- a/loompeer/server.go
+++ b/loompeer/server.go
@@ -1,156 +1,111 @@
 package loompeer
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
+	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"currantloom.example/currantloom"
-	"currantloom.example/currantloom/loomwire"
 )
 
-const copyData = 'd'
+const (
+	// closeGrace is how long an idle link still takes requests after it was announced as closing: the entry node may
+	// have sent one before it learned of it.
+	closeGrace = 200 * time.Millisecond
+	// acceptPause separates attempts to accept while the process is out of file descriptors.
+	acceptPause = 10 * time.Millisecond
+)
 
-// Server accepts links of entry nodes. Open returns the local link that runs the requests of one connection.
+// Server accepts links of entry nodes.
 type Server struct {
+	// Open returns the local link that runs the requests of one connection.
 	Open func() currantloom.Link
+	// Cancel gives up a request that runs on a link; nil ignores cancels.
+	Cancel func(key currantloom.RequestKey)
 
-	mu     sync.Mutex
-	conns  map[net.Conn]bool
-	closed bool
-	wait   sync.WaitGroup
+	mu      sync.Mutex
+	links   map[*serverLink]bool
+	closing bool
+	wait    sync.WaitGroup
 }
 
 // Serve accepts links until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
-		if !s.add(conn) {
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		l := newServerLink(s, conn)
+		if !s.add(l) {
 			_ = conn.Close()
 			continue
 		}
-		go s.serveConn(conn)
+		go func() {
+			defer s.remove(l)
+			l.serve(context.Background())
+		}()
 	}
 }
 
-func (s *Server) add(conn net.Conn) bool {
+func (s *Server) add(l *serverLink) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closing {
 		return false
 	}
-	if s.conns == nil {
-		s.conns = make(map[net.Conn]bool)
+	if s.links == nil {
+		s.links = make(map[*serverLink]bool)
 	}
-	s.conns[conn] = true
+	s.links[l] = true
 	s.wait.Add(1)
 	return true
 }
 
-func (s *Server) remove(conn net.Conn) {
-	_ = conn.Close()
+func (s *Server) remove(l *serverLink) {
 	s.mu.Lock()
-	delete(s.conns, conn)
+	delete(s.links, l)
 	s.mu.Unlock()
 	s.wait.Done()
 }
 
-// Close closes all links and waits for their requests.
-func (s *Server) Close() error {
+func (s *Server) isClosing() bool {
 	s.mu.Lock()
-	s.closed = true
-	for conn := range s.conns {
-		_ = conn.Close()
-	}
-	s.mu.Unlock()
-	s.wait.Wait()
-	return nil
-}
-
-// serveConn runs the requests of one link. A second goroutine reads them, so that a link closed by the entry node
-// during a run is noticed and its work given up.
-func (s *Server) serveConn(conn net.Conn) {
-	defer s.remove(conn)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	requests := make(chan incoming)
-	go func() {
-		defer cancel()
-		defer close(requests)
-		readRequests(ctx, loomwire.NewReader(conn), requests)
-	}()
-	link := s.Open()
-	defer link.Release()
-	writer := loomwire.NewWriter(conn)
-	for q := range requests {
-		trailer := link.Run(ctx, q.header, q.body, writer)
-		data, err := encodeTrailer(trailer)
-		if err != nil {
-			return
-		}
-		if writer.WriteBody(copyData, data) != nil || writer.Flush() != nil {
-			return
-		}
-	}
-}
-
-// incoming is a request as it came over a link.
-type incoming struct {
-	header currantloom.RequestHeader
-	body   []byte
+	defer s.mu.Unlock()
+	return s.closing
 }
 
-func readRequests(ctx context.Context, reader *loomwire.Reader, requests chan<- incoming) {
-	for {
-		q, err := readRequest(reader)
-		if err != nil {
-			return
-		}
-		select {
-		case requests <- q:
-		case <-ctx.Done():
-			return
-		}
+func (s *Server) all() []*serverLink {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var links []*serverLink
+	for l := range s.links {
+		links = append(links, l)
 	}
+	return links
 }
 
-// readRequest reads a header and the messages up to Query or Sync.
-func readRequest(reader *loomwire.Reader) (incoming, error) {
-	kind, _, err := reader.Next()
-	if err != nil {
-		return incoming{}, err
-	}
-	if kind != copyData {
-		return incoming{}, currantloom.ErrInput.New("link request starts with message %q", kind)
-	}
-	data, err := reader.Body()
-	if err != nil {
-		return incoming{}, err
+// Close announces the end of each link, closes idle ones, and waits for requests and transactions in progress.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
+	links := s.all()
+	for _, l := range links {
+		l.announceClose()
 	}
-	header, err := decodeHeader(data)
-	if err != nil {
-		return incoming{}, err
+	if len(links) > 0 {
+		time.Sleep(closeGrace)
 	}
-	var body bytes.Buffer
-	for {
-		kind, length, err := reader.Next()
-		if err != nil {
-			return incoming{}, err
-		}
-		content, err := reader.Body()
-		if err != nil {
-			return incoming{}, err
-		}
-		body.WriteByte(kind)
-		_ = binary.Write(&body, binary.BigEndian, uint32(length+4))
-		body.Write(content)
-		if kind == 'Q' || kind == 'S' {
-			return incoming{header: header, body: body.Bytes()}, nil
-		}
+	for _, l := range s.all() {
+		l.closeWhenIdle()
 	}
+	s.wait.Wait()
+	return nil
 }
--- a/loomwire/reader.go
+++ b/loomwire/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -14,6 +15,8 @@
 	MaxDecoded = 16 << 20
 	// bufferSize is small because an idle client connection keeps its buffers.
 	bufferSize = 2 << 10
+	// maxAtOnce is the largest body for which memory is allocated before its bytes have arrived.
+	maxAtOnce  = 64 << 10
 	headerSize = 5
 	lengthSize = 4
 )
@@ -25,8 +28,18 @@
 	err       error
 }
 
-// NewReader returns a reader of the messages in r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: bufio.NewReaderSize(r, bufferSize)} }
+// NewReader returns a reader of the messages in r, with a small buffer for connections that are mostly idle.
+func NewReader(r io.Reader) *Reader { return NewReaderSize(r, bufferSize) }
+
+// NewReaderSize returns a reader of the messages in r with a buffer of the given size.
+func NewReaderSize(r io.Reader, size int) *Reader { return &Reader{r: bufio.NewReaderSize(r, size)} }
+
+// Await waits until at least n bytes are buffered, or the buffer is full, without reading them. It must not run at the
+// same time as another method.
+func (r *Reader) Await(n int) error {
+	_, err := r.r.Peek(min(n, r.r.Size()))
+	return err
+}
 
 // Buffered returns the number of bytes that were received but not read.
 func (r *Reader) Buffered() int { return r.r.Buffered() }
@@ -61,6 +74,9 @@
 		return nil, r.fail(currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeProtocolViolation, 0,
 			"message of %d bytes exceeds the limit of %d", r.remaining, MaxDecoded))
 	}
+	if r.remaining > maxAtOnce {
+		return r.largeBody()
+	}
 	body := make([]byte, r.remaining)
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, r.fail(err)
@@ -68,6 +84,15 @@
 	return body, nil
 }
 
+// largeBody allocates memory as the bytes arrive, so that a sender cannot claim memory with a length alone.
+func (r *Reader) largeBody() ([]byte, error) {
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(r.remaining)); err != nil {
+		return nil, r.fail(err)
+	}
+	return body.Bytes(), nil
+}
+
 // Read reads a part of the body of the current message; io.EOF marks the end of the body.
 func (r *Reader) Read(p []byte) (int, error) {
 	if r.err != nil {
--- a/loomwire/writer.go
+++ b/loomwire/writer.go
@@ -5,31 +5,83 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"sync"
 )
 
-// Writer writes messages with a type byte. It implements currantloom.ResponseWriter.
+const (
+	// writeBufferSize is large enough that a response of many short rows needs few system calls.
+	writeBufferSize = 16 << 10
+	// maxWhole is the largest body that is read completely before its header is written, so that a source that fails
+	// in the middle of such a message leaves the output at a message boundary.
+	maxWhole = 8 << 10
+)
+
+// writeBuffers holds the buffers of writers that have nothing to send, because most connections are idle.
+var writeBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+
+// Writer writes messages with a type byte. It implements currantloom.ResponseWriter. It holds a buffer only between
+// the first write and Flush.
 type Writer struct {
-	w *bufio.Writer
+	dst    io.Writer
+	w      *bufio.Writer
+	broken bool
 }
 
 // NewWriter returns a writer of messages to w.
-func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, bufferSize)} }
+func NewWriter(w io.Writer) *Writer { return &Writer{dst: w} }
+
+func (w *Writer) buffer() *bufio.Writer {
+	if w.w == nil {
+		w.w = writeBuffers.Get().(*bufio.Writer)
+		w.w.Reset(w.dst)
+	}
+	return w.w
+}
 
-// WriteMessage writes one message; the body is copied in pieces.
+// Broken reports whether a message was cut off in its middle, so that nothing may follow it.
+func (w *Writer) Broken() bool { return w.broken }
+
+// WriteMessage writes one message; a large body is copied in pieces.
 func (w *Writer) WriteMessage(kind byte, length int, body io.Reader) error {
-	var header [headerSize]byte
-	header[0] = kind
-	binary.BigEndian.PutUint32(header[1:], uint32(length)+lengthSize)
-	if _, err := w.w.Write(header[:]); err != nil {
+	b := w.buffer()
+	if headerSize+length > b.Available() && b.Buffered() > 0 {
+		if err := b.Flush(); err != nil {
+			return err
+		}
+	}
+	if length <= maxWhole {
+		return writeWhole(b, kind, length, body)
+	}
+	if _, err := b.Write(appendHeader(nil, kind, length)); err != nil {
 		return err
 	}
-	if length == 0 {
-		return nil
+	_, err := io.CopyN(b, body, int64(length))
+	w.broken = err != nil
+	return err
+}
+
+// writeWhole reads the body into the free part of the buffer, behind its header.
+func writeWhole(b *bufio.Writer, kind byte, length int, body io.Reader) error {
+	message := appendHeader(b.AvailableBuffer(), kind, length)
+	message = message[:headerSize+length]
+	if length > 0 {
+		if _, err := io.ReadFull(body, message[headerSize:]); err != nil {
+			return err
+		}
 	}
-	_, err := io.CopyN(w.w, body, int64(length))
+	_, err := b.Write(message)
 	return err
 }
 
+func appendHeader(dst []byte, kind byte, length int) []byte {
+	return binary.BigEndian.AppendUint32(append(dst, kind), uint32(length)+lengthSize)
+}
+
+// AppendMessage appends an encoded message.
+func AppendMessage(dst []byte, kind byte, body []byte) []byte {
+	return append(appendHeader(dst, kind, len(body)), body...)
+}
+
 // WriteBody writes one message with a body in memory.
 func (w *Writer) WriteBody(kind byte, body []byte) error {
 	return w.WriteMessage(kind, len(body), bytes.NewReader(body))
@@ -46,12 +98,21 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.w.Write(encoded)
+	_, err = w.buffer().Write(encoded)
 	return err
 }
 
 // Write writes bytes that already hold encoded messages.
-func (w *Writer) Write(p []byte) (int, error) { return w.w.Write(p) }
+func (w *Writer) Write(p []byte) (int, error) { return w.buffer().Write(p) }
 
 // Flush sends what is buffered.
-func (w *Writer) Flush() error { return w.w.Flush() }
+func (w *Writer) Flush() error {
+	if w.w == nil {
+		return nil
+	}
+	err := w.w.Flush()
+	w.w.Reset(nil)
+	writeBuffers.Put(w.w)
+	w.w = nil
+	return err
+}
