Make the stand-in of a database group a replicated one

Cause: the in-process group had one shared log, so terms, fencing, promotion, request ids and lost connections could not be tested.

Each server now has its own log, tables and listener. Replicas take entries from the primary over a stream of CopyData messages, as separate processes or in one. A primary starts its term with an empty entry: without it a majority may hold an older entry that a later primary with a higher last term drops, although group_confirm reported it.

Ruled out: counting servers that lost their log towards a majority; they neither grant terms nor confirm until they have caught up.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -15,24 +16,132 @@
 )
 
 func main() {
-	var addresses []string
-	lag := 100 * time.Millisecond
+	if err := command(); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+// serverFlags are the flags that subcommands server and group share.
+type serverFlags struct {
+	addresses     []string
+	slots         int
+	connections   int
+	openDelay     time.Duration
+	statementTime time.Duration
+	lag           time.Duration
+	delay         time.Duration
+}
+
+func (f *serverFlags) add(c *flaggy.Subcommand) {
+	c.StringSlice(&f.addresses, "l", "listen", "address (IP:port) of a server")
+	c.Int(&f.slots, "", "slots", "statements that run at a time; 0 means no limit")
+	c.Int(&f.connections, "", "connections", "client connections; 0 means no limit")
+	c.Duration(&f.openDelay, "", "open-delay", "time to open a connection")
+	c.Duration(&f.statementTime, "", "statement-time", "time a statement uses its slot")
+	c.Duration(&f.lag, "", "lag", "time after which a replica applies an entry it holds")
+	c.Duration(&f.delay, "", "delay", "delay of messages from the primary to a replica")
+}
+
+func (f *serverFlags) options() loomstandin.Options {
+	return loomstandin.Options{
+		Slots: f.slots, Connections: f.connections, OpenDelay: f.openDelay, StatementTime: f.statementTime,
+		Lag: f.lag, Delay: f.delay,
+	}
+}
+
+func (f *serverFlags) listen() ([]net.Listener, error) {
+	if len(f.addresses) == 0 {
+		return nil, fmt.Errorf("no address; see --help")
+	}
+	var listeners []net.Listener
+	for _, address := range f.addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+const groupExample = `
+  Example, a group whose replicas lag by 100 ms:
+    standin group --listen 127.0.0.1:6001 --listen 127.0.0.1:6002 --listen 127.0.0.1:6003 --lag 100ms
+  Faults by hand, on any server: SELECT standin_lag(ms), standin_delay(ms), standin_statement_time(ms),
+  standin_pause(ms), standin_close(), standin_fail_commit('before'|'after').`
+
+const serverExample = `
+  Example, the first primary and a replica of a new group, which keep their logs when they are killed and restarted:
+    standin server --listen 127.0.0.1:6001 --bootstrap 127.0.0.1:6001 --journal a.log
+    standin server --listen 127.0.0.1:6002 --bootstrap 127.0.0.1:6001 --journal b.log
+  A server without journal and bootstrap counts as one that lost its disk.`
+
+func command() error {
+	var groupFlags, flags serverFlags
+	var bootstrap, journal string
+	size := 3
 	group := flaggy.NewSubcommand("group")
-	group.Description = "Run a database group. Example: standin group --listen 127.0.0.1:6001 --listen 127.0.0.1:6002"
-	group.StringSlice(&addresses, "l", "listen", "address of a server; the first is the primary")
-	group.Duration(&lag, "", "lag", "replication lag")
+	group.Description = "Run a database group in one process; the first address is the primary."
+	group.AdditionalHelpAppend = groupExample
+	groupFlags.lag = 100 * time.Millisecond
+	groupFlags.add(group)
+	server := flaggy.NewSubcommand("server")
+	server.Description = "Run one server of a database group."
+	server.AdditionalHelpAppend = serverExample
+	flags.add(server)
+	server.Int(&size, "", "size", "number of servers of the group")
+	server.String(&bootstrap, "", "bootstrap", "address of a new group's first primary; ignored if the journal has a log")
+	server.String(&journal, "", "journal", "file that keeps the log when the process is killed; not synced")
+	flaggy.SetName("standin")
+	flaggy.SetDescription("Small fakes of the external systems of currantloom.")
 	flaggy.AttachSubcommand(group, 1)
+	flaggy.AttachSubcommand(server, 1)
 	flaggy.Parse()
-	g := &loomstandin.Group{Lag: lag}
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, "standin:", err)
-			os.Exit(1)
-		}
-		g.Add(listener)
+	switch {
+	case group.Used:
+		return runGroup(&groupFlags)
+	case server.Used:
+		return runServer(&flags, size, bootstrap, journal)
+	}
+	flaggy.ShowHelp("")
+	return nil
+}
+
+func runGroup(f *serverFlags) error {
+	listeners, err := f.listen()
+	if err != nil {
+		return err
+	}
+	g, err := loomstandin.StartGroup(f.options(), listeners...)
+	if err != nil {
+		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	<-stop
+	awaitSignal()
+	return g.Close()
+}
+
+func runServer(f *serverFlags, size int, bootstrap, journal string) error {
+	listeners, err := f.listen()
+	if err != nil {
+		return err
+	}
+	if len(listeners) != 1 {
+		return fmt.Errorf("a server listens at one address")
+	}
+	o := f.options()
+	o.Listener, o.Size, o.Bootstrap, o.Journal = listeners[0], size, bootstrap, journal
+	s, err := loomstandin.Start(o)
+	if err != nil {
+		return err
+	}
+	awaitSignal()
+	return s.Close()
+}
+
+// awaitSignal returns when the process is asked to stop.
+func awaitSignal() {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	<-ctx.Done()
 }
--- /dev/null
+++ b/loomstandin/group_test.go
@@ -0,0 +1,348 @@
+package loomstandin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// listen returns a listener on a free port of the loopback address, or on the given address.
+func listen(t *testing.T, address string) net.Listener {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// startGroup starts a group of three servers.
+func startGroup(t *testing.T, o Options) []*Server {
+	t.Helper()
+	g, err := StartGroup(o, listen(t, ""), listen(t, ""), listen(t, ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.Close() })
+	return g.Servers()
+}
+
+func dial(t *testing.T, s *Server) *pgx.Conn {
+	t.Helper()
+	conn, err := pgx.Connect(t.Context(), "postgres://test@"+s.Address()+"/test?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// run runs a simple query and returns its rows as text, one string a row.
+func run(t *testing.T, c *pgx.Conn, sql string) []string {
+	t.Helper()
+	rows, err := try(t, c, sql)
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return rows
+}
+
+func try(t *testing.T, c *pgx.Conn, sql string) ([]string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	results, err := c.PgConn().Exec(ctx, sql).ReadAll()
+	var rows []string
+	for _, r := range results {
+		for _, row := range r.Rows {
+			line := ""
+			for i, v := range row {
+				if i > 0 {
+					line += "|"
+				}
+				line += string(v)
+			}
+			rows = append(rows, line)
+		}
+	}
+	return rows, err
+}
+
+func wantRows(t *testing.T, c *pgx.Conn, sql string, want ...string) {
+	t.Helper()
+	if got := run(t, c, sql); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("%s: got %q, want %q", sql, got, want)
+	}
+}
+
+func wantCode(t *testing.T, err error, code string) {
+	t.Helper()
+	var e *pgconn.PgError
+	if !errors.As(err, &e) || e.Code != code {
+		t.Errorf("got error %v, want SQLSTATE %s", err, code)
+	}
+}
+
+// eventually waits up to 3 s for the condition.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !condition(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not happen within 3 s", what)
+		}
+	}
+}
+
+// promote makes the granting server with the latest mark the primary of the term and returns it.
+func promote(t *testing.T, term int, granting ...*Server) *Server {
+	t.Helper()
+	var leader *Server
+	latest := [2]int{-1, -1}
+	for _, s := range granting {
+		rows := run(t, dial(t, s), fmt.Sprintf("SELECT * FROM group_raise_term(%d, 'vm-1')", term))
+		var highest int
+		var mark [2]int
+		if _, err := fmt.Sscanf(rows[0], "t|%d|%d|%d", &highest, &mark[0], &mark[1]); err != nil {
+			t.Fatalf("server did not grant term %d: %v", term, rows)
+		}
+		if mark[0] > latest[0] || mark[0] == latest[0] && mark[1] > latest[1] {
+			leader, latest = s, mark
+		}
+	}
+	run(t, dial(t, leader), fmt.Sprintf("SELECT group_lead(%d)", term))
+	for _, s := range granting {
+		if s != leader {
+			run(t, dial(t, s), fmt.Sprintf("SELECT group_follow(%d, '%s')", term, leader.Address()))
+		}
+	}
+	return leader
+}
+
+// TestDialect guards against statements that the other packages' tests rely on and the stand-in misreads.
+func TestDialect(t *testing.T) {
+	c := dial(t, startGroup(t, Options{})[0])
+	run(t, c, "CREATE TABLE wheels (id text PRIMARY KEY, n bigint)")
+	run(t, c, "INSERT INTO wheels (id, n) VALUES ('a', 9), ('b', 10)")
+	wantRows(t, c, "SELECT * FROM wheels ORDER BY n DESC", "b|10", "a|9")
+	run(t, c, "UPDATE wheels SET n = n + 5 WHERE id = 'a'")
+	run(t, c, "UPDATE wheels SET n = n - 1 WHERE id = 'b' AND n > 9")
+	wantRows(t, c, "SELECT n FROM wheels WHERE n >= 9 ORDER BY n LIMIT 5", "9", "14")
+	run(t, c, "DELETE FROM wheels WHERE id = 'a'")
+	wantRows(t, c, "SELECT count(*) FROM wheels", "1")
+	wantRows(t, c, "SELECT 1; SELECT id FROM wheels; SHOW default_transaction_read_only", "1", "b", "off")
+	_, err := try(t, c, "INSERT INTO wheels VALUES ('b', 1)")
+	wantCode(t, err, "23505")
+	_, err = try(t, c, "INSERT INTO wheels VALUES ('c', 1); SELECT missing FROM wheels")
+	wantCode(t, err, "42703")
+	wantRows(t, c, "SELECT count(*) FROM wheels WHERE id = 'c'", "0")
+	run(t, c, "CALL batch_release(0.01)")
+	wantRows(t, c, "SELECT count(*) FROM batch_releases", "1")
+
+	var n int
+	if err := c.QueryRow(t.Context(), "SELECT n FROM wheels WHERE id = $1", "b").Scan(&n); err != nil || n != 9 {
+		t.Errorf("extended protocol: got %d, %v, want 9", n, err)
+	}
+	if _, err := c.Exec(t.Context(), "INSERT INTO wheels (id, n) VALUES ($1, $2)", "d", "4"); err != nil {
+		t.Error(err)
+	}
+	rows, _ := c.Query(t.Context(), "SELECT * FROM generate_rows(500, 1000)")
+	count := 0
+	for rows.Next() {
+		count++
+	}
+	if count != 500 || rows.Err() != nil {
+		t.Errorf("got %d rows, %v, want 500", count, rows.Err())
+	}
+}
+
+// TestTransactions guards against transactions that see or overwrite each other's uncommitted work.
+func TestTransactions(t *testing.T) {
+	servers := startGroup(t, Options{Slots: 1})
+	a, b := dial(t, servers[0]), dial(t, servers[0])
+	run(t, a, "INSERT INTO t (id, n) VALUES ('x', 1)")
+	run(t, a, "BEGIN")
+	run(t, b, "BEGIN")
+	run(t, a, "UPDATE t SET n = n + 1 WHERE id = 'x'")
+	run(t, b, "UPDATE t SET n = n + 10 WHERE id = 'x'")
+	wantRows(t, b, "SELECT n FROM t", "11")
+	run(t, a, "COMMIT")
+	_, err := try(t, b, "COMMIT")
+	wantCode(t, err, "40001")
+	wantRows(t, b, "SELECT n FROM t", "2")
+
+	for _, end := range []string{"COMMIT", "ROLLBACK"} {
+		run(t, a, "BEGIN; INSERT INTO t VALUES ('"+end+"', 1)")
+		second := make(chan error, 1)
+		go func() {
+			_, err := try(t, b, "INSERT INTO t VALUES ('"+end+"', 2)")
+			second <- err
+		}()
+		select {
+		case err := <-second:
+			t.Fatalf("second insert did not wait: %v", err)
+		case <-time.After(50 * time.Millisecond):
+		}
+		run(t, a, end)
+		if err := <-second; end == "COMMIT" {
+			wantCode(t, err, "23505")
+		} else if err != nil {
+			t.Errorf("insert after rollback: %v", err)
+		}
+	}
+
+	run(t, a, "BEGIN")
+	_, err = try(t, a, "SELECT missing FROM t")
+	wantCode(t, err, "42703")
+	_, err = try(t, a, "SELECT n FROM t")
+	wantCode(t, err, "25P02")
+	if got := a.PgConn().TxStatus(); got != 'E' {
+		t.Errorf("got transaction status %c, want E", got)
+	}
+	run(t, a, "ROLLBACK")
+}
+
+// TestReplication guards against replicas that miss entries, accept writes or ignore their lag.
+func TestReplication(t *testing.T) {
+	servers := startGroup(t, Options{})
+	primary, replica := dial(t, servers[0]), dial(t, servers[1])
+	run(t, primary, "INSERT INTO t VALUES ('x', 'one')")
+	if got := primary.PgConn().ParameterStatus("group_position"); got != "1/1/2/2" && got != "1/1/2/3" {
+		t.Errorf("got group_position %q, want 1/1/2 with a majority", got)
+	}
+	eventually(t, "replication", func() bool { return len(run(t, replica, "SELECT * FROM t")) == 1 })
+	_, err := try(t, replica, "INSERT INTO t VALUES ('y', 'two')")
+	wantCode(t, err, "25006")
+	run(t, replica, "SELECT standin_lag(400)")
+	run(t, primary, "INSERT INTO t VALUES ('y', 'two')")
+	wantRows(t, replica, "SELECT count(*) FROM t", "1")
+	eventually(t, "lagging replication", func() bool { return len(run(t, replica, "SELECT * FROM t")) == 2 })
+	rows := run(t, primary, "SELECT * FROM group_confirm()")
+	if rows[0] != "1|1|3|2" && rows[0] != "1|1|3|3" {
+		t.Errorf("got confirmation %v, want 1|1|3 with a majority", rows)
+	}
+}
+
+// TestPromotion guards against a lost confirmed entry, a kept conflicting entry, two primaries that can commit, and
+// a term that is granted twice.
+func TestPromotion(t *testing.T) {
+	servers := startGroup(t, Options{})
+	old := dial(t, servers[0])
+	run(t, old, "INSERT INTO t VALUES ('confirmed', '1')")
+	servers[1].SetDelay(time.Hour)
+	servers[2].SetDelay(time.Hour)
+	start := time.Now()
+	run(t, old, "INSERT INTO t VALUES ('conflicting', '1')")
+	if took := time.Since(start); took < confirmLimit {
+		t.Errorf("commit without a majority reported after %v, want at least %v", took, confirmLimit)
+	}
+	if got := old.PgConn().ParameterStatus("group_position"); got != "1/1/3/1" {
+		t.Errorf("got group_position %q, want 1/1/3/1", got)
+	}
+	servers[0].Pause()
+	servers[1].SetDelay(0)
+	servers[2].SetDelay(0)
+	leader := promote(t, 2, servers[1], servers[2])
+	next := dial(t, leader)
+	wantRows(t, next, "SELECT * FROM group_raise_term(2, 'vm-2')", "f|2|2|3")
+	run(t, next, "INSERT INTO t VALUES ('new', '2')")
+	servers[0].Resume()
+	if _, err := try(t, old, "INSERT INTO t VALUES ('late', '1')"); err != nil {
+		t.Error(err)
+	}
+	if got := old.PgConn().ParameterStatus("group_position"); got[len(got)-2:] != "/1" {
+		t.Errorf("replaced primary reported %q, want one server only", got)
+	}
+	run(t, old, "SELECT group_follow(2, '"+leader.Address()+"')")
+	eventually(t, "catching up", func() bool {
+		return fmt.Sprint(run(t, old, "SELECT id FROM t")) == "[confirmed new]"
+	})
+	_, err := try(t, old, "SELECT group_lead(2)")
+	wantCode(t, err, "55000")
+}
+
+// TestRestart guards against grants and entries that a killed process forgets, and against a server that lost its log
+// and votes.
+func TestRestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	l := listen(t, "")
+	address := l.Addr().String()
+	servers := startGroup(t, Options{})
+	startOne := func(l net.Listener, journal, bootstrap string) *Server {
+		s, err := Start(Options{Listener: l, Journal: journal, Bootstrap: bootstrap, Size: 3})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = s.Close() })
+		return s
+	}
+	run(t, dial(t, servers[0]), "INSERT INTO t VALUES ('x', '1')")
+	s := startOne(l, path, servers[0].Address())
+	eventually(t, "replication", func() bool { return len(run(t, dial(t, s), "SELECT * FROM t")) == 1 })
+	run(t, dial(t, s), "SELECT * FROM group_raise_term(4, 'vm-1')")
+	_ = s.Close()
+	s = startOne(listen(t, address), path, servers[0].Address())
+	wantRows(t, dial(t, s), "SELECT * FROM t", "x|1")
+	wantRows(t, dial(t, s), "SELECT * FROM group_raise_term(4, 'vm-2')", "f|4|1|2")
+	_ = s.Close()
+
+	s = startOne(listen(t, address), "", "")
+	c := dial(t, s)
+	wantRows(t, c, "SELECT * FROM group_raise_term(5, 'vm-2')", "f|0|0|0")
+	run(t, c, "SELECT group_follow(1, '"+servers[0].Address()+"')")
+	eventually(t, "refilling", func() bool {
+		return run(t, c, "SELECT * FROM group_raise_term(5, 'vm-2')")[0] == "t|5|1|2"
+	})
+}
+
+// TestLimits guards against a connection over the limit that is queued, a slot that is not shared, and a cancel that
+// does not arrive.
+func TestLimits(t *testing.T) {
+	s := startGroup(t, Options{Connections: 2, Slots: 1, OpenDelay: 12 * time.Millisecond})[0]
+	start := time.Now()
+	a, b := dial(t, s), dial(t, s)
+	if took := time.Since(start); took < 24*time.Millisecond {
+		t.Errorf("opening two connections took %v, want at least 24 ms", took)
+	}
+	_, err := pgx.Connect(t.Context(), "postgres://test@"+s.Address()+"/test?sslmode=disable")
+	wantCode(t, err, "53300")
+	canceled := make(chan error, 1)
+	go func() {
+		_, err := try(t, a, "SELECT pg_sleep(60)")
+		canceled <- err
+	}()
+	eventually(t, "use of the slot", func() bool { return len(s.slots) == 1 })
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := try(t, b, "SELECT 1")
+		waiting <- err
+	}()
+	select {
+	case err := <-waiting:
+		t.Fatalf("second statement did not wait for the slot: %v", err)
+	case <-time.After(50 * time.Millisecond):
+	}
+	if err := a.PgConn().CancelRequest(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	wantCode(t, <-canceled, "57014")
+	if err := <-waiting; err != nil {
+		t.Error(err)
+	}
+	s.CloseConnections()
+	if _, err := try(t, a, "SELECT 1"); err == nil {
+		t.Error("statement succeeded on a closed connection")
+	}
+}
