Carry rules, status and cancels between nodes over JSON-RPC

Nodes had effects for the spread of rules and nobody to execute them.

A push carries the changed lines with a digest of the result; a receiver without the base pulls the text.

/live, /ready and /metrics are served; metrics observe the events and effects of the reducer, so that no other code has to count.

--- /dev/null
+++ b/loomnode/control.go
@@ -0,0 +1,271 @@
+package loomnode
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomentry"
+	"currantloom.example/currantloom/loompeer"
+	"currantloom.example/currantloom/loomrules"
+)
+
+const (
+	// pullTimeout is the interval between pulls, so that at most one is under way.
+	pullTimeout = time.Second
+	// pushTimeout lets a whole file of 1 MB through the link between regions, which takes 0.3 s without other traffic.
+	pushTimeout = 3 * time.Second
+	// watchRetry separates calls to a store that does not answer.
+	watchRetry = time.Second
+)
+
+// controller executes the effects of the control plane and answers the control protocol.
+type controller struct {
+	node   *Node
+	peers  loompeer.ControlClient
+	server loompeer.ControlServer
+
+	mu        sync.Mutex
+	current   currantloom.RulesDocument
+	previous  currantloom.RulesDocument
+	stopWatch context.CancelFunc
+}
+
+func newController(n *Node) *controller {
+	c := &controller{node: n}
+	c.server.Node = c
+	return c
+}
+
+func (c *controller) serve(listener net.Listener) error { return c.server.Serve(listener) }
+
+func (c *controller) close() {
+	c.Watch(false)
+	_ = c.server.Close()
+	_ = c.peers.Close()
+}
+
+// note records the rules in effect, and the ones before as the base of updates.
+func (c *controller) note(d currantloom.RulesDocument) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d.Revision() > c.current.Revision() {
+		c.previous, c.current = c.current, d
+	}
+}
+
+// updateFor returns the update for a peer whose revision is known, or expected, to be the given one.
+func (c *controller) updateFor(revision currantloom.Revision) currantloom.RulesUpdate {
+	if revision != c.previous.Revision() {
+		return currantloom.NewRulesUpdate(currantloom.RulesDocument{}, c.current)
+	}
+	return currantloom.NewRulesUpdate(c.previous, c.current)
+}
+
+// Spread sends the rules in effect to VMs, as changed lines: most receivers have the revision before, and one that
+// does not asks for the text.
+func (c *controller) Spread(e loomcore.SpreadRules) {
+	c.note(e.Document)
+	c.mu.Lock()
+	update := c.updateFor(c.previous.Revision())
+	c.mu.Unlock()
+	for _, name := range e.VMs {
+		address, ok := c.address(name)
+		if !ok {
+			continue
+		}
+		c.node.spawn(func() {
+			ctx, cancel := context.WithTimeout(c.node.background, pushTimeout)
+			defer cancel()
+			if err := c.peers.PushRules(ctx, address, c.node.config.Core.Self, update); err != nil {
+				c.node.log.Debug("rules push failed", "vm", name, "revision", update.Revision, "error", err)
+			}
+		})
+	}
+}
+
+// address returns the control address of a VM. It is called under the node's lock.
+func (c *controller) address(name currantloom.VMName) (string, bool) {
+	vm, ok := c.node.state.VM(name)
+	return vm.ControlAddress(), ok && vm.ControlAddress() != ""
+}
+
+// Pull asks a VM for newer rules.
+func (c *controller) Pull(e loomcore.PullRules) {
+	address, ok := c.address(e.VM)
+	if !ok {
+		return
+	}
+	c.node.spawn(func() { c.pull(e.VM, address, e.Revision) })
+}
+
+func (c *controller) pull(vm currantloom.VMName, address string, revision currantloom.Revision) {
+	n := c.node
+	ctx, cancel := context.WithTimeout(n.background, pullTimeout)
+	defer cancel()
+	newest, update, err := c.peers.PullRules(ctx, address, n.config.Core.Self, revision)
+	if err != nil {
+		if n.background.Err() == nil {
+			n.submit(loomcore.PeerFailed{Stamp: n.stamp(), VM: vm})
+		}
+		return
+	}
+	if update != nil && !c.apply(vm, *update) {
+		// The base changed in between; the whole text needs none.
+		if _, update, err = c.peers.PullRules(ctx, address, n.config.Core.Self, 0); err == nil && update != nil {
+			c.apply(vm, *update)
+		}
+	}
+	n.submit(loomcore.PeerAnswered{Stamp: n.stamp(), VM: vm, Revision: newest})
+}
+
+// apply puts an update into effect. It reports false if the update needs another base.
+func (c *controller) apply(from currantloom.VMName, u currantloom.RulesUpdate) bool {
+	c.mu.Lock()
+	base := c.current
+	c.mu.Unlock()
+	if u.Revision <= base.Revision() {
+		return true
+	}
+	d, ok := u.Apply(base)
+	if ok {
+		c.accept(from, d)
+	}
+	return ok
+}
+
+// accept gives rules to the core. Rules that this version cannot parse are refused with a log line: the ones in effect
+// stay.
+func (c *controller) accept(from currantloom.VMName, d currantloom.RulesDocument) {
+	rules, err := loomrules.Parse(d.Text())
+	if err != nil {
+		c.node.log.Error("rules refused", "revision", d.Revision(), "vm", from, "error", err)
+		return
+	}
+	n := c.node
+	n.submit(loomcore.RulesReceived{Stamp: n.stamp(), Document: d, Rules: rules, From: from})
+	n.mu.Lock()
+	inEffect := n.state.Rules()
+	n.mu.Unlock()
+	c.note(inEffect)
+}
+
+// Watch starts or stops the watch on the store.
+func (c *controller) Watch(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopWatch != nil {
+		c.stopWatch()
+		c.stopWatch = nil
+	}
+	if !on || c.node.config.Store == nil || c.node.background.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.node.background)
+	c.stopWatch = cancel
+	c.node.spawn(func() { c.watch(ctx) })
+}
+
+func (c *controller) watch(ctx context.Context) {
+	var index uint64
+	failing := false
+	for ctx.Err() == nil {
+		d, newIndex, err := c.node.config.Store.Rules(ctx, index)
+		if err != nil {
+			if !failing && ctx.Err() == nil {
+				c.node.log.Warn("store unavailable", "error", err)
+			}
+			failing = true
+			sleep(ctx, watchRetry)
+			continue
+		}
+		if failing {
+			c.node.log.Info("store available")
+			failing = false
+		}
+		if newIndex != index && d.Revision() > 0 {
+			c.checkRestored(d)
+			c.accept("", d)
+		}
+		if newIndex == 0 {
+			// An empty store answers at once.
+			sleep(ctx, watchRetry)
+		}
+		index = newIndex
+	}
+}
+
+// checkRestored reports a store that holds older rules than the ones in effect: it was restored from a backup.
+func (c *controller) checkRestored(d currantloom.RulesDocument) {
+	c.mu.Lock()
+	inEffect := c.current.Revision()
+	c.mu.Unlock()
+	if d.Revision() < inEffect {
+		c.node.log.Warn("store holds older rules", "revision", d.Revision(), "in_effect", inEffect)
+	}
+}
+
+// PushRules takes rules that a peer has in effect. If they cannot be applied, the core asks the peer for the text.
+func (c *controller) PushRules(from currantloom.VMName, u currantloom.RulesUpdate) {
+	c.mu.Lock()
+	own := c.current.Revision()
+	c.mu.Unlock()
+	if u.Revision == own || u.Revision > own && c.apply(from, u) {
+		return
+	}
+	c.node.submit(loomcore.PeerAnswered{Stamp: c.node.stamp(), VM: from, Revision: u.Revision})
+}
+
+// PullRules answers a peer that asks for newer rules. A peer that has newer ones is asked in turn.
+func (c *controller) PullRules(
+	from currantloom.VMName, revision currantloom.Revision,
+) (currantloom.Revision, *currantloom.RulesUpdate) {
+	c.mu.Lock()
+	own := c.current.Revision()
+	update := c.updateFor(revision)
+	c.mu.Unlock()
+	if revision > own {
+		c.node.submit(loomcore.PeerAnswered{Stamp: c.node.stamp(), VM: from, Revision: revision})
+	}
+	if revision >= own {
+		return own, nil
+	}
+	return own, &update
+}
+
+// Status returns the node's report.
+func (c *controller) Status() currantloom.NodeStatus {
+	n := c.node
+	n.mu.Lock()
+	status := n.state.Status()
+	n.mu.Unlock()
+	status.Version = n.config.Version
+	status.Uptime = time.Since(n.start)
+	return status
+}
+
+// CancelRequest gives up work at this carrier.
+func (c *controller) CancelRequest(key currantloom.RequestKey) { c.node.CancelWork(key) }
+
+// CancelSession gives up what a session of this node runs.
+func (c *controller) CancelSession(pid uint32, secret []byte) { c.node.CancelSession(pid, secret) }
+
+// forwardCancel passes a cancel request on to the nodes whose process ids have the prefix.
+func (c *controller) forwardCancel(pid uint32, secret []byte) {
+	n := c.node
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, vm := range n.state.Status().VMs {
+		if vm.Name == n.config.Core.Self || vm.Control == "" || loomentry.PIDPrefix(vm.Name) != pid&0xffff0000 {
+			continue
+		}
+		n.spawn(func() {
+			ctx, cancel := context.WithTimeout(n.background, pullTimeout)
+			defer cancel()
+			_ = c.peers.CancelSession(ctx, vm.Control, pid, secret)
+		})
+	}
+}
--- /dev/null
+++ b/loomnode/control_test.go
@@ -0,0 +1,198 @@
+package loomnode
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomentry"
+	"currantloom.example/currantloom/loompeer"
+)
+
+// memoryStore is a store for one document that can be down.
+type memoryStore struct {
+	mu       sync.Mutex
+	down     bool
+	index    uint64
+	document currantloom.RulesDocument
+}
+
+func (s *memoryStore) Rules(ctx context.Context, after uint64) (currantloom.RulesDocument, uint64, error) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		down, index, document := s.down, s.index, s.document
+		s.mu.Unlock()
+		if down {
+			return document, 0, currantloom.ErrUnavailable.New("down")
+		}
+		if index != after {
+			return document, index, nil
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+	return currantloom.RulesDocument{}, 0, ctx.Err()
+}
+
+func (s *memoryStore) ReplaceRules(_ context.Context, index uint64, d currantloom.RulesDocument) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if index != s.index {
+		return currantloom.ErrConflict.New("index %d, not %d", s.index, index)
+	}
+	s.index++
+	s.document = d
+	return nil
+}
+
+type fixedVMs []currantloom.VM
+
+func (f fixedVMs) VMs(ctx context.Context, after uint64) (currantloom.VMSet, error) {
+	if after == 1 {
+		<-ctx.Done()
+		return currantloom.VMSet{}, ctx.Err()
+	}
+	return currantloom.VMSet{VMs: f, Index: 1}, nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+// cluster starts nodes of one region; the function starts the node at i.
+func cluster(t *testing.T, n int, store currantloom.ConfigStore) (vms fixedVMs, start func(i int) *Node) {
+	t.Helper()
+	place := currantloom.NewPlace("ost", "ost-linz")
+	var listeners []net.Listener
+	for i := range n {
+		l := listen(t)
+		listeners = append(listeners, l)
+		vms = append(vms, currantloom.NewVM(
+			currantloom.VMName(fmt.Sprint("vm-", i)), place, "", l.Addr().String(), currantloom.VMLive))
+	}
+	return vms, func(i int) *Node {
+		node := New(Config{
+			Core: loomcore.Config{Self: vms[i].Name(), Place: place}, Credentials: &loomentry.Credentials{},
+			Callers: listen(t), Links: listen(t), ControlListener: listeners[i], HTTP: listen(t), VMs: vms,
+			Store: store, DrainInterval: time.Millisecond, Version: "test", Log: io.Discard,
+		})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = node.Run(context.Background())
+		}()
+		t.Cleanup(func() {
+			_ = node.Close()
+			<-done
+		})
+		return node
+	}
+}
+
+func waitRevision(t *testing.T, want currantloom.Revision, nodes ...*Node) {
+	t.Helper()
+	deadline := time.Now().Add(7 * time.Second)
+	for _, n := range nodes {
+		for n.control.Status().Revision != want {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s has revision %d, want %d", n.config.Core.Self, n.control.Status().Revision, want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// TestRulesReachNodes guards against rules that stay at the relays, against changed lines that do not apply, and
+// against a node that starts during an outage of the store without rules.
+func TestRulesReachNodes(t *testing.T) {
+	store := &memoryStore{}
+	vms, start := cluster(t, 4, store)
+	nodes := []*Node{start(0), start(1), start(2)}
+	for revision := range currantloom.Revision(3) {
+		text := strings.Repeat("read * max-age 5s # platform\n", 1) + fmt.Sprintf("leave a-%d # platform\n", revision)
+		err := store.ReplaceRules(t.Context(), uint64(revision), currantloom.NewRulesDocument(revision+1, "", text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		waitRevision(t, revision+1, nodes...)
+	}
+	store.mu.Lock()
+	store.down = true
+	store.mu.Unlock()
+	late := start(3)
+	waitRevision(t, 3, late)
+	if got := late.state.Rules().Text(); !strings.HasSuffix(got, "leave a-2 # platform\n") {
+		t.Errorf("got text %q", got)
+	}
+	client := &loompeer.ControlClient{}
+	defer func() { _ = client.Close() }()
+	status, err := client.Status(t.Context(), vms[3].ControlAddress())
+	if err != nil || status.VM != "vm-3" || status.Version != "test" || len(status.VMs) != 4 || !status.Ready {
+		t.Errorf("got status %+v, %v", status, err)
+	}
+}
+
+// TestInvalidRulesAreRefused guards against rules in effect that this version cannot parse.
+func TestInvalidRulesAreRefused(t *testing.T) {
+	store := &memoryStore{}
+	_, start := cluster(t, 1, store)
+	node := start(0)
+	_ = store.ReplaceRules(t.Context(), 0, currantloom.NewRulesDocument(1, "", "leave a # x\n"))
+	waitRevision(t, 1, node)
+	_ = store.ReplaceRules(t.Context(), 1, currantloom.NewRulesDocument(2, "", "unknown rule # x\n"))
+	time.Sleep(200 * time.Millisecond)
+	waitRevision(t, 1, node)
+}
+
+// TestHTTP guards against a load balancer that keeps sending connections to a stopping node, and against metrics that
+// are not reported.
+func TestHTTP(t *testing.T) {
+	store := &memoryStore{}
+	_, start := cluster(t, 1, store)
+	node := start(0)
+	_ = store.ReplaceRules(t.Context(), 0, currantloom.NewRulesDocument(1, "", "leave a # x\n"))
+	waitRevision(t, 1, node)
+	get := func(path string) (int, string) {
+		response, err := http.Get("http://" + node.config.HTTP.Addr().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	for _, path := range []string{"/live", "/ready"} {
+		if code, body := get(path); code != http.StatusOK {
+			t.Errorf("%s: got %d %q", path, code, body)
+		}
+	}
+	node.submit(loomcore.RequestArrived{Stamp: node.stamp(), Request: currantloom.Request{
+		Key: currantloom.RequestKey{VM: "vm-0", Number: 1}, Caller: "steyr", Database: "unknown",
+	}})
+	time.Sleep(2 * reportInterval)
+	_, body := get("/metrics")
+	for _, want := range []string{
+		"currantloom_rules_revision 1",
+		`currantloom_requests{caller="steyr",class="",database="unknown",verdict="not_run"} 1`,
+	} {
+		if !strings.Contains(body, want) {
+			t.Errorf("metrics lack %s:\n%s", want, body)
+		}
+	}
+	node.ready.Store(false)
+	if code, _ := get("/ready"); code != http.StatusServiceUnavailable {
+		t.Errorf("a node that is not ready answers %d", code)
+	}
+}
--- a/loomnode/decision.go
+++ b/loomnode/decision.go
@@ -53,7 +53,7 @@
 	if n := d.dropped.Swap(0); n > 0 {
 		d.log.Warn("decisions dropped", "count", n)
 	}
-	fields := make([]any, 0, 12)
+	fields := make([]any, 0, 14)
 	add := func(name string, empty bool, value any) {
 		if !empty {
 			fields = append(fields, name, value)
@@ -64,6 +64,7 @@
 	add("server", e.Server == "", e.Server)
 	add("vm", e.VM == "", e.VM)
 	add("term", e.Term == 0, e.Term)
+	add("revision", e.Revision == 0, e.Revision)
 	add("reason", e.Reason == "", e.Reason)
 	d.log.Info(e.Event, fields...)
 }
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -27,7 +27,10 @@
 func (n *Node) submit(e loomcore.Event) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.metrics.event(e)
+	now := time.Since(n.start)
 	for _, effect := range n.state.Reduce(e) {
+		n.metrics.effect(effect, n.state, now)
 		n.execute(effect)
 	}
 }
--- /dev/null
+++ b/loomnode/http.go
@@ -0,0 +1,55 @@
+package loomnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// httpTimeout bounds a request; the answers are small.
+	httpTimeout = 5 * time.Second
+	// stallLimit is how long the reducer may not run before the node reports that it is not alive. It ticks every 50 ms.
+	stallLimit = 10 * time.Second
+)
+
+// serveHTTP serves liveness, readiness and metrics until the context ends.
+func (n *Node) serveHTTP(ctx context.Context, listener net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, time.Since(n.start)-time.Duration(n.tickedAt.Load()) < stallLimit, "alive", "reducer does not run")
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, n.Ready(), "ready", "stopping")
+	})
+	mux.Handle("GET /metrics", n.metrics.reporter.HTTPHandler())
+	server := &http.Server{Handler: mux, ReadTimeout: httpTimeout, WriteTimeout: httpTimeout, IdleTimeout: time.Minute}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func answer(w http.ResponseWriter, ok bool, yes, no string) {
+	if !ok {
+		http.Error(w, no, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte(yes + "\n"))
+}
+
+// reportGauges updates the gauges until the context ends.
+func (n *Node) reportGauges(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		status := n.state.Status()
+		n.metrics.gauges(status)
+		n.mu.Unlock()
+		sleep(ctx, reportInterval)
+	}
+	return nil
+}
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -39,13 +39,21 @@
 	Callers, Links net.Listener
 	VMs            currantloom.VMList
 	Store          currantloom.ConfigStore
-	// Control executes the effects of the control plane; nil ignores them.
+	// ControlListener accepts the control protocol; with it the node executes the effects of the control plane itself.
+	ControlListener net.Listener
+	// HTTP accepts requests for liveness, readiness and metrics; nil serves none.
+	HTTP net.Listener
+	// Control executes the effects of the control plane if there is no ControlListener; nil ignores them.
 	Control Control
 	// ForwardCancel passes a CancelRequest on to the node that reported the process id; nil ignores it.
 	ForwardCancel func(pid uint32, secret []byte)
 	// DrainInterval is how long a stopping node still accepts client connections; zero means 2 s.
 	DrainInterval time.Duration
-	Log           io.Writer
+	// Version stands in the node's status.
+	Version string
+	// LogLevel is the least severe level that is logged.
+	LogLevel log.Level
+	Log      io.Writer
 }
 
 // Node is one running node.
@@ -59,6 +67,9 @@
 	dialer    loompeer.Dialer
 	entry     *loomentry.Server
 	links     *loompeer.Server
+	control   *controller
+	metrics   *metrics
+	tickedAt  atomic.Int64
 	number    atomic.Uint64
 	ready     atomic.Bool
 	tasks     sync.WaitGroup
@@ -82,7 +93,9 @@
 // New returns a node that is ready to run.
 func New(c Config) *Node {
 	n := &Node{
-		config: c, log: log.NewWithOptions(c.Log, log.Options{Formatter: log.LogfmtFormatter, ReportTimestamp: true}),
+		config: c, log: log.NewWithOptions(c.Log, log.Options{
+			Formatter: log.LogfmtFormatter, ReportTimestamp: true, Level: c.LogLevel,
+		}),
 		start: time.Now(), servers: make(map[currantloom.ServerName]currantloom.Server),
 		pools: make(map[currantloom.ServerName]currantloom.DatabaseServer),
 		state: loomcore.New(c.Core), entries: make(map[currantloom.RequestKey]*entryRequest),
@@ -90,6 +103,7 @@
 		stopped: make(chan struct{}), stopping: make(chan struct{}), finished: make(chan struct{}),
 	}
 	n.decisions = newDecisionLog(n.log)
+	n.metrics = newMetrics()
 	n.background, n.cancel = context.WithCancel(context.Background())
 	n.ready.Store(true)
 	for _, d := range c.Core.Databases {
@@ -98,8 +112,12 @@
 			n.pools[s.Name()] = loomserver.NewPool(s, c.ServerUser, c.ServerPassword)
 		}
 	}
+	if c.ControlListener != nil {
+		n.control = newController(n)
+		n.config.Control, n.config.ForwardCancel = n.control, n.control.forwardCancel
+	}
 	n.entry = &loomentry.Server{
-		Gateway: n, Credentials: c.Credentials, VM: c.Core.Self, ForwardCancel: c.ForwardCancel,
+		Gateway: n, Credentials: c.Credentials, VM: c.Core.Self, ForwardCancel: n.config.ForwardCancel,
 	}
 	n.links = &loompeer.Server{Open: func() currantloom.Link { return &localLink{node: n} }, Cancel: n.CancelWork}
 	return n
@@ -128,6 +146,13 @@
 	actor(n.decisions.run)
 	actor(func(ctx context.Context) error { return serveUntil(ctx, n.entry.Serve, n.config.Callers) })
 	actor(func(ctx context.Context) error { return serveUntil(ctx, n.links.Serve, n.config.Links) })
+	if n.control != nil {
+		actor(func(ctx context.Context) error { return serveUntil(ctx, n.control.serve, n.config.ControlListener) })
+	}
+	if n.config.HTTP != nil {
+		actor(func(ctx context.Context) error { return n.serveHTTP(ctx, n.config.HTTP) })
+		actor(n.reportGauges)
+	}
 	actor(func(background context.Context) error { return n.awaitStop(ctx, background) })
 	err := g.Run()
 	n.closeParts()
@@ -203,7 +228,11 @@
 	_ = n.entry.Close()
 	_ = n.links.Close()
 	_ = n.dialer.Close()
+	if n.control != nil {
+		n.control.close()
+	}
 	n.tasks.Wait()
+	n.metrics.close()
 	for _, p := range n.pools {
 		_ = p.Close()
 	}
@@ -221,7 +250,9 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.submit(loomcore.Tick{Stamp: n.stamp()})
+			stamp := n.stamp()
+			n.submit(loomcore.Tick{Stamp: stamp})
+			n.tickedAt.Store(int64(stamp.Now))
 		}
 	}
 }
--- /dev/null
+++ b/loompeer/controlserver.go
@@ -0,0 +1,133 @@
+package loompeer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"currantloom.example/currantloom"
+)
+
+// maxControlServed bounds the accepted control connections; 1,200 nodes with 16 connections each open about 16 to one
+// node on average.
+const maxControlServed = 256
+
+// ControlServer answers the control protocol for a node. Calls of one connection are answered one after the other.
+type ControlServer struct {
+	Node currantloom.ControlNode
+
+	mu     sync.Mutex
+	conns  map[*jsonrpc2.Conn]bool
+	closed bool
+	wait   sync.WaitGroup
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *ControlServer) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.add(conn)
+	}
+}
+
+func (s *ControlServer) add(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxControlServed {
+		_ = conn.Close()
+		return
+	}
+	if s.conns == nil {
+		s.conns = make(map[*jsonrpc2.Conn]bool)
+	}
+	rpc := newControlConn(conn, jsonrpc2.HandlerWithError(s.handle).SuppressErrClosed())
+	s.conns[rpc] = true
+	s.wait.Go(func() {
+		<-rpc.DisconnectNotify()
+		_ = rpc.Close()
+		s.mu.Lock()
+		delete(s.conns, rpc)
+		s.mu.Unlock()
+	})
+}
+
+// Close closes all connections and waits for their end.
+func (s *ControlServer) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for rpc := range s.conns {
+		_ = rpc.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+	return nil
+}
+
+func (s *ControlServer) handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodPush:
+		var m pushMessage
+		if err := decodeParams(r, &m); err != nil {
+			return nil, err
+		}
+		s.Node.PushRules(currantloom.VMName(m.From), m.update())
+		return nil, nil
+	case methodPull:
+		var m pullMessage
+		if err := decodeParams(r, &m); err != nil {
+			return nil, err
+		}
+		return s.pull(m), nil
+	case methodStatus:
+		return newStatusMessage(s.Node.Status()), nil
+	case methodCancel:
+		var m cancelMessage
+		if err := decodeParams(r, &m); err != nil {
+			return nil, err
+		}
+		s.cancel(m)
+		return nil, nil
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	}
+}
+
+func decodeParams(r *jsonrpc2.Request, v any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*r.Params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+func (s *ControlServer) pull(m pullMessage) pullAnswer {
+	own, update := s.Node.PullRules(currantloom.VMName(m.From), currantloom.Revision(m.Revision))
+	a := pullAnswer{Revision: uint64(own)}
+	if update != nil {
+		push := newPushMessage("", *update)
+		a.Update = &push
+	}
+	return a
+}
+
+func (s *ControlServer) cancel(m cancelMessage) {
+	if m.PID != 0 {
+		s.Node.CancelSession(m.PID, m.Secret)
+		return
+	}
+	s.Node.CancelRequest(currantloom.RequestKey{VM: currantloom.VMName(m.VM), Number: m.Number})
+}
