--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -77,6 +77,17 @@
     standin server --listen 127.0.0.1:6002 --bootstrap 127.0.0.1:6001 --journal b.log
   A server without journal and bootstrap counts as one that lost its disk.`
 
+const platformExample = `
+  Example, with a VM list that is 3 s late:
+    standin platform --listen 127.0.0.1:8500 --lag 3s
+    curl -X PUT -G 127.0.0.1:8500/standin/vms/vm-1 -d links=127.0.0.1:7001 -d control=127.0.0.1:7002 \
+      -d region=ost -d failure-domain=ost-linz
+  Faults by hand:
+    curl -X POST '127.0.0.1:8500/standin/faults?down=true'      (also slow=500ms, lose-reply=true, lag=2s)
+    curl -X POST 127.0.0.1:8500/standin/vms/vm-1/leave          (DELETE /standin/vms/vm-1 removes the VM)
+    curl -X POST 127.0.0.1:8500/standin/servers/wheel-core-1-a/leave
+    curl -X POST 127.0.0.1:8500/standin/restore/currantloom/rules`
+
 func command() error {
 	var groupFlags, flags serverFlags
 	var bootstrap, journal string
@@ -93,16 +104,26 @@
 	server.Int(&size, "", "size", "number of servers of the group")
 	server.String(&bootstrap, "", "bootstrap", "address of a new group's first primary; ignored if the journal has a log")
 	server.String(&journal, "", "journal", "file that keeps the log when the process is killed; not synced")
+	var platformAddress string
+	var listLag time.Duration
+	platform := flaggy.NewSubcommand("platform")
+	platform.Description = "Run the platform's key-value store and VM list."
+	platform.AdditionalHelpAppend = platformExample
+	platform.String(&platformAddress, "l", "listen", "address (IP:port)")
+	platform.Duration(&listLag, "", "lag", "time after which a change of the VM list becomes visible")
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Small fakes of the external systems of currantloom.")
 	flaggy.AttachSubcommand(group, 1)
 	flaggy.AttachSubcommand(server, 1)
+	flaggy.AttachSubcommand(platform, 1)
 	flaggy.Parse()
 	switch {
 	case group.Used:
 		return runGroup(&groupFlags)
 	case server.Used:
 		return runServer(&flags, size, bootstrap, journal)
+	case platform.Used:
+		return runPlatform(platformAddress, listLag)
 	}
 	flaggy.ShowHelp("")
 	return nil
@@ -139,6 +160,16 @@
 	return s.Close()
 }
 
+func runPlatform(address string, lag time.Duration) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	p := loomstandin.StartPlatform(listener, lag)
+	awaitSignal()
+	return p.Close()
+}
+
 // awaitSignal returns when the process is asked to stop.
 func awaitSignal() {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/loomstandin/control.go
@@ -0,0 +1,126 @@
+package loomstandin
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The services of the catalog.
+const (
+	ServiceNodes           = "currantloom"
+	ServiceDatabaseServers = "database-server"
+)
+
+// handleControls adds the fault controls, which faults do not affect:
+//
+//	POST   /standin/faults?down=true&slow=500ms&lose-reply=true&lag=2s   sets the given ones
+//	POST   /standin/restore/KEY                                          restores the value before the last change
+//	PUT    /standin/vms/NAME?links=IP:PORT&control=IP:PORT&region=R&failure-domain=D
+//	DELETE /standin/vms/NAME
+//	POST   /standin/vms/NAME/leave
+//	POST   /standin/servers/NAME/leave
+func (p *Platform) handleControls(mux *http.ServeMux) {
+	mux.HandleFunc("POST /standin/faults", p.setFaults)
+	mux.HandleFunc("POST /standin/restore/{key...}", func(_ http.ResponseWriter, r *http.Request) {
+		p.Restore(r.PathValue("key"))
+	})
+	mux.HandleFunc("PUT /standin/vms/{name}", func(_ http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		p.RegisterVM(r.PathValue("name"), q.Get("links"), q.Get("control"), q.Get("region"), q.Get("failure-domain"))
+	})
+	mux.HandleFunc("DELETE /standin/vms/{name}", func(_ http.ResponseWriter, r *http.Request) {
+		p.Deregister(ServiceNodes, r.PathValue("name"))
+	})
+	mux.HandleFunc("POST /standin/vms/{name}/leave", func(_ http.ResponseWriter, r *http.Request) {
+		p.Leave(ServiceNodes, r.PathValue("name"))
+	})
+	mux.HandleFunc("POST /standin/servers/{name}/leave", func(_ http.ResponseWriter, r *http.Request) {
+		p.Leave(ServiceDatabaseServers, r.PathValue("name"))
+	})
+}
+
+func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	for _, name := range []string{"down", "lose-reply"} {
+		if !q.Has(name) {
+			continue
+		}
+		on, err := strconv.ParseBool(q.Get(name))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if name == "down" {
+			p.SetDown(on)
+		} else {
+			p.SetLoseReply(on)
+		}
+	}
+	for _, name := range []string{"slow", "lag"} {
+		if !q.Has(name) {
+			continue
+		}
+		d, err := time.ParseDuration(q.Get(name))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if name == "slow" {
+			p.SetSlow(d)
+		} else {
+			p.SetLag(d)
+		}
+	}
+}
+
+// RegisterVM adds a VM that runs a node. The addresses are IP:port.
+func (p *Platform) RegisterVM(name, links, control, region, domain string) {
+	host, linksPort, _ := strings.Cut(links, ":")
+	_, controlPort, _ := strings.Cut(control, ":")
+	p.Register(ServiceNodes, name, host, map[string]string{
+		"links-port": linksPort, "control-port": controlPort, "region": region, "failure-domain": domain, "state": "live",
+	})
+}
+
+// SetDown makes the store and the list close every connection without an answer; blocking reads end as well.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.notify()
+}
+
+// SetSlow delays every answer.
+func (p *Platform) SetSlow(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slow = d
+}
+
+// SetLoseReply makes the next change that takes effect lose its reply.
+func (p *Platform) SetLoseReply(lose bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = lose
+}
+
+// SetLag changes the time after which a change of the list becomes visible.
+func (p *Platform) SetLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = lag
+}
+
+// Restore brings back the value that the last change of a key replaced, with its old index (assumption P2).
+func (p *Platform) Restore(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.previous[key]; old.change > 0 {
+		p.values[key] = old
+	} else {
+		delete(p.values, key)
+	}
+	p.notify()
+}
--- /dev/null
+++ b/loomstore/store.go
@@ -0,0 +1,125 @@
+package loomstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// rulesKey is the key of the accepted rules.
+	rulesKey = "currantloom/rules"
+	// maxValue is the size limit of a value in the platform's store.
+	maxValue = 1 << 20
+	// rulesWait is short, because a watch on a connection that has gone silent is noticed only after it, and an
+	// accepted rule has to be in effect within 7 s.
+	rulesWait = 4 * time.Second
+	// changeLimit is the time a change may take.
+	changeLimit = 5 * time.Second
+)
+
+// Store implements currantloom.ConfigStore.
+type Store struct {
+	client *client
+	wait   time.Duration
+
+	mu sync.Mutex
+	// absent is the index of the answer that there are no rules, zero if the last answer had rules.
+	absent uint64
+}
+
+// New returns a store at the address ("IP:port").
+func New(address string) *Store { return &Store{client: newClient(address), wait: rulesWait} }
+
+// Close closes idle connections.
+func (s *Store) Close() error {
+	s.client.close()
+	return nil
+}
+
+// wireRules is the value of the rules key.
+type wireRules struct {
+	Revision uint64 `json:"revision"`
+	ChangeID string `json:"change_id"`
+	Text     string `json:"text"`
+}
+
+// wireValue is an element of an answer of the key-value API.
+type wireValue struct {
+	Value       []byte `json:"Value"`
+	ModifyIndex uint64 `json:"ModifyIndex"`
+}
+
+// Rules returns the rules once their index differs from after. The first call after 0 does not wait.
+func (s *Store) Rules(ctx context.Context, after uint64) (currantloom.RulesDocument, uint64, error) {
+	if after == 0 {
+		s.mu.Lock()
+		after = s.absent
+		s.mu.Unlock()
+	}
+	a, err := s.client.read(ctx, "/v1/kv/"+rulesKey, after, s.wait)
+	if err != nil {
+		return currantloom.RulesDocument{}, 0, err
+	}
+	if a.status == http.StatusNotFound {
+		s.setAbsent(a.index)
+		return currantloom.RulesDocument{}, 0, nil
+	}
+	s.setAbsent(0)
+	var values []wireValue
+	if err := s.client.decode(a, &values); err != nil {
+		return currantloom.RulesDocument{}, 0, err
+	}
+	if len(values) != 1 {
+		return currantloom.RulesDocument{}, 0, currantloom.ErrUnavailable.New("store returned %d values, want 1", len(values))
+	}
+	var w wireRules
+	if err := json.Unmarshal(values[0].Value, &w); err != nil {
+		return currantloom.RulesDocument{}, 0, currantloom.ErrInput.Wrap(err, "value of key %s", rulesKey)
+	}
+	document := currantloom.NewRulesDocument(currantloom.Revision(w.Revision), w.ChangeID, w.Text)
+	return document, values[0].ModifyIndex, nil
+}
+
+func (s *Store) setAbsent(index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.absent = index
+}
+
+// ReplaceRules stores the document if the index of the stored one is still the given one (zero: there is none).
+func (s *Store) ReplaceRules(ctx context.Context, index uint64, document currantloom.RulesDocument) error {
+	value, err := json.Marshal(wireRules{
+		Revision: uint64(document.Revision()), ChangeID: document.ChangeID(), Text: document.Text(),
+	})
+	if err != nil {
+		return currantloom.ErrInput.Wrap(err, "encode rules")
+	}
+	if len(value) > maxValue {
+		return currantloom.ErrInput.New("rules take %d bytes in the store, the limit is %d", len(value), maxValue)
+	}
+	// The next read tells whether a change without a reply took effect, so it must not wait.
+	s.setAbsent(0)
+	query := url.Values{"cas": {strconv.FormatUint(index, 10)}}
+	a, err := s.client.call(ctx, changeLimit, http.MethodPut, "/v1/kv/"+rulesKey, query, bytes.NewReader(value))
+	if err != nil {
+		return err
+	}
+	switch text := string(bytes.TrimSpace(a.body)); {
+	case a.status == http.StatusOK && text == "true":
+		return nil
+	case a.status == http.StatusOK && text == "false":
+		return currantloom.ErrConflict.New("rules in the store are no longer at index %d", index)
+	case a.status == http.StatusRequestEntityTooLarge || a.status == http.StatusBadRequest:
+		return currantloom.ErrInput.New("store refused the rules: %s", text)
+	default:
+		return currantloom.ErrUnavailable.New("store answered with status %d: %q", a.status, text)
+	}
+}
--- /dev/null
+++ b/loomstore/store_test.go
@@ -0,0 +1,219 @@
+package loomstore
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomstandin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// start returns a platform, a store and a list with short wait times.
+func start(t *testing.T) (*loomstandin.Platform, *Store, *List) {
+	t.Helper()
+	p := loomstandin.StartPlatform(listen(t), 0)
+	s, l := New(p.Address()), NewList(p.Address())
+	s.wait, l.wait = 300*time.Millisecond, 300*time.Millisecond
+	t.Cleanup(func() {
+		_ = s.Close()
+		_ = l.Close()
+		_ = p.Close()
+	})
+	return p, s, l
+}
+
+func document(revision int, text string) currantloom.RulesDocument {
+	return currantloom.NewRulesDocument(currantloom.Revision(revision), fmt.Sprintf("change-%d", revision), text)
+}
+
+func mustReplace(t *testing.T, s *Store, index uint64, d currantloom.RulesDocument) {
+	t.Helper()
+	if err := s.ReplaceRules(t.Context(), index, d); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantRules(t *testing.T, s *Store, after uint64, want currantloom.RulesDocument) uint64 {
+	t.Helper()
+	got, index, err := s.Rules(t.Context(), after)
+	if err != nil || got != want {
+		t.Fatalf("got %+v, %v, want %+v", got, err, want)
+	}
+	return index
+}
+
+func wantType(t *testing.T, err error, want *errorx.Type) {
+	t.Helper()
+	if !errorx.IsOfType(err, want) {
+		t.Errorf("got error %v, want one of type %s", err, want)
+	}
+}
+
+// TestRules guards against a change over another operator's change, a watch that misses a change, and a lost reply
+// that is taken for a known outcome.
+func TestRules(t *testing.T) {
+	p, s, _ := start(t)
+	if index := wantRules(t, s, 0, currantloom.RulesDocument{}); index != 0 {
+		t.Errorf("got index %d without rules, want 0", index)
+	}
+	mustReplace(t, s, 0, document(1, "leave a # x\n"))
+	first := wantRules(t, s, 0, document(1, "leave a # x\n"))
+	wantType(t, s.ReplaceRules(t.Context(), 0, document(1, "other")), currantloom.ErrConflict)
+
+	changed := make(chan currantloom.RulesDocument, 1)
+	go func() {
+		d, _, _ := s.Rules(t.Context(), first)
+		changed <- d
+	}()
+	time.Sleep(50 * time.Millisecond)
+	mustReplace(t, s, first, document(2, "second"))
+	if got := <-changed; got != document(2, "second") {
+		t.Errorf("watch returned %+v", got)
+	}
+	wantType(t, s.ReplaceRules(t.Context(), first, document(2, "late")), currantloom.ErrConflict)
+
+	second := wantRules(t, s, first, document(2, "second"))
+	start := time.Now()
+	wantRules(t, s, second, document(2, "second"))
+	if took := time.Since(start); took < s.wait || took > s.wait+answerLimit {
+		t.Errorf("unchanged read took %v, want about %v", took, s.wait)
+	}
+	p.SetLoseReply(true)
+	wantType(t, s.ReplaceRules(t.Context(), second, document(3, "third")), currantloom.ErrUnavailable)
+	third := wantRules(t, s, second, document(3, "third"))
+	p.Restore(rulesKey)
+	if index := wantRules(t, s, 0, document(2, "second")); index >= third {
+		t.Errorf("got index %d after a restore, want less than %d", index, third)
+	}
+}
+
+// TestRulesAbsent guards against a watch that spins while no rules are stored.
+func TestRulesAbsent(t *testing.T) {
+	_, s, _ := start(t)
+	wantRules(t, s, 0, currantloom.RulesDocument{})
+	start := time.Now()
+	wantRules(t, s, 0, currantloom.RulesDocument{})
+	if took := time.Since(start); took < s.wait {
+		t.Errorf("second read took %v, want at least %v", took, s.wait)
+	}
+}
+
+// TestRulesLimits guards against values that the platform cannot hold and against a malformed value.
+func TestRulesLimits(t *testing.T) {
+	_, s, _ := start(t)
+	wantType(t, s.ReplaceRules(t.Context(), 0, document(1, strings.Repeat("x", maxValue))), currantloom.ErrInput)
+	large := document(1, strings.Repeat("x", maxValue-100))
+	mustReplace(t, s, 0, large)
+	wantRules(t, s, 0, large)
+}
+
+// TestOutage guards against calls that hang, or that report a known outcome, while the platform is down, slow, silent
+// or refuses connections.
+func TestOutage(t *testing.T) {
+	calls := map[string]func(context.Context, *Store, *List) error{
+		"read":   func(ctx context.Context, s *Store, _ *List) error { _, _, err := s.Rules(ctx, 5); return err },
+		"change": func(ctx context.Context, s *Store, _ *List) error { return s.ReplaceRules(ctx, 0, document(1, "x")) },
+		"list":   func(ctx context.Context, _ *Store, l *List) error { _, err := l.VMs(ctx, 0); return err },
+	}
+	faults := map[string]func(*testing.T) (*Store, *List){
+		"down": func(t *testing.T) (*Store, *List) {
+			p, s, l := start(t)
+			p.SetDown(true)
+			return s, l
+		},
+		"slow": func(t *testing.T) (*Store, *List) {
+			p, s, l := start(t)
+			p.SetSlow(time.Minute)
+			return s, l
+		},
+		"silent": func(t *testing.T) (*Store, *List) {
+			address := listen(t).Addr().String()
+			return New(address), NewList(address)
+		},
+		"refused": func(t *testing.T) (*Store, *List) {
+			l := listen(t)
+			_ = l.Close()
+			return New(l.Addr().String()), NewList(l.Addr().String())
+		},
+	}
+	for fault, arrange := range faults {
+		for name, call := range calls {
+			t.Run(fault+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				s, l := arrange(t)
+				s.wait, l.wait = 100*time.Millisecond, 100*time.Millisecond
+				start := time.Now()
+				wantType(t, call(t.Context(), s, l), currantloom.ErrUnavailable)
+				if took := time.Since(start); took > changeLimit+time.Second {
+					t.Errorf("call took %v", took)
+				}
+				_, _ = s.Close(), l.Close()
+			})
+		}
+	}
+}
+
+// TestList guards against VMs or leaving marks that are missed, and against a malformed entry that hides others.
+func TestList(t *testing.T) {
+	p, _, l := start(t)
+	p.RegisterVM("vm-2", "127.0.0.1:7001", "127.0.0.1:7002", "ost", "ost-linz")
+	p.RegisterVM("vm-1", "127.0.0.1:7003", "127.0.0.1:7004", "west", "west-ibk")
+	p.Register(loomstandin.ServiceNodes, "broken", "127.0.0.1", map[string]string{"links-port": "none"})
+	vm1 := currantloom.NewVM("vm-1", currantloom.NewPlace("west", "west-ibk"), "127.0.0.1:7003", "127.0.0.1:7004",
+		currantloom.VMLive)
+	vm2 := currantloom.NewVM("vm-2", currantloom.NewPlace("ost", "ost-linz"), "127.0.0.1:7001", "127.0.0.1:7002",
+		currantloom.VMLive)
+	index := wantVMs(t, l, 0, "[]", vm1, vm2)
+
+	// Each change ends the watch, whichever service it concerns.
+	later(t, func() { p.Leave(loomstandin.ServiceDatabaseServers, "wheel-core-1-a") })
+	index = wantVMs(t, l, index, "[wheel-core-1-a]", vm1, vm2)
+	later(t, func() { p.Leave(loomstandin.ServiceNodes, "vm-2") })
+	leavingVM := currantloom.NewVM(vm2.Name(), vm2.Place(), vm2.LinkAddress(), vm2.ControlAddress(), currantloom.VMLeaving)
+	index = wantVMs(t, l, index, "[wheel-core-1-a]", vm1, leavingVM)
+	unchanged := wantVMs(t, l, index, "[wheel-core-1-a]", vm1, leavingVM)
+	if unchanged != index {
+		t.Errorf("got index %d for an unchanged list, want %d", unchanged, index)
+	}
+	p.SetLag(150 * time.Millisecond)
+	p.Deregister(loomstandin.ServiceNodes, "vm-2")
+	wantVMs(t, l, 0, "[wheel-core-1-a]", vm1, leavingVM)
+	wantVMs(t, l, index, "[wheel-core-1-a]", vm1)
+}
+
+func later(t *testing.T, change func()) {
+	t.Helper()
+	timer := time.AfterFunc(50*time.Millisecond, change)
+	t.Cleanup(func() { timer.Stop() })
+}
+
+func wantVMs(t *testing.T, l *List, after uint64, leavingServers string, want ...currantloom.VM) uint64 {
+	t.Helper()
+	set, err := l.VMs(t.Context(), after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(set.VMs) != fmt.Sprint(want) || fmt.Sprint(set.LeavingServers) != leavingServers {
+		t.Errorf("got %v leaving %v, want %v leaving %s", set.VMs, set.LeavingServers, want, leavingServers)
+	}
+	return set.Index
+}
