Add the operators' commands and the demo

apply asks VMs for their revision with rules.pull rather than status, because a status report lists all databases and would be about 1 MB from each of 1,200 nodes.

--- /dev/null
+++ b/cmd/currantloom/check.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomrules"
+	"currantloom.example/currantloom/loomsettings"
+)
+
+// runCheck checks files and reports the faults of all of them.
+func runCheck(o *options) error {
+	if len(o.paths()) == 0 {
+		return currantloom.ErrInput.New("check needs a file; see currantloom check --help")
+	}
+	catalogue, err := readCatalogue(o.settings)
+	if err != nil {
+		return err
+	}
+	var faults currantloom.Faults
+	for _, path := range o.paths() {
+		summary, err := checkFile(path, catalogue)
+		var found currantloom.Faults
+		switch {
+		case errors.As(err, &found):
+			faults = append(faults, found...)
+		case err != nil:
+			return err
+		default:
+			fmt.Printf("%s: %s\n", path, summary)
+		}
+	}
+	if len(faults) > 0 {
+		return faults
+	}
+	return nil
+}
+
+func checkFile(path string, catalogue *loomrules.Catalogue) (string, error) {
+	if slices.Contains([]string{".yaml", ".yml"}, strings.ToLower(filepath.Ext(path))) {
+		s, err := loomsettings.Read(path)
+		if err != nil {
+			return "", err
+		}
+		return fmt.Sprintf("settings of %s, %d databases", s.Core().Self, len(s.Core().Databases)), nil
+	}
+	_, rules, err := readRules(path, catalogue)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%d rules", rules.Len()), nil
+}
+
+// readRules reads and parses a rules file.
+func readRules(path string, catalogue *loomrules.Catalogue) (string, *loomrules.Rules, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", nil, currantloom.ErrInput.New("read rules: %v", err)
+	}
+	rules, err := loomrules.ParseFile(path, string(data), catalogue)
+	return string(data), rules, err
+}
+
+// readCatalogue returns the names that the settings at path define; nil if there is no path.
+func readCatalogue(path string) (*loomrules.Catalogue, error) {
+	if path == "" {
+		return nil, nil
+	}
+	s, err := loomsettings.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	c := &loomrules.Catalogue{Databases: s.Core().Databases}
+	for name := range s.Passwords() {
+		c.Callers = append(c.Callers, name)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/cmd/currantloom/demo.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomentry"
+	"currantloom.example/currantloom/loomnode"
+	"currantloom.example/currantloom/loomstandin"
+	"currantloom.example/currantloom/loomstore"
+)
+
+const (
+	demoLag      = 300 * time.Millisecond
+	demoPassword = "secret"
+	demoRules    = `read wheel-core-* max-age 5s               # demo: reads may be up to 5 s old
+share wheel-core-1 caller steyr weight 2   # demo: steyr gets twice the share of linz
+`
+)
+
+// demo is a small deployment in one process: a platform stand-in, two database groups and three nodes.
+type demo struct {
+	platform *loomstandin.Platform
+	groups   []*loomstandin.Group
+	nodes    []*loomnode.Node
+	configs  []loomnode.Config
+	done     sync.WaitGroup
+}
+
+func runDemo(ctx context.Context, once bool) error {
+	d := &demo{}
+	err := d.start(once)
+	if err == nil && once {
+		err = d.book(ctx, os.Stdout)
+	} else if err == nil {
+		err = d.applyRules(ctx, io.Discard)
+		d.explain(os.Stdout)
+		<-ctx.Done()
+	}
+	return errors.Join(err, d.close())
+}
+
+func listenLoopback() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+func (d *demo) start(once bool) error {
+	listener, err := listenLoopback()
+	if err != nil {
+		return err
+	}
+	d.platform = loomstandin.StartPlatform(listener, 0)
+	var databases []currantloom.Database
+	for i := range 2 {
+		database, err := d.startGroup(fmt.Sprint("wheel-core-", i+1))
+		if err != nil {
+			return err
+		}
+		databases = append(databases, database)
+	}
+	for i := range 3 {
+		if err := d.startNode(fmt.Sprint("vm-", i+1), demoPlaces[i], databases, once); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var demoPlaces = []currantloom.Place{
+	currantloom.NewPlace("ost", "ost-linz"), currantloom.NewPlace("ost", "ost-steyr"),
+	currantloom.NewPlace("west", "west-ibk"),
+}
+
+func (d *demo) startGroup(name string) (currantloom.Database, error) {
+	var listeners []net.Listener
+	var servers []currantloom.Server
+	for i, place := range demoPlaces {
+		l, err := listenLoopback()
+		if err != nil {
+			return currantloom.Database{}, err
+		}
+		listeners = append(listeners, l)
+		server := currantloom.ServerName(fmt.Sprintf("%s-%c", name, 'a'+i))
+		servers = append(servers, currantloom.NewServer(server, currantloom.DatabaseName(name), l.Addr().String(), place))
+	}
+	group, err := loomstandin.StartGroup(loomstandin.Options{Slots: 2, Connections: 16, Lag: demoLag}, listeners...)
+	if err != nil {
+		return currantloom.Database{}, err
+	}
+	d.groups = append(d.groups, group)
+	return currantloom.NewDatabase(currantloom.DatabaseName(name), 2, 16, servers), nil
+}
+
+func (d *demo) startNode(name string, place currantloom.Place, databases []currantloom.Database, once bool) error {
+	credentials := &loomentry.Credentials{}
+	for _, caller := range []currantloom.CallerName{"steyr", "linz"} {
+		if err := credentials.Add(caller, demoPassword); err != nil {
+			return err
+		}
+	}
+	c := loomnode.Config{
+		Core:        loomcore.Config{Self: currantloom.VMName(name), Place: place, Databases: databases},
+		Credentials: credentials, ServerUser: "currantloom", Version: version, LogLevel: log.WarnLevel, Log: os.Stderr,
+		Store: loomstore.New(d.platform.Address()), VMs: loomstore.NewList(d.platform.Address()),
+	}
+	if once {
+		// Nothing balances load here, so a stop need not wait for a balancer.
+		c.DrainInterval = 10 * time.Millisecond
+	}
+	for _, l := range []*net.Listener{&c.Callers, &c.Links, &c.ControlListener, &c.HTTP} {
+		var err error
+		if *l, err = listenLoopback(); err != nil {
+			return err
+		}
+	}
+	d.platform.RegisterVM(name, c.Links.Addr().String(), c.ControlListener.Addr().String(),
+		string(place.Region()), string(place.FailureDomain()))
+	node := loomnode.New(c)
+	d.nodes = append(d.nodes, node)
+	d.configs = append(d.configs, c)
+	d.done.Go(func() {
+		if err := node.Run(context.Background()); err != nil {
+			fmt.Fprintf(os.Stderr, "node %s: %v\n", name, err)
+		}
+	})
+	return nil
+}
+
+// close stops the nodes at the same time, then the stand-ins.
+func (d *demo) close() error {
+	var closing sync.WaitGroup
+	for _, n := range d.nodes {
+		closing.Go(func() { _ = n.Close() })
+	}
+	closing.Wait()
+	d.done.Wait()
+	var errs []error
+	for _, g := range d.groups {
+		errs = append(errs, g.Close())
+	}
+	if d.platform != nil {
+		errs = append(errs, d.platform.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// applyRules stores the rules of the demo the way an operator does.
+func (d *demo) applyRules(ctx context.Context, out io.Writer) error {
+	dir, err := os.MkdirTemp("", "currantloom-demo")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	path := filepath.Join(dir, "rules.txt")
+	if err := os.WriteFile(path, []byte(demoRules), 0o600); err != nil {
+		return err
+	}
+	text, rules, err := readRules(path, nil)
+	if err != nil {
+		return err
+	}
+	o := &options{platform: d.platform.Address(), timeout: 10 * time.Second}
+	a := newApply(loomstore.New(o.platform), loomstore.NewList(o.platform), o, out)
+	defer a.close()
+	return a.run(ctx, text, rules)
+}
+
+// explain prints how to connect.
+func (d *demo) explain(out io.Writer) {
+	say := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	say("Two databases, wheel-core-1 and wheel-core-2, of three servers each; replicas lag by %s.", demoLag)
+	say("Three nodes; callers steyr and linz, password %q:", demoPassword)
+	for _, c := range d.configs {
+		say("  %s  postgres://steyr:%s@%s/wheel-core-1?sslmode=disable", c.Core.Self, demoPassword, c.Callers.Addr())
+		say("        metrics http://%s/metrics, status: currantloom status --node %s",
+			c.HTTP.Addr(), c.ControlListener.Addr())
+	}
+	say("Rules:  currantloom rules show --platform %s", d.platform.Address())
+	say("Try:    INSERT INTO orders VALUES ('castor-1', 'booked')")
+	say("        SHOW currantloom.token, and SET currantloom.token = '...' on another node before")
+	say("        SELECT value FROM orders WHERE id = 'castor-1'")
+	say("Stop with Ctrl-C.")
+}
--- a/cmd/currantloom/main.go
+++ b/cmd/currantloom/main.go
@@ -3,68 +3,147 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 
-	"currantloom.example/currantloom/loomentry"
-	"currantloom.example/currantloom/loomnode"
-	"currantloom.example/currantloom/loomsettings"
+	"currantloom.example/currantloom"
 )
 
 var version = "0.1.0"
 
 func main() {
-	if err := command(); err != nil {
-		fmt.Fprintln(os.Stderr, "currantloom:", err)
+	if err := command(os.Args[1:]); err != nil {
+		var faults currantloom.Faults
+		if errors.As(err, &faults) {
+			fmt.Fprintln(os.Stderr, faults.Error())
+		} else {
+			fmt.Fprintln(os.Stderr, "currantloom:", currantloom.MessageOf(err))
+		}
 		os.Exit(1)
 	}
 }
 
-func command() error {
-	var settingsPath string
-	serve := flaggy.NewSubcommand("serve")
-	serve.Description = "Run one node. Example: currantloom serve --settings node.yaml"
-	serve.String(&settingsPath, "s", "settings", "path of the settings file")
-	flaggy.SetName("currantloom")
-	flaggy.SetDescription("Proxy that gives sessions read-your-writes consistency over replicated databases.")
-	flaggy.SetVersion(version)
-	flaggy.AttachSubcommand(serve, 1)
-	flaggy.Parse()
-	if !serve.Used {
-		flaggy.ShowHelp("")
-		return nil
+// options are the values of all flags.
+type options struct {
+	settings     string
+	platform     string
+	node         string
+	timeout      time.Duration
+	afterRestore bool
+	once         bool
+	files        [maxFiles]string
+}
+
+// maxFiles bounds the files of one command, because the flag library has no list of positional values.
+const maxFiles = 16
+
+// paths returns the files that were given.
+func (o *options) paths() []string {
+	var paths []string
+	for _, path := range o.files {
+		if path != "" {
+			paths = append(paths, path)
+		}
 	}
-	return runServe(settingsPath)
+	return paths
 }
 
-func runServe(path string) error {
-	settings, err := loomsettings.Read(path)
-	if err != nil {
-		return err
+// commands holds the subcommands.
+type commands struct {
+	parser                                 *flaggy.Parser
+	serve, check, rules, apply, show, diff *flaggy.Subcommand
+	status, demo                           *flaggy.Subcommand
+	options                                options
+}
+
+func newCommands() *commands {
+	c := &commands{parser: flaggy.NewParser("currantloom"), options: options{timeout: 30 * time.Second}}
+	o := &c.options
+	c.parser.Description = "Proxy that gives sessions read-your-writes consistency over replicated databases."
+	c.parser.Version = version
+	c.parser.AdditionalHelpAppend = "\n  Example: currantloom demo"
+	c.serve = c.add(nil, "serve", "Run one node.", "currantloom serve --settings node.yaml")
+	c.serve.String(&o.settings, "s", "settings", "path of the settings file")
+	c.check = c.add(nil, "check", "Check files: settings (.yaml, .yml) or rules (any other name).",
+		"currantloom check node.yaml rules.txt")
+	c.check.String(&o.settings, "s", "settings", "settings whose databases, servers and callers rules may name")
+	addFiles(c.check, o, maxFiles)
+	c.rules = c.add(nil, "rules", "Change or show the accepted rules.",
+		"currantloom rules apply rules.txt --platform 10.0.9.1:8500")
+	c.apply = c.add(c.rules, "apply", "Store a rules file and wait until it is in force on all VMs.",
+		"currantloom rules apply rules.txt --platform 10.0.9.1:8500")
+	c.apply.Duration(&o.timeout, "t", "timeout", "time to wait for the store, and for the VMs")
+	c.apply.Bool(&o.afterRestore, "", "after-restore",
+		"accept that the store was restored and holds older rules than the nodes: continue from the nodes' revision")
+	c.apply.String(&o.settings, "s", "settings", "settings whose databases, servers and callers rules may name")
+	addFiles(c.apply, o, 1)
+	c.show = c.add(c.rules, "show", "Print the stored rules; the revision goes to standard error.",
+		"currantloom rules show --platform 10.0.9.1:8500 > rules.txt")
+	c.diff = c.add(c.rules, "diff", "Print the differences by rule, of the stored rules to a file or of two files.",
+		"currantloom rules diff rules.txt --platform 10.0.9.1:8500")
+	addFiles(c.diff, o, 2)
+	for _, s := range []*flaggy.Subcommand{c.apply, c.show, c.diff} {
+		s.String(&o.platform, "p", "platform", "address (IP:port) of the platform's store")
 	}
-	credentials := &loomentry.Credentials{}
-	for caller, password := range settings.Passwords() {
-		if err := credentials.Add(caller, password); err != nil {
-			return err
-		}
+	c.status = c.add(nil, "status", "Print what a node knows of VMs, databases and its own work.",
+		"currantloom status --node 10.0.0.1:5434")
+	c.status.String(&o.node, "n", "node", "control address (IP:port) of the node")
+	c.status.Duration(&o.timeout, "t", "timeout", "time to wait for the node")
+	c.demo = c.add(nil, "demo", "Run a platform stand-in, two database groups and three nodes in this process.",
+		"currantloom demo --once")
+	c.demo.Bool(&o.once, "", "once", "run a scripted booking through two nodes, print what happened and exit")
+	return c
+}
+
+func (c *commands) add(parent *flaggy.Subcommand, name, description, example string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	s.AdditionalHelpAppend = "\n  Example: " + example
+	if parent == nil {
+		c.parser.AttachSubcommand(s, 1)
+	} else {
+		parent.AttachSubcommand(s, 1)
 	}
-	callers, err := net.Listen("tcp", settings.CallersAddress())
-	if err != nil {
-		return err
+	return s
+}
+
+func addFiles(s *flaggy.Subcommand, o *options, n int) {
+	for i := range n {
+		s.AddPositionalValue(&o.files[i], "FILE", i+1, false, "path of a file")
+		s.PositionalFlags[i].Hidden = i > 0
 	}
-	links, err := net.Listen("tcp", settings.LinksAddress())
-	if err != nil {
+}
+
+func command(args []string) error {
+	c := newCommands()
+	if err := c.parser.ParseArgs(args); err != nil {
 		return err
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	return loomnode.New(loomnode.Config{
-		Core: settings.Core(), Credentials: credentials, ServerUser: "currantloom", Callers: callers, Links: links,
-		VMs: settings, Log: os.Stderr,
-	}).Run(ctx)
+	o := &c.options
+	switch {
+	case c.serve.Used:
+		return runServe(ctx, o.settings)
+	case c.check.Used:
+		return runCheck(o)
+	case c.apply.Used:
+		return runApply(ctx, o)
+	case c.show.Used:
+		return runShow(ctx, o)
+	case c.diff.Used:
+		return runDiff(ctx, o)
+	case c.status.Used:
+		return runStatus(ctx, o)
+	case c.demo.Used:
+		return runDemo(ctx, o.once)
+	}
+	c.parser.ShowHelp()
+	return nil
 }
--- /dev/null
+++ b/cmd/currantloom/serve.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+
+	"github.com/charmbracelet/log"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomentry"
+	"currantloom.example/currantloom/loomnode"
+	"currantloom.example/currantloom/loomsettings"
+	"currantloom.example/currantloom/loomstore"
+)
+
+func runServe(ctx context.Context, path string) error {
+	if path == "" {
+		return currantloom.ErrInput.New("serve needs --settings; see currantloom serve --help")
+	}
+	settings, err := loomsettings.Read(path)
+	if err != nil {
+		return err
+	}
+	config, err := nodeConfig(settings)
+	if err != nil {
+		return err
+	}
+	return loomnode.New(config).Run(ctx)
+}
+
+// nodeConfig opens the listeners and clients that the settings name.
+func nodeConfig(s *loomsettings.Settings) (loomnode.Config, error) {
+	credentials := &loomentry.Credentials{}
+	for caller, password := range s.Passwords() {
+		if err := credentials.Add(caller, password); err != nil {
+			return loomnode.Config{}, err
+		}
+	}
+	level, err := log.ParseLevel(s.LogLevel())
+	if err != nil {
+		return loomnode.Config{}, err
+	}
+	c := loomnode.Config{
+		Core: s.Core(), Credentials: credentials, ServerUser: s.ServerUser(), ServerPassword: s.ServerPassword(),
+		DrainInterval: s.StopInterval(), Version: version, LogLevel: level, Log: os.Stderr, VMs: s,
+	}
+	if address := s.PlatformAddress(); address != "" {
+		c.Store = loomstore.New(address)
+		if !s.HasVMs() {
+			c.VMs = loomstore.NewList(address)
+		}
+	}
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{s.CallersAddress(), &c.Callers}, {s.LinksAddress(), &c.Links}, {s.ControlAddress(), &c.ControlListener},
+		{s.HTTPAddress(), &c.HTTP},
+	} {
+		if l.address == "" {
+			continue
+		}
+		if *l.listener, err = net.Listen("tcp", l.address); err != nil {
+			return c, currantloom.ErrInput.New("listen: %v", err)
+		}
+	}
+	return c, nil
+}
--- a/loomcore/status.go
+++ b/loomcore/status.go
@@ -32,12 +32,9 @@
 func (s *State) databaseReport(g *group) currantloom.DatabaseReport {
 	report := currantloom.DatabaseReport{Name: g.database.Name(), Term: g.term, Primary: g.primary}
 	for _, server := range g.database.Servers() {
-		v := g.members[server.Name()]
-		r := currantloom.ServerReport{
-			Name: server.Name(), Leaving: s.isLeaving(server.Name()), Known: v.known, Status: v.status,
-		}
-		if v.known {
-			r.Age = s.now - v.reportedAt
+		r := currantloom.ServerReport{Name: server.Name(), Leaving: s.isLeaving(server.Name())}
+		if v := g.members[server.Name()]; v != nil && v.known {
+			r.Known, r.Status, r.Age = true, v.status, s.now-v.reportedAt
 		}
 		r.Carrier, _ = s.carrierOf(server, nil)
 		r.Carried = r.Carrier == s.self
--- a/loomnode/control.go
+++ b/loomnode/control.go
@@ -219,7 +219,8 @@
 	c.node.submit(loomcore.PeerAnswered{Stamp: c.node.stamp(), VM: from, Revision: u.Revision})
 }
 
-// PullRules answers a peer that asks for newer rules. A peer that has newer ones is asked in turn.
+// PullRules answers a peer that asks for newer rules. A peer that has newer ones is asked in turn;
+// an operator's command, which has no VM, asks with the highest revision to learn the one in effect.
 func (c *controller) PullRules(
 	from currantloom.VMName, revision currantloom.Revision,
 ) (currantloom.Revision, *currantloom.RulesUpdate) {
@@ -227,7 +228,7 @@
 	own := c.current.Revision()
 	update := c.updateFor(revision)
 	c.mu.Unlock()
-	if revision > own {
+	if revision > own && from != "" {
 		c.node.submit(loomcore.PeerAnswered{Stamp: c.node.stamp(), VM: from, Revision: revision})
 	}
 	if revision >= own {
--- a/loomsettings/decode.go
+++ b/loomsettings/decode.go
@@ -278,7 +278,7 @@
 
 func checkURL(text string) error {
 	u, err := url.Parse(text)
-	if err != nil || u.Scheme != "http" || u.RawQuery != "" || u.Fragment != "" || u.User != nil {
+	if err != nil || strings.TrimSuffix(text, "/") != "http://"+u.Host {
 		return currantloom.ErrInput.New("%q is not a URL such as http://10.0.0.1:8500", text)
 	}
 	return checkAddress(u.Host)
--- a/loomsettings/settings.go
+++ b/loomsettings/settings.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"context"
+	"net/url"
 	"os"
 	"slices"
 	"time"
@@ -45,7 +46,7 @@
 // HTTPAddress returns the "IP:port" for liveness, readiness and metrics, empty if there is none.
 func (s *Settings) HTTPAddress() string { return s.listen["http"] }
 
-// PlatformAddress returns the base URL of the platform's store and VM list, empty if there is none.
+// PlatformAddress returns the "IP:port" of the platform's store and VM list, empty if there is none.
 func (s *Settings) PlatformAddress() string { return s.platform }
 
 // PlatformTimeout returns the time for a call to the platform.
@@ -109,7 +110,7 @@
 		passwords:       make(map[currantloom.CallerName]string),
 		serverUser:      root.sub("servers").text("user"),
 		serverPassword:  root.sub("servers").text("password"),
-		platform:        root.sub("platform").text("address"),
+		platform:        hostOf(root.sub("platform").text("address")),
 		platformTimeout: root.sub("platform").values["timeout"].duration,
 		stopInterval:    root.sub("stop").values["balancer-interval"].duration,
 		logLevel:        root.sub("log").text("level"),
@@ -141,6 +142,15 @@
 	return currantloom.NewDatabase(name, d.values["slots"].number, d.values["connections"].number, servers)
 }
 
+// hostOf returns the "IP:port" of a URL that was checked.
+func hostOf(address string) string {
+	u, err := url.Parse(address)
+	if err != nil {
+		return ""
+	}
+	return u.Host
+}
+
 func place(s *section) currantloom.Place {
 	return currantloom.NewPlace(
 		currantloom.Region(s.text("region")), currantloom.FailureDomain(s.text("failure-domain")))
