Spread the demo's reads over several polls of the replicas

The reads followed each other within milliseconds, so they could all fall before the poll that shows that the replicas have caught up. They are now spread over 1.5 s.

--- a/cmd/currantloom/booking.go
+++ b/cmd/currantloom/booking.go
@@ -14,8 +14,13 @@
 	"currantloom.example/currantloom"
 )
 
-// moreReads is the number of reads after the replicas have caught up.
-const moreReads = 20
+const (
+	// moreReads is the number of reads after the replicas have caught up.
+	moreReads = 20
+	// readPause spreads the reads over several polls of the replicas: until a poll shows that a replica has caught up,
+	// the primary serves the reads.
+	readPause = 75 * time.Millisecond
+)
 
 // bookingTimeout bounds the scripted booking.
 const bookingTimeout = 30 * time.Second
@@ -62,6 +67,7 @@
 		if _, err := read(ctx, second, query); err != nil {
 			return err
 		}
+		time.Sleep(readPause)
 	}
 	served, err := d.replicaReads(ctx)
 	if err != nil {
