--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 SEED ?= 1
 STEPS ?= 200
 CHECKS ?= 100
+FUZZTIME ?= 30s
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build test race lint format fuzz bench measure
+.PHONY: all build test race lint format fuzz fuzz-input bench measure
 
 all: lint test
 
@@ -28,6 +29,11 @@
 fuzz:
 	$(GO) test ./loomcore -run 'Fuzz' -count=1 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS) -v
 
+# Arbitrary bytes from clients and from other nodes.
+fuzz-input:
+	$(GO) test ./loomentry -run '^$$' -fuzz FuzzSession -fuzztime $(FUZZTIME)
+	$(GO) test ./loompeer -run '^$$' -fuzz FuzzLinkRequest -fuzztime $(FUZZTIME)
+
 bench:
 	$(GO) test ./cmd/currantloom -run '^$$' -bench . -benchtime 2s
 
--- /dev/null
+++ b/loompeer/link_test.go
@@ -0,0 +1,316 @@
+package loompeer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/goleak"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// carrier is a fake local link. The statement of a request says how it answers.
+type carrier struct {
+	mu       sync.Mutex
+	ended    []currantloom.RequestKey
+	cancels  chan currantloom.RequestKey
+	released int
+}
+
+func (c *carrier) Release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released++
+}
+
+func (c *carrier) releases() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.released
+}
+
+func (c *carrier) Run(
+	ctx context.Context, h currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
+) currantloom.Trailer {
+	t := currantloom.Trailer{Verdict: currantloom.Ran, Answered: true, Transaction: currantloom.TransactionIdle}
+	switch h.Statement {
+	case "wait":
+		select {
+		case <-ctx.Done():
+		case <-c.cancels:
+		}
+		t = currantloom.Trailer{Verdict: currantloom.NotRun, Code: currantloom.CodeQueryCanceled}
+	case "begin":
+		t.Transaction = currantloom.TransactionOpen
+	case "large":
+		_ = out.WriteMessage('D', 64<<20, io.LimitReader(zeros{}, 64<<20))
+	case "midrow":
+		_ = out.WriteMessage('D', 1<<20, io.LimitReader(zeros{}, 64<<10))
+	default:
+		_ = out.WriteMessage('D', len(body), bytes.NewReader(body))
+	}
+	c.mu.Lock()
+	c.ended = append(c.ended, h.Key)
+	c.mu.Unlock()
+	return t
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// sink collects the size and the start of a response.
+type sink struct {
+	size  int64
+	start []byte
+}
+
+func (s *sink) WriteMessage(_ byte, length int, body io.Reader) error {
+	s.start = make([]byte, min(length, 100))
+	n, _ := io.ReadFull(body, s.start)
+	m, err := io.CopyN(io.Discard, body, int64(length-n))
+	s.size += int64(n) + m
+	return err
+}
+
+func (s *sink) Flush() error { return nil }
+
+func startServer(t testing.TB) (*Server, *carrier, currantloom.VM) {
+	t.Helper()
+	c := &carrier{cancels: make(chan currantloom.RequestKey, 1)}
+	s := &Server{Open: func() currantloom.Link { return c }, Cancel: func(k currantloom.RequestKey) { c.cancels <- k }}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-done
+		_ = s.Close()
+	})
+	return s, c, currantloom.NewVM("vm-2", currantloom.Place{}, listener.Addr().String(), "", currantloom.VMLive)
+}
+
+func header(number uint64, statement string) currantloom.RequestHeader {
+	return currantloom.RequestHeader{
+		Key: currantloom.RequestKey{VM: "vm-1", Number: number}, Statement: statement, Remaining: 5 * time.Second,
+	}
+}
+
+func open(t testing.TB, d *Dialer, vm currantloom.VM) *Link {
+	t.Helper()
+	l, err := d.Link(t.Context(), vm)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*Link)
+}
+
+var queryBody = encodeQuery("select 1")
+
+func encodeQuery(sql string) []byte {
+	b, _ := (&pgproto3.Query{String: sql}).Encode(nil)
+	return b
+}
+
+func wantVerdict(t *testing.T, got currantloom.Trailer, verdict currantloom.Verdict, answered bool) {
+	t.Helper()
+	if got.Verdict != verdict || got.Answered != answered {
+		t.Errorf("got %+v, want verdict %s, answered %v", got, verdict, answered)
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Errorf("%s did not happen", what)
+}
+
+// TestLinks guards against the reuse of links in an uncertain state and against untrue verdicts.
+func TestLinks(t *testing.T) {
+	server, c, vm := startServer(t)
+	d := &Dialer{}
+	t.Cleanup(func() { _ = d.Close() })
+	t.Run("reuse", func(t *testing.T) {
+		l := open(t, d, vm)
+		wantVerdict(t, l.Run(t.Context(), header(1, ""), queryBody, &sink{}), currantloom.Ran, true)
+		l.Release()
+		if again := open(t, d, vm); again != l {
+			t.Error("got another link, want the idle one")
+		}
+		l.Release()
+	})
+	t.Run("probe", func(t *testing.T) {
+		l := open(t, d, vm)
+		l.Release()
+		l.usedAt = time.Now().Add(-probeAfter)
+		if again := open(t, d, vm); again != l {
+			t.Error("got another link, want the probed one")
+		}
+		wantVerdict(t, l.Run(t.Context(), header(2, ""), queryBody, &sink{}), currantloom.Ran, true)
+		l.Release()
+	})
+	t.Run("open transaction is not reused", func(t *testing.T) {
+		l := open(t, d, vm)
+		released := c.releases()
+		l.Run(t.Context(), header(3, "begin"), queryBody, &sink{})
+		l.Release()
+		eventually(t, "rollback at the carrier", func() bool { return c.releases() == released+1 })
+	})
+	t.Run("given up in mid-run", func(t *testing.T) {
+		l := open(t, d, vm)
+		released := c.releases()
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		wantVerdict(t, l.Run(ctx, header(4, "wait"), queryBody, &sink{}), currantloom.MayHaveRun, false)
+		l.Release()
+		eventually(t, "end of the work", func() bool { return c.releases() == released+1 })
+		if again := open(t, d, vm); again == l {
+			t.Error("a link in an uncertain state was reused")
+		}
+	})
+	t.Run("cancel", func(t *testing.T) {
+		l := open(t, d, vm)
+		h := header(5, "wait")
+		time.AfterFunc(20*time.Millisecond, func() { l.Cancel(h.Key) })
+		wantVerdict(t, l.Run(t.Context(), h, queryBody, &sink{}), currantloom.NotRun, false)
+		l.Cancel(h.Key)
+		wantVerdict(t, l.Run(t.Context(), header(6, ""), queryBody, &sink{}), currantloom.Ran, true)
+		l.Release()
+	})
+	t.Run("cut off in a row", func(t *testing.T) {
+		l := open(t, d, vm)
+		got := l.Run(t.Context(), header(7, "midrow"), queryBody, &sink{})
+		wantVerdict(t, got, currantloom.MayHaveRun, false)
+		if !l.Failed() || !got.Started {
+			t.Errorf("got failed %v, started %v, want both", l.Failed(), got.Started)
+		}
+		l.Release()
+	})
+	t.Run("closed before sending", func(t *testing.T) {
+		l := open(t, d, vm)
+		_ = l.conn.Close()
+		wantVerdict(t, l.Run(t.Context(), header(8, ""), queryBody, &sink{}), currantloom.NotRun, false)
+		l.Release()
+	})
+	t.Run("large row", func(t *testing.T) {
+		l := open(t, d, vm)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		s := &sink{}
+		wantVerdict(t, l.Run(t.Context(), header(9, "large"), queryBody, s), currantloom.Ran, true)
+		runtime.ReadMemStats(&after)
+		if grown := after.TotalAlloc - before.TotalAlloc; s.size != 64<<20 || grown > 1<<20 {
+			t.Errorf("got %d bytes with %d allocated, want 64 MiB with at most 1 MiB", s.size, grown)
+		}
+		l.Release()
+	})
+	t.Run("bounded", func(t *testing.T) {
+		var links []*Link
+		for range 2 * maxIdleLinks {
+			links = append(links, open(t, d, vm))
+		}
+		for _, l := range links {
+			l.Release()
+		}
+		if n := len(d.idle[vm.Name()]); n != maxIdleLinks {
+			t.Errorf("got %d idle links, want %d", n, maxIdleLinks)
+		}
+	})
+	t.Run("closing", func(t *testing.T) {
+		l, idle := open(t, d, vm), open(t, d, vm)
+		l.Run(t.Context(), header(10, "begin"), queryBody, &sink{})
+		idle.Release()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			_ = server.Close()
+		}()
+		eventually(t, "announcement", func() bool { return !idle.conn.isQuiet() })
+		time.Sleep(2 * closeGrace)
+		wantVerdict(t, l.Run(t.Context(), header(11, ""), queryBody, &sink{}), currantloom.Ran, true)
+		if l.isClean() {
+			t.Error("a link to a stopping carrier counts as clean")
+		}
+		l.Release()
+		<-closed
+	})
+}
+
+// TestSilence guards against a link that hangs because its peer went silent without closing it.
+func TestSilence(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	d := &Dialer{}
+	defer func() { _ = d.Close() }()
+	vm := currantloom.NewVM("vm-3", currantloom.Place{}, listener.Addr().String(), "", currantloom.VMLive)
+	l := open(t, d, vm)
+	l.conn.readLimit = 50 * time.Millisecond
+	wantVerdict(t, l.Run(t.Context(), header(1, ""), queryBody, &sink{}), currantloom.MayHaveRun, false)
+	l.Release()
+	idle := open(t, d, vm)
+	idle.Release()
+	idle.usedAt = time.Now().Add(-probeAfter)
+	if again := open(t, d, vm); again == idle {
+		t.Error("a silent link was reused")
+	} else {
+		again.Release()
+	}
+}
+
+// FuzzLinkRequest guards against bytes on a link that make the carrier panic, hang, or affect another link.
+func FuzzLinkRequest(f *testing.F) {
+	h, _ := encodeHeader(header(1, "echo"))
+	probe, _ := json.Marshal(frame{Type: frameProbe})
+	cancel, _ := json.Marshal(frame{Type: frameCancel, Number: 1})
+	request := append(loomwire.AppendMessage(nil, copyData, h), queryBody...)
+	f.Add(request)
+	f.Add(append(loomwire.AppendMessage(nil, copyData, probe), request...))
+	f.Add(append(request, loomwire.AppendMessage(nil, copyData, cancel)...))
+	f.Add([]byte("d\x00\x00\x00\x06{}"))
+	f.Add([]byte("d\x7f\xff\xff\xff"))
+	f.Add(loomwire.AppendMessage(nil, copyData, bytes.Repeat([]byte("["), maxHeader+1)))
+	_, _, vm := startServer(f)
+	d := &Dialer{}
+	f.Cleanup(func() { _ = d.Close() })
+	f.Fuzz(func(t *testing.T, input []byte) {
+		raw, err := net.Dial("tcp", vm.LinkAddress())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = raw.Close() }()
+		_ = raw.SetDeadline(time.Now().Add(5 * time.Second))
+		_, _ = raw.Write(input)
+		_ = raw.(*net.TCPConn).CloseWrite()
+		if _, err := io.Copy(io.Discard, raw); err != nil && strings.Contains(err.Error(), "timeout") {
+			t.Fatal("link did not end after its peer")
+		}
+		other := open(t, d, vm)
+		wantVerdict(t, other.Run(t.Context(), header(2, ""), queryBody, &sink{}), currantloom.Ran, true)
+		other.Release()
+	})
+}
