Test two nodes, the shutdown under load, and measure the path

Without lingering after a fatal error a client could lose the 57P01 to a connection reset, so sessions read on for up to 1 s.

--- a/cmd/currantloom/path_test.go
+++ b/cmd/currantloom/path_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,17 +19,16 @@
 // while the replicas lag. All parts are separate processes.
 func TestReadYourWritesAcrossProcesses(t *testing.T) {
 	dir := t.TempDir()
-	build(t, dir, "currantloom", ".")
-	build(t, dir, "standin", "../standin")
+	binaries := buildOnce(t)
 	ports := freePorts(t, 7)
-	start(t, filepath.Join(dir, "standin"), "group", "--lag", "300ms",
+	start(t, filepath.Join(binaries, "standin"), "group", "--lag", "300ms",
 		"--listen", ports[0], "--listen", ports[1], "--listen", ports[2])
 	for i, name := range []string{"vm-1", "vm-2"} {
 		path := filepath.Join(dir, name+".yaml")
 		if err := os.WriteFile(path, []byte(settingsFile(name, ports, i)), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		start(t, filepath.Join(dir, "currantloom"), "serve", "--settings", path)
+		start(t, filepath.Join(binaries, "currantloom"), "serve", "--settings", path)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
@@ -52,12 +52,35 @@
 	}
 }
 
-func build(t *testing.T, dir, name, path string) {
+// builds holds the directory of the binaries, which all tests of the package share.
+var builds struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.RemoveAll(builds.dir)
+	os.Exit(code)
+}
+
+// buildOnce builds the binaries and returns their directory.
+func buildOnce(t *testing.T) string {
 	t.Helper()
-	command := exec.Command("go", "build", "-o", filepath.Join(dir, name), path)
-	if out, err := command.CombinedOutput(); err != nil {
-		t.Fatalf("build %s: %v\n%s", name, err, out)
+	builds.once.Do(func() {
+		if builds.dir, builds.err = os.MkdirTemp("", "currantloom-test"); builds.err != nil {
+			return
+		}
+		out, err := exec.Command("go", "build", "-o", builds.dir, ".", "../standin").CombinedOutput()
+		if err != nil {
+			builds.err = fmt.Errorf("build: %w\n%s", err, out)
+		}
+	})
+	if builds.err != nil {
+		t.Fatal(builds.err)
 	}
+	return builds.dir
 }
 
 func freePorts(t *testing.T, n int) []string {
@@ -74,7 +97,7 @@
 	return addresses
 }
 
-func start(t *testing.T, name string, args ...string) {
+func start(t *testing.T, name string, args ...string) *exec.Cmd {
 	t.Helper()
 	command := exec.Command(name, args...)
 	command.Stderr = os.Stderr
@@ -85,6 +108,7 @@
 		_ = command.Process.Kill()
 		_ = command.Wait()
 	})
+	return command
 }
 
 func settingsFile(name string, ports []string, i int) string {
--- /dev/null
+++ b/cmd/currantloom/stop_test.go
@@ -0,0 +1,164 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	loadClients = 8
+	// stopLimit is the interval of the load balancer, the longest statement of the test and a reserve.
+	stopLimit = 15 * time.Second
+)
+
+// TestStopUnderLoad guards against a shutdown that loses requests: every request has to succeed or to be reported as
+// not run, and both reports have to be true.
+func TestStopUnderLoad(t *testing.T) {
+	for _, stopped := range []int{1, 2} {
+		t.Run(fmt.Sprintf("%d of 2 nodes", stopped), func(t *testing.T) { stopUnderLoad(t, stopped) })
+	}
+}
+
+func stopUnderLoad(t *testing.T, stopped int) {
+	group, servers := startFakeGroup(t)
+	dir, binaries := t.TempDir(), buildOnce(t)
+	ports := append(append([]string(nil), servers...), freePorts(t, 4)...)
+	var nodes []interface{ Wait() error }
+	var signals []func() error
+	for i := range 2 {
+		path := filepath.Join(dir, string(vmName(i))+".yaml")
+		// More slots than long statements, so that the load goes on beside them.
+		settings := strings.Replace(settingsFile(string(vmName(i)), ports, i), "slots: 2", "slots: 8", 1)
+		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		command := start(t, filepath.Join(binaries, "currantloom"), "serve", "--settings", path)
+		nodes = append(nodes, command)
+		signals = append(signals, func() error { return command.Process.Signal(syscall.SIGTERM) })
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	var idle []*pgx.Conn
+	l := &load{t: t, group: group}
+	var clients sync.WaitGroup
+	for i := range stopped {
+		address := ports[3+i]
+		idle = append(idle, connect(ctx, t, address, ""))
+		long, transaction := connect(ctx, t, address, ""), connect(ctx, t, address, "")
+		clients.Go(func() { l.runLong(ctx, long) })
+		clients.Go(func() { l.runTransaction(ctx, transaction, fmt.Sprintf("tx-%d", i)) })
+		for c := range loadClients {
+			clients.Go(func() { l.run(ctx, address, fmt.Sprintf("%d-%d", i, c)) })
+		}
+	}
+	time.Sleep(time.Second)
+	for i := range stopped {
+		if err := signals[i](); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, conn := range idle {
+		m, err := conn.PgConn().Frontend().Receive()
+		if e, ok := m.(*pgproto3.ErrorResponse); !ok || e.Code != "57P01" {
+			t.Errorf("got %v %v in the idle session of node %d, want 57P01", m, err, i)
+		}
+	}
+	clients.Wait()
+	for i := range stopped {
+		exited := make(chan error, 1)
+		go func() { exited <- nodes[i].Wait() }()
+		select {
+		case err := <-exited:
+			if err != nil {
+				t.Errorf("node %d: %v, want exit code 0", i, err)
+			}
+		case <-time.After(stopLimit):
+			t.Errorf("node %d did not end within %s", i, stopLimit)
+		}
+	}
+	if l.ran.Load() < 100 {
+		t.Errorf("only %d requests ran, which is no load", l.ran.Load())
+	}
+	t.Logf("%d requests ran, %d were refused as not run", l.ran.Load(), l.refused.Load())
+}
+
+// load checks each answer against what the group holds.
+type load struct {
+	t            *testing.T
+	group        *fakeGroup
+	ran, refused atomic.Int64
+}
+
+// run inserts rows over one connection after the other, until the node takes no more of them.
+func (l *load) run(ctx context.Context, address, name string) {
+	config := connectConfig(l.t, address)
+	n := 0
+	for ctx.Err() == nil {
+		conn, err := pgx.ConnectConfig(ctx, config)
+		if err != nil {
+			return
+		}
+		for err == nil {
+			n++
+			id := fmt.Sprintf("%s-%d", name, n)
+			_, err = conn.Exec(ctx, "insert into orders values ('"+id+"') -- sleep(3)")
+			l.check(id, err)
+		}
+		_ = conn.Close(context.Background())
+	}
+}
+
+// check compares the report about an insert with the group.
+func (l *load) check(id string, err error) {
+	want := 1
+	if err != nil {
+		want = 0
+		l.refused.Add(1)
+		var e *pgconn.PgError
+		if !errors.As(err, &e) || !strings.Contains(e.Detail, "verdict=not_run") {
+			l.t.Errorf("insert %s was lost: %v", id, err)
+			return
+		}
+	} else {
+		l.ran.Add(1)
+	}
+	if got := l.group.count(id); got != want {
+		l.t.Errorf("insert %s: the group holds %d rows, want %d after error %v", id, got, want, err)
+	}
+}
+
+func (l *load) runLong(ctx context.Context, conn *pgx.Conn) {
+	if _, err := conn.Exec(ctx, "select sleep(5000)"); err != nil {
+		l.t.Errorf("long statement: %v", err)
+	}
+}
+
+func (l *load) runTransaction(ctx context.Context, conn *pgx.Conn, id string) {
+	tx, err := conn.Begin(ctx)
+	for i := 0; err == nil && i < 6; i++ {
+		_, err = tx.Exec(ctx, "select sleep(500)")
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err == nil {
+		_, err = tx.Exec(ctx, "insert into orders values ('"+id+"')")
+	}
+	if err == nil {
+		err = tx.Commit(ctx)
+	}
+	if err != nil || l.group.count(id) != 1 {
+		l.t.Errorf("transaction over the stop: %v, committed %d times", err, l.group.count(id))
+	}
+}
--- a/loomentry/fake_test.go
+++ b/loomentry/fake_test.go
@@ -23,8 +23,6 @@
 // fakeGateway is a node with a tiny server: it echoes statements, fails those with "fail" and holds those with "slow"
 // until they are cancelled. It has no prepared statements from earlier requests.
 type fakeGateway struct {
-	vm currantloom.VMName
-
 	mu        sync.Mutex
 	number    uint64
 	requests  []currantloom.Request
@@ -36,7 +34,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.number++
-	return currantloom.RequestKey{VM: g.vm, Number: g.number}
+	return currantloom.RequestKey{VM: "vm-1", Number: g.number}
 }
 
 func (g *fakeGateway) channel(key currantloom.RequestKey) chan struct{} {
@@ -217,7 +215,7 @@
 }
 
 // startNode starts a server with a fake gateway and returns its address.
-func startNode(t testing.TB, vm currantloom.VMName) (*Server, *fakeGateway, string) {
+func startNode(t testing.TB, change ...func(*Server)) (*Server, *fakeGateway, string) {
 	t.Helper()
 	c := &Credentials{}
 	for _, caller := range []currantloom.CallerName{"steyr", "rival"} {
@@ -225,8 +223,11 @@
 			t.Fatal(err)
 		}
 	}
-	g := &fakeGateway{vm: vm}
-	s := &Server{Gateway: g, Credentials: c, VM: vm}
+	g := &fakeGateway{}
+	s := &Server{Gateway: g, Credentials: c, VM: "vm-1"}
+	for _, c := range change {
+		c(s)
+	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/loomentry/fuzz_test.go
+++ b/loomentry/fuzz_test.go
@@ -41,7 +41,7 @@
 		&pgproto3.Sync{}, &pgproto3.Flush{}, &pgproto3.Sync{}))
 	f.Add(true, encode(&pgproto3.Parse{Query: "show currantloom.token"}, &pgproto3.Bind{},
 		&pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{}, &pgproto3.Query{String: "select slow"}))
-	server, _, address := startNode(f, "vm-1")
+	server, _, address := startNode(f)
 	other := connect(f, address, "rival", nil)
 	f.Fuzz(func(t *testing.T, authenticated bool, input []byte) {
 		client, conn := net.Pipe()
--- a/loomentry/server.go
+++ b/loomentry/server.go
@@ -12,6 +12,7 @@
 
 const (
 	defaultIdleInTransaction = 10 * time.Second
+	defaultStartupLimit      = 10 * time.Second
 	// acceptPause separates attempts to accept while the process is out of file descriptors.
 	acceptPause = 10 * time.Millisecond
 )
@@ -26,6 +27,8 @@
 	ForwardCancel func(pid uint32, secret []byte)
 	// IdleInTransaction is how long a transaction may wait for its next request; zero means 10 s.
 	IdleInTransaction time.Duration
+	// StartupLimit bounds the time from the connection to the end of the authentication; zero means 10 s.
+	StartupLimit time.Duration
 
 	mu       sync.Mutex
 	sessions map[uint32]*Session
@@ -41,6 +44,13 @@
 	return defaultIdleInTransaction
 }
 
+func (s *Server) startupLimit() time.Duration {
+	if s.StartupLimit > 0 {
+		return s.StartupLimit
+	}
+	return defaultStartupLimit
+}
+
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
--- a/loomentry/session.go
+++ b/loomentry/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -20,6 +21,8 @@
 	readAhead = 2 << 10
 	// writeLimit is the time a client has to take one buffer of its response.
 	writeLimit = 30 * time.Second
+	// lingerLimit is how long a client may take to notice that its session has ended.
+	lingerLimit = time.Second
 )
 
 // Session serves one client connection.
@@ -81,6 +84,17 @@
 	if errorx.IsOfType(err, currantloom.ErrRequest) {
 		s.sendFatal(err)
 		_ = s.writer.Flush()
+		s.linger()
+	}
+}
+
+// linger reads on until the client has closed the connection. Closing it with unread bytes would reset it, and the
+// client could lose the error it was sent.
+func (s *Session) linger() {
+	if c, ok := s.conn.(clientConn).Conn.(*net.TCPConn); ok {
+		_ = c.CloseWrite()
+		_ = c.SetReadDeadline(time.Now().Add(lingerLimit))
+		_, _ = io.Copy(io.Discard, c)
 	}
 }
 
--- a/loomentry/session_test.go
+++ b/loomentry/session_test.go
@@ -59,7 +59,7 @@
 
 // TestPreparedStatements guards against the use of a prepared statement that only an earlier server connection had.
 func TestPreparedStatements(t *testing.T) {
-	_, gateway, address := startNode(t, "vm-1")
+	_, gateway, address := startNode(t)
 	conn := connect(t, address, "steyr.app1", nil)
 	t.Run("statement cache of the driver", func(t *testing.T) {
 		for range 3 {
@@ -128,7 +128,7 @@
 
 // TestParameters guards against settings that reach a server connection, get lost, or are silently ignored.
 func TestParameters(t *testing.T) {
-	_, gateway, address := startNode(t, "vm-1")
+	_, gateway, address := startNode(t)
 	conn := connect(t, address, "steyr", func(c *pgx.ConnConfig) {
 		c.RuntimeParams = map[string]string{
 			"application_name": "wheels", "options": `-c currantloom.max_age=5s --statement_timeout=3000`,
@@ -177,7 +177,7 @@
 		}
 	})
 	t.Run("refused", func(t *testing.T) {
-		for _, sql := range []string{"set search_path = x", "set timezone = 'Europe/Vienna'", "set client_encoding = 'LATIN1'"} {
+		for _, sql := range []string{"set search_path = x", "set timezone = 'Europe/Vienna'", "set names 'LATIN1'"} {
 			wantError(t, execute(t, conn, sql), currantloom.CodeUnsupported, "verdict=not_run")
 		}
 		wantError(t, execute(t, conn, "set currantloom.max_age = 'soon'"), currantloom.CodeInvalidParameter, "not_run")
@@ -187,7 +187,7 @@
 
 // TestTransactions guards against statements of a failed or refused transaction that run on their own.
 func TestTransactions(t *testing.T) {
-	_, gateway, address := startNode(t, "vm-1")
+	_, gateway, address := startNode(t)
 	conn := connect(t, address, "steyr", nil)
 	run := func(sql string) error { return execute(t, conn, sql) }
 	for name, failure := range map[string]func(t *testing.T){
@@ -218,8 +218,7 @@
 		})
 	}
 	t.Run("idle for too long", func(t *testing.T) {
-		server, gateway, address := startNode(t, "vm-1")
-		server.IdleInTransaction = 20 * time.Millisecond
+		_, gateway, address := startNode(t, func(s *Server) { s.IdleInTransaction = 20 * time.Millisecond })
 		conn := connect(t, address, "steyr", nil)
 		if err := execute(t, conn, "begin"); err != nil {
 			t.Fatal(err)
@@ -241,7 +240,7 @@
 
 // TestResponses guards against responses that do not end, and against an ErrorResponse inside a row.
 func TestResponses(t *testing.T) {
-	_, _, address := startNode(t, "vm-1")
+	_, _, address := startNode(t)
 	conn := connect(t, address, "steyr", nil)
 	t.Run("failed after a row", func(t *testing.T) {
 		wantError(t, execute(t, conn, "select cut"), currantloom.CodeOutcomeUnknown, "verdict=may_have_run")
@@ -256,14 +255,15 @@
 
 // TestCancel guards against a cancel that hits another session or a later request.
 func TestCancel(t *testing.T) {
-	server, gateway, address := startNode(t, "vm-1")
 	forwarded := make(chan uint32, 1)
-	server.ForwardCancel = func(pid uint32, _ []byte) { forwarded <- pid }
+	server, gateway, address := startNode(t, func(s *Server) {
+		s.ForwardCancel = func(pid uint32, _ []byte) { forwarded <- pid }
+	})
 	conn := connect(t, address, "steyr", nil)
 	rival := connect(t, address, "rival", nil)
 	pid, secret := conn.PgConn().PID(), conn.PgConn().SecretKey()
-	if pid&^(1<<pidBits-1) != PIDPrefix("vm-1") {
-		t.Errorf("got process id %#x, want prefix %#x", pid, PIDPrefix("vm-1"))
+	if pid&^(1<<pidBits-1) != PIDPrefix(server.VM) {
+		t.Errorf("got process id %#x, want prefix %#x", pid, PIDPrefix(server.VM))
 	}
 	slow := func(c *pgx.Conn) chan error {
 		result := make(chan error, 1)
@@ -315,7 +315,7 @@
 
 // TestBadInput guards against input that harms another connection or ends without a clear error.
 func TestBadInput(t *testing.T) {
-	_, _, address := startNode(t, "vm-1")
+	_, _, address := startNode(t)
 	other := connect(t, address, "rival", nil)
 	startup := func(version uint32) []byte {
 		b := binary.BigEndian.AppendUint32(nil, 20)
@@ -352,6 +352,22 @@
 			wantError(t, err, currantloom.CodeInvalidPassword, "verdict=not_run")
 		})
 	}
+	t.Run("no startup", func(t *testing.T) {
+		_, _, address := startNode(t, func(s *Server) { s.StartupLimit = 20 * time.Millisecond })
+		answer, _ := io.ReadAll(dialRaw(t, address))
+		if !strings.Contains(string(answer), "no complete startup") {
+			t.Errorf("got %q, want an error about the missing startup", answer)
+		}
+	})
+	t.Run("oversized request", func(t *testing.T) {
+		conn := connect(t, address, "steyr", nil)
+		batch := &pgx.Batch{}
+		for range 3 {
+			batch.Queue("select $1", strings.Repeat("x", maxRequestSize/2))
+		}
+		wantError(t, conn.SendBatch(t.Context(), batch).Close(), currantloom.CodeLimitExceeded, "verdict=not_run")
+		wantValue(t, conn, "select 1", "select 1")
+	})
 	t.Run("Flush", func(t *testing.T) {
 		conn := connect(t, address, "steyr", nil)
 		f := conn.PgConn().Frontend()
@@ -373,7 +389,7 @@
 
 // TestStop guards against a shutdown that interrupts a request or leaves an idle session open.
 func TestStop(t *testing.T) {
-	server, gateway, address := startNode(t, "vm-1")
+	server, gateway, address := startNode(t)
 	idle, busy := connect(t, address, "steyr", nil), connect(t, address, "steyr", nil)
 	if err := execute(t, busy, "begin"); err != nil {
 		t.Fatal(err)
--- a/loomentry/startup.go
+++ b/loomentry/startup.go
@@ -23,8 +23,6 @@
 	gssRequestCode    = 80877104
 	cancelRequestCode = 80877102
 	secretSize        = 4
-	// startupLimit bounds the time from the connection to the end of the authentication.
-	startupLimit = 10 * time.Second
 )
 
 // serverVersion is reported to drivers, which derive the features they use from it.
@@ -40,10 +38,10 @@
 
 // start reads the startup message, authenticates the client and reports the session's parameters.
 func (s *Session) start() error {
-	_ = s.conn.SetReadDeadline(time.Now().Add(startupLimit))
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.server.startupLimit()))
 	err := s.startSession()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return protocolError("no complete startup within %s", startupLimit)
+		return protocolError("no complete startup within %s", s.server.startupLimit())
 	}
 	s.setBusy(false)
 	return err
