--- a/cmd/currantloom/path_test.go
+++ b/cmd/currantloom/path_test.go
@@ -59,12 +59,6 @@
 	err  error
 }
 
-func TestMain(m *testing.M) {
-	code := m.Run()
-	_ = os.RemoveAll(builds.dir)
-	os.Exit(code)
-}
-
 // buildOnce builds the binaries and returns their directory.
 func buildOnce(t *testing.T) string {
 	t.Helper()
--- a/cmd/currantloom/script_test.go
+++ b/cmd/currantloom/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,8 +18,16 @@
 	"currantloom.example/currantloom/loomstore"
 )
 
+// testMain removes the binaries that tests built.
+type testMain struct{ *testing.M }
+
+func (m testMain) Run() int {
+	defer func() { _ = os.RemoveAll(builds.dir) }()
+	return m.M.Run()
+}
+
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"currantloom": main})
+	testscript.Main(testMain{m}, map[string]func(){"currantloom": main})
 }
 
 // TestScripts guards against command lines that behave other than their help and the pages say.
--- a/loomcore/status.go
+++ b/loomcore/status.go
@@ -33,8 +33,8 @@
 	report := currantloom.DatabaseReport{Name: g.database.Name(), Term: g.term, Primary: g.primary}
 	for _, server := range g.database.Servers() {
 		r := currantloom.ServerReport{Name: server.Name(), Leaving: s.isLeaving(server.Name())}
-		if v := g.members[server.Name()]; v != nil && v.known {
-			r.Known, r.Status, r.Age = true, v.status, s.now-v.reportedAt
+		if v := g.member(server.Name()); v != nil && v.known {
+			r.Known, r.Status, r.Age = true, v.status, s.now-v.sentAt
 		}
 		r.Carrier, _ = s.carrierOf(server, nil)
 		r.Carried = r.Carrier == s.self
