--- a/loomnode/control_test.go
+++ b/loomnode/control_test.go
@@ -179,13 +179,13 @@
 		}
 	}
 	node.submit(loomcore.RequestArrived{Stamp: node.stamp(), Request: currantloom.Request{
-		Key: currantloom.RequestKey{VM: "vm-0", Number: 1}, Caller: "steyr", Database: "unknown",
+		Key: currantloom.RequestKey{VM: "vm-0", Number: 1}, Caller: "steyr", Database: "core-1",
 	}})
 	time.Sleep(2 * reportInterval)
 	_, body := get("/metrics")
 	for _, want := range []string{
 		"currantloom_rules_revision 1",
-		`currantloom_requests{caller="steyr",class="",database="unknown",verdict="not_run"} 1`,
+		`currantloom_requests{caller="steyr",class="",database="core-1",verdict="not_run"} 1`,
 	} {
 		if !strings.Contains(body, want) {
 			t.Errorf("metrics lack %s:\n%s", want, body)
--- a/loomnode/metrics.go
+++ b/loomnode/metrics.go
@@ -22,6 +22,21 @@
 	2500 * time.Millisecond, 10 * time.Second, time.Minute, 10 * time.Minute,
 }
 
+// sanitizer keeps the names of databases, servers and callers in label values as they are. The default one would report
+// wheel-core-1 and wheel_core_1 as one series.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters: tally.ValidCharacters{
+		Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters,
+	},
+	KeyCharacters: tally.ValidCharacters{
+		Ranges: tally.AlphanumericRange, Characters: tally.UnderscoreCharacters,
+	},
+	ValueCharacters: tally.ValidCharacters{
+		Ranges: []tally.SanitizeRange{{' ', '~'}, {'\u00a0', '\U0010ffff'}},
+	},
+	ReplacementCharacter: '_',
+}
+
 // metrics counts what passes through the reducer: every event and effect is observed, under the node's lock, so no
 // other code has to report anything.
 type metrics struct {
@@ -63,7 +78,7 @@
 	m.reporter = tallyprom.NewReporter(tallyprom.Options{Registerer: prometheus.NewRegistry()})
 	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "currantloom", CachedReporter: m.reporter, Separator: tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+		SanitizeOptions: &sanitizer, OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return m
 }
