--- a/loomcore/age.go
+++ b/loomcore/age.go
@@ -12,8 +12,13 @@
 	// sampleSpacing thins samples, so that polls asked for by reads do not displace those that a replica that is
 	// seconds behind needs: 64 samples then cover at least 15 s.
 	sampleSpacing = 250 * time.Millisecond
+	// maxAgeMargin covers the way to the server and the start of the run.
+	maxAgeMargin = 100 * time.Millisecond
 )
 
+// ageMargin is the part of the accepted age that is kept for the time between the decision and the run.
+func ageMargin(accepted time.Duration) time.Duration { return min(accepted/10, maxAgeMargin) }
+
 // sample is a position of the primary: the poll was sent at sentAt, and the primary was at or below mark then.
 type sample struct {
 	server     currantloom.ServerName
@@ -67,7 +72,7 @@
 	}
 	age, known := g.ageOf(v, s.now)
 	covers := v.status.Mark.Covers(token.Mark())
-	if covers && known && age <= accepted {
+	if covers && known && age <= accepted-ageMargin(accepted) {
 		return eligible
 	}
 	return s.refresh(g, v, covers)
--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -55,8 +55,13 @@
 	reclassified bool
 	statement    statementKey
 	// cost is the expected run time.
-	cost         time.Duration
-	startedAt    time.Duration
+	cost      time.Duration
+	startedAt time.Duration
+	// term is the newest known term when the work started. A server that reports another one for a write may have
+	// been replaced in between, and its position may then be that of an entry of the new primary.
+	term currantloom.Term
+	// confirms says that the server was asked to prove its term.
+	confirms     bool
 	pendingUntil time.Duration
 	cancelled    bool
 	answer       currantloom.WorkResult
@@ -132,12 +137,12 @@
 }
 
 // obstacle returns why the server gets no new work of this kind; the reason is empty if it does. A leaving primary
-// still gets work until the planned change holds it.
+// still gets work until the planned change holds it, or until the time to drain it is over.
 func (s *State) obstacle(q *queue, w *work) (code currantloom.SQLState, reason string) {
 	g := q.group
 	isPrimary := g.primary == q.server
 	switch {
-	case !isPrimary && s.isLeaving(q.server):
+	case s.isLeaving(q.server) && (!isPrimary || s.drainExpired(g)):
 		return currantloom.CodeCannotConnectNow, "server is leaving"
 	case !isPrimary && !w.acceptsAge():
 		return currantloom.CodeCannotConnectNow, "server is not the primary"
@@ -211,15 +216,16 @@
 func (s *State) runOf(g *group, w *work) Run {
 	h := w.header
 	read := h.Kind == currantloom.Read
-	confirm := w.confirmsTerm(g)
+	w.confirms = w.confirmsTerm(g)
 	return Run{
-		Key: h.Key, Server: h.Server, ReadOnly: read, ConfirmTerm: confirm,
-		WithholdCompletion: !read || confirm, Limit: w.deadline - s.now,
+		Key: h.Key, Server: h.Server, ReadOnly: read, ConfirmTerm: w.confirms,
+		WithholdCompletion: !read || w.confirms, Limit: w.deadline - s.now,
 	}
 }
 
 // confirmsTerm reports whether the server has to prove that it is still the primary after it has run the work: for a
-// read that accepts no age, and for the end of a transaction, which may have read only.
+// read, whether or not it accepts an age, since a primary that was replaced may be of any age, and for the end of a
+// transaction, which may have read only.
 func (w *work) confirmsTerm(g *group) bool {
 	if g.primary != w.header.Server {
 		return false
@@ -227,7 +233,7 @@
 	if w.pinned {
 		return endsTransaction(w.header.Statement)
 	}
-	return w.header.Kind == currantloom.Read && !w.acceptsAge()
+	return w.header.Kind == currantloom.Read
 }
 
 // endsTransaction reports whether the statement commits a transaction.
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -123,8 +123,11 @@
 			confirmed 1 b mark=1/101 granted=2 => reject 1 may_have_run 08007`},
 		{name: "invariant 2: a longer log of another term does not confirm", script: `
 			arrive 1 => run 1
-			answer 1 wrote confirmed=1 mark=2/101 term=2 => confirm 1 b, confirm 1 c
-			confirmed 1 b mark=1/400 term=2 => `},
+			answer 1 wrote confirmed=1 mark=1/101 => confirm 1 b, confirm 1 c
+			confirmed 1 b mark=0/400 => `},
+		{name: "invariant 2: a write that the server reports in another term than it started in", script: `
+			arrive 1 => run 1
+			answer 1 wrote confirmed=1 mark=2/101 term=2 => reject 1 may_have_run 08007`},
 		{name: "invariant 2: a newer term ends the wait for confirmation", script: `
 			arrive 1 => run 1
 			answer 1 wrote confirmed=1 => confirm 1 b, confirm 1 c
--- a/loomcore/confirm.go
+++ b/loomcore/confirm.go
@@ -39,16 +39,15 @@
 	g := q.group
 	w.answer = e.Result
 	s.observe(q, w)
-	if e.Result.Wrote {
-		g.learn(e.Result.Term, q.server)
-	}
 	s.observeMark(q, e.Result)
 	switch {
-	case !e.Result.Wrote && !w.confirmsTerm(g):
+	case !e.Result.Wrote && !w.confirms:
 		w.state = workAcknowledged
 		s.emit(Acknowledge{Key: e.Key})
-	case e.Result.Term < g.term:
+	case e.Result.Term < g.term || e.Result.Wrote && e.Result.Term != w.term:
 		s.rejectAnswer(w, "the server's term is over")
+	case !e.Result.Mark.Covers(w.header.Token.Mark()):
+		s.rejectAnswer(w, "the server does not cover the session's token")
 	case e.Result.Confirmed >= g.database.Majority():
 		s.acknowledge(w)
 	case e.Result.Confirmed < 1:
--- a/loomcore/group.go
+++ b/loomcore/group.go
@@ -284,6 +284,9 @@
 			continue
 		}
 		v.leaving, v.leavingAt = leaving, s.now
+		if since, ok := s.members.leavingSince[server.Name()]; ok {
+			v.leavingAt = since
+		}
 		reason := "the rules or the VM list say that the server is leaving; it gets no new work"
 		if !leaving {
 			reason = "neither the rules nor the VM list say any longer that the server is leaving"
--- a/loomcore/members.go
+++ b/loomcore/members.go
@@ -14,11 +14,14 @@
 	vms         map[currantloom.VMName]currantloom.VM
 	failedUntil map[currantloom.VMName]time.Duration
 	leaving     map[currantloom.ServerName]bool
-	placement   placement
+	// leavingSince says since when this node knows that a server is leaving.
+	leavingSince map[currantloom.ServerName]time.Duration
+	placement    placement
 }
 
 func (s *State) vmsReceived(e VMsReceived) {
 	m := &s.members
+	first := m.vms == nil
 	m.vms = make(map[currantloom.VMName]currantloom.VM, len(e.Set.VMs))
 	for _, vm := range e.Set.VMs {
 		m.vms[vm.Name()] = vm
@@ -27,6 +30,7 @@
 	for _, name := range e.Set.LeavingServers {
 		m.leaving[name] = true
 	}
+	s.noteLeaving(first)
 	s.resetPlacement(e.Set.VMs)
 	s.updateCarried()
 }
@@ -70,3 +74,28 @@
 func (s *State) isLeaving(server currantloom.ServerName) bool {
 	return s.members.leaving[server] || s.rules.rules.Leaving(server)
 }
+
+// noteLeaving records since when each leaving server is known to leave. A server that is leaving when this node starts
+// may have been for long, so its time to drain counts as over.
+func (s *State) noteLeaving(atStart bool) {
+	m := &s.members
+	if m.leavingSince == nil {
+		m.leavingSince = make(map[currantloom.ServerName]time.Duration)
+	}
+	since := s.now
+	if atStart {
+		since -= drainExpiry
+	}
+	for _, g := range s.ordered {
+		for _, server := range g.database.Servers() {
+			name := server.Name()
+			_, known := m.leavingSince[name]
+			switch leaving := s.isLeaving(name); {
+			case leaving && !known:
+				m.leavingSince[name] = since
+			case !leaving && known:
+				delete(m.leavingSince, name)
+			}
+		}
+	}
+}
--- a/loomcore/planned.go
+++ b/loomcore/planned.go
@@ -18,6 +18,8 @@
 	// forceAfter is when a leaving primary is replaced although work still runs. The rest of the 5 s that a leaving
 	// server may get work for is needed to notice the mark and to promote.
 	forceAfter = 4500 * time.Millisecond
+	// drainExpiry is when a leaving primary gets no new work in any case.
+	drainExpiry = 5 * time.Second
 	// maxTargetAge is the lag up to which a replica can catch up while writes are held.
 	maxTargetAge = 2 * time.Second
 )
@@ -43,6 +45,13 @@
 // holdsLong reports whether new long work and new interactive transactions wait for a planned change.
 func (g *group) holdsLong() bool { return g.view != nil && g.view.change != nil }
 
+// drainExpired reports whether the primary has been leaving for so long that it gets no new work, even if no other
+// server could take over.
+func (s *State) drainExpired(g *group) bool {
+	v := g.member(g.primary)
+	return v != nil && v.leaving && s.now-v.leavingAt >= drainExpiry
+}
+
 // releaseHeld admits work that waited for a planned change or for a newer report.
 func (s *State) releaseHeld(g *group) {
 	for _, server := range g.database.Servers() {
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -108,6 +108,9 @@
 	if q.server == g.primary && s.isHeld(g, w) {
 		return false
 	}
+	if q.server == g.primary && (w.class == currantloom.Long || h.Begins) && g.holdsLong() {
+		return false
+	}
 	if q.held >= q.connectionsAllowed(s.now) {
 		return false
 	}
@@ -164,6 +167,7 @@
 	w.state = workRunning
 	w.running = true
 	w.startedAt = s.now
+	w.term = q.group.term
 	q.running = append(q.running, w)
 	if !w.pinned {
 		q.held++
