--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -133,6 +133,9 @@
 	if q.server == g.primary && s.isHeld(g, w) {
 		return false
 	}
+	if q.server == g.primary && (w.class == currantloom.Long || h.Begins) && g.holdsLong() {
+		return false
+	}
 	if q.held >= q.connectionsAllowed(s.now) {
 		return false
 	}
@@ -189,6 +192,7 @@
 	w.state = workRunning
 	w.running = true
 	w.startedAt = s.now
+	w.term = q.group.term
 	q.running = append(q.running, w)
 	weight := s.rules.rules.Weight(w.header.Database, w.header.Caller)
 	q.usage(w.class).add(w.header.Caller, weight, w.cost, s.now)
