Close connections on the core's order and add the verdict to servers' errors

CloseConnection of the carrier's core ends an idle transaction; a later request on its link is reported as not run. A rejected completion is followed by no Complete, so the work returns the rejection itself.

--- a/loomentry/run.go
+++ b/loomentry/run.go
@@ -29,7 +29,7 @@
 	defer cancel()
 	s.setRunning(r.Key)
 	w := s.watch(r.Key, cancel)
-	out := &response{writer: s.writer, statements: &s.statements, changes: p.changes}
+	out := &response{writer: s.writer, statements: &s.statements, changes: p.changes, key: r.Key}
 	t := s.send(ctx, r, p, out)
 	w.stop()
 	s.setRunning(currantloom.RequestKey{})
--- a/loomentry/session_test.go
+++ b/loomentry/session_test.go
@@ -87,7 +87,7 @@
 		batch.Queue("select $1", "a")
 		batch.Queue("fail")
 		batch.Queue("select $1", "b")
-		wantError(t, conn.SendBatch(t.Context(), batch).Close(), "42601", "")
+		wantError(t, conn.SendBatch(t.Context(), batch).Close(), "42601", "verdict=ran retry_after_ms=0 request=vm-1-")
 		wantValue(t, conn, "select $1", "select $1", "a")
 	})
 	t.Run("failed Parse is not kept", func(t *testing.T) {
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -86,6 +86,10 @@
 		if w, ok := n.works[e.Key]; ok {
 			n.spawn(w.cancel)
 		}
+	case loomcore.CloseConnection:
+		if l, ok := n.pinned[e.Transaction]; ok {
+			n.spawn(func() { l.closeConnection(e) })
+		}
 	case loomcore.ConfirmMark:
 		n.call(e.Server, func(ctx context.Context, s currantloom.DatabaseServer) loomcore.Event {
 			status, err := s.Status(ctx)
--- /dev/null
+++ b/loomnode/effect_test.go
@@ -0,0 +1,214 @@
+package loomnode
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeServer records the calls it gets and never answers Status.
+type fakeServer struct {
+	mu    sync.Mutex
+	calls []string
+}
+
+func (s *fakeServer) record(format string, args ...any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, fmt.Sprintf(format, args...))
+	return nil
+}
+
+func (s *fakeServer) recorded() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.calls, "; ")
+}
+
+func (s *fakeServer) Status(ctx context.Context) (currantloom.ServerStatus, error) {
+	<-ctx.Done()
+	_ = s.record("status %v", ctx.Err())
+	return currantloom.ServerStatus{}, ctx.Err()
+}
+
+func (s *fakeServer) RaiseTerm(
+	_ context.Context, term currantloom.Term, proposer currantloom.VMName,
+) (currantloom.TermGrant, error) {
+	return currantloom.TermGrant{Granted: true}, s.record("raise %d %s", term, proposer)
+}
+
+func (s *fakeServer) Lead(_ context.Context, term currantloom.Term) error {
+	return s.record("lead %d", term)
+}
+
+func (s *fakeServer) Follow(_ context.Context, term currantloom.Term, primary currantloom.Server) error {
+	return s.record("follow %d %s", term, primary.Address())
+}
+
+func (s *fakeServer) Acquire(context.Context) (currantloom.ServerConn, error) {
+	return nil, currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeTooManyConnections, 0, "no connection")
+}
+
+func (s *fakeServer) Close() error { return nil }
+
+// fakeControl records the effects of the control plane.
+type fakeControl struct{ fakeServer }
+
+func (c *fakeControl) Spread(e loomcore.SpreadRules) {
+	_ = c.record("spread %d", e.Document.Revision())
+}
+func (c *fakeControl) Pull(e loomcore.PullRules) { _ = c.record("pull %s", e.VM) }
+func (c *fakeControl) Watch(on bool)             { _ = c.record("watch %v", on) }
+
+type noVMs struct{}
+
+func (noVMs) VMs(ctx context.Context, _ uint64) (currantloom.VMSet, error) {
+	<-ctx.Done()
+	return currantloom.VMSet{}, ctx.Err()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func newNode(t *testing.T, log io.Writer, control Control) (*Node, *fakeServer) {
+	t.Helper()
+	server := currantloom.NewServer("a", "db", "192.0.2.1:1", currantloom.Place{})
+	n := New(Config{
+		Core: loomcore.Config{Self: "vm-1", Databases: []currantloom.Database{
+			currantloom.NewDatabase("db", 2, 16, []currantloom.Server{server}),
+		}},
+		Callers: listen(t), Links: listen(t), VMs: noVMs{}, Control: control, DrainInterval: time.Millisecond, Log: log,
+	})
+	s := &fakeServer{}
+	n.pools["a"] = s
+	return n, s
+}
+
+// TestEffects guards against effects that are lost, wait for ever, or block the reducer.
+func TestEffects(t *testing.T) {
+	var log bytes.Buffer
+	control := &fakeControl{}
+	n, server := newNode(t, &log, control)
+	go func() { _ = n.Run(context.Background()) }()
+	start := time.Now()
+	n.mu.Lock()
+	for _, e := range []loomcore.Effect{
+		loomcore.RaiseTerm{Server: "a", Term: 3}, loomcore.SpreadRules{}, loomcore.PullRules{VM: "vm-2"},
+		loomcore.WatchRules{On: true}, loomcore.SetReady{Ready: false}, loomcore.ConfirmMark{Server: "a"},
+		loomcore.Decision{Event: "promote", Term: 3, Reason: "test"}, loomcore.Lead{Server: "absent"},
+		loomcore.Forward{}, loomcore.CancelForward{}, loomcore.CancelWork{}, loomcore.Complete{},
+	} {
+		n.execute(e)
+	}
+	for range decisionQueue * 2 {
+		n.execute(loomcore.Decision{Event: "many"})
+	}
+	n.execute(loomcore.Lead{Server: "a", Term: 3})
+	n.execute(loomcore.Follow{Server: "a", Term: 3, Primary: "a"})
+	n.mu.Unlock()
+	if d := time.Since(start); d > serverTimeout {
+		t.Errorf("effects kept the reducer for %s", d)
+	}
+	time.Sleep(serverTimeout + 100*time.Millisecond)
+	if err := n.Close(); err != nil {
+		t.Error(err)
+	}
+	for _, want := range []string{"raise 3 vm-1", "lead 3", "follow 3 192.0.2.1:1", "status context deadline exceeded"} {
+		if got := server.recorded(); !strings.Contains(got, want) {
+			t.Errorf("got calls %q, want %q among them", got, want)
+		}
+	}
+	if got, want := control.recorded(), "spread 0; pull vm-2; watch true"; got != want {
+		t.Errorf("got control effects %q, want %q", got, want)
+	}
+	if n.Ready() {
+		t.Error("the node is ready, want not ready")
+	}
+	if !strings.Contains(log.String(), "msg=promote term=3 reason=test\n") {
+		t.Error("the log has no line with the fields of the decision that are not empty")
+	}
+}
+
+// TestCancelledBeforeSending guards against a cancel that is lost before the request has a link or a connection.
+func TestCancelledBeforeSending(t *testing.T) {
+	n, _ := newNode(t, io.Discard, nil)
+	defer func() {
+		_ = n.config.Callers.Close()
+		_ = n.config.Links.Close()
+	}()
+	r := &entryRequest{mailbox: newMailbox()}
+	key := n.NextKey()
+	n.mu.Lock()
+	n.entries[key] = r
+	n.cancelForward(key)
+	n.mu.Unlock()
+	if n.setLink(r, &localLink{node: n}) {
+		t.Error("a cancelled request was given a link")
+	}
+	w := &localWork{mailbox: newMailbox()}
+	w.cancel()
+	l := &localLink{node: n}
+	got := l.runOnServer(t.Context(), func() {}, w, loomcore.Run{Server: "a"}, currantloom.RequestHeader{}, nil, nil)
+	if got.Verdict != currantloom.NotRun || got.Code != currantloom.CodeQueryCanceled {
+		t.Errorf("got %+v, want a cancel before the work ran", got)
+	}
+}
+
+// fakeConn counts its releases.
+type fakeConn struct{ released int }
+
+func (c *fakeConn) Run(context.Context, currantloom.Work, currantloom.ResponseWriter) currantloom.WorkResult {
+	return currantloom.WorkResult{}
+}
+func (c *fakeConn) Cancel(context.Context) error { return nil }
+func (c *fakeConn) Release()                     { c.released++ }
+
+// TestCloseConnection guards against a request that runs on its own after the core has closed its idle transaction.
+func TestCloseConnection(t *testing.T) {
+	n, _ := newNode(t, io.Discard, nil)
+	defer func() {
+		_ = n.config.Callers.Close()
+		_ = n.config.Links.Close()
+	}()
+	for name, busy := range map[string]bool{"idle": false, "about to run": true} {
+		t.Run(name, func(t *testing.T) {
+			conn := &fakeConn{}
+			key := n.NextKey()
+			l := &localLink{node: n, conn: conn, transaction: key}
+			if busy {
+				l.begin()
+			}
+			l.closeConnection(loomcore.CloseConnection{Transaction: n.NextKey()})
+			l.closeConnection(loomcore.CloseConnection{Transaction: key, Code: currantloom.CodeIdleInTransaction})
+			if busy {
+				if conn.released != 0 {
+					t.Error("the connection was closed while a request held it")
+				}
+				l.end()
+			}
+			got := l.Run(t.Context(), currantloom.RequestHeader{Key: n.NextKey()}, nil, nil)
+			if got.Verdict != currantloom.NotRun || got.Code != currantloom.CodeIdleInTransaction || conn.released != 1 {
+				t.Errorf("got %+v and %d releases, want not run, 25P03 and one release", got, conn.released)
+			}
+		})
+	}
+}
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -71,6 +71,8 @@
 	entries      map[currantloom.RequestKey]*entryRequest
 	transactions map[currantloom.RequestKey]cancelLink
 	works        map[currantloom.RequestKey]*localWork
+	// pinned holds the links whose connections are in use, by the request that took them.
+	pinned       map[currantloom.RequestKey]*localLink
 	stopped      chan struct{}
 	stoppedOnce  sync.Once
 	stopping     chan struct{}
@@ -87,6 +89,7 @@
 		pools: make(map[currantloom.ServerName]currantloom.DatabaseServer),
 		state: loomcore.New(c.Core), entries: make(map[currantloom.RequestKey]*entryRequest),
 		transactions: make(map[currantloom.RequestKey]cancelLink), works: make(map[currantloom.RequestKey]*localWork),
+		pinned:  make(map[currantloom.RequestKey]*localLink),
 		stopped: make(chan struct{}), stopping: make(chan struct{}), finished: make(chan struct{}),
 	}
 	n.decisions = newDecisionLog(n.log)
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -27,6 +27,8 @@
 	finished  bool
 	// giveUp ends the wait for a connection.
 	giveUp context.CancelFunc
+	// rejected is the trailer of a withheld completion that must not pass; only the goroutine of the work uses it.
+	rejected *currantloom.Trailer
 }
 
 // cancel executes CancelWork.
@@ -69,6 +71,11 @@
 	conn        currantloom.ServerConn
 	server      currantloom.ServerName
 	transaction currantloom.RequestKey
+
+	mu   sync.Mutex
+	busy bool
+	// closed says why the core closed the connection of the transaction.
+	closed *loomcore.CloseConnection
 }
 
 // Cancel gives up the request if it is known to the core of this node.
@@ -82,6 +89,50 @@
 // Run runs one request. Once the context ends the work is cancelled, as on CancelWork.
 func (l *localLink) Run(
 	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
+) currantloom.Trailer {
+	if t, ok := l.begin(); !ok {
+		return t
+	}
+	defer l.end()
+	return l.run(ctx, header, body, out)
+}
+
+// begin marks the link as busy. It returns false and a trailer if the core has closed the transaction's connection.
+func (l *localLink) begin() (currantloom.Trailer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.closed; c != nil {
+		l.closed = nil
+		return currantloom.Trailer{Verdict: currantloom.NotRun, Code: c.Code, Reason: c.Reason}, false
+	}
+	l.busy = true
+	return currantloom.Trailer{}, true
+}
+
+func (l *localLink) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = false
+	if l.closed != nil {
+		l.release()
+	}
+}
+
+// closeConnection executes the effect of the same name. A request that is about to run ends first; the core rejects it.
+func (l *localLink) closeConnection(e loomcore.CloseConnection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || l.transaction != e.Transaction {
+		return
+	}
+	l.closed = &e
+	if !l.busy {
+		l.release()
+	}
+}
+
+func (l *localLink) run(
+	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
 ) currantloom.Trailer {
 	n := l.node
 	if l.conn != nil {
@@ -139,7 +190,14 @@
 	w.finish()
 	n.submit(loomcore.WorkFinished{Stamp: n.stamp(), Key: header.Key, Result: result})
 	if result.Transaction != currantloom.TransactionOpen && result.Transaction != currantloom.TransactionFailed {
-		l.Release()
+		l.mu.Lock()
+		l.release()
+		l.mu.Unlock()
+	}
+	if w.rejected != nil {
+		t := *w.rejected
+		t.Started, t.Transaction = result.Started, result.Transaction
+		return t
 	}
 	for {
 		switch e := w.take().(type) {
@@ -185,7 +243,12 @@
 	if err != nil {
 		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conn, l.server, l.transaction = conn, e.Server, header.Key
+	l.node.mu.Lock()
+	l.node.pinned[header.Key] = l
+	l.node.mu.Unlock()
 	return nil
 }
 
@@ -197,19 +260,32 @@
 		case loomcore.Acknowledge:
 			return nil
 		case loomcore.Reject:
+			w.rejected = &e.Trailer
 			return currantloom.NewRequestError(
 				e.Trailer.Verdict, e.Trailer.Code, e.Trailer.RetryAfter, "%s", e.Trailer.Reason)
 		}
 	}
 }
 
-// Release returns the connection; an open transaction is rolled back by closing it.
+// Release ends the use of the link; an open transaction is rolled back by closing its connection.
 func (l *localLink) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = nil
+	l.release()
+}
+
+// release returns the connection. The link's lock is held. Only the goroutine of the link calls it, or closeConnection
+// while the link is idle.
+func (l *localLink) release() {
 	if l.conn == nil {
 		return
 	}
 	l.conn.Release()
 	l.conn = nil
+	l.node.mu.Lock()
+	delete(l.node.pinned, l.transaction)
+	l.node.mu.Unlock()
 	l.node.submit(loomcore.TransactionEnded{Stamp: l.node.stamp(), Transaction: l.transaction})
 }
 
--- a/loompeer/serverlink.go
+++ b/loompeer/serverlink.go
@@ -55,25 +55,15 @@
 	}
 }
 
-// serve runs the requests of the link. A second goroutine reads them, so that a link closed by the entry node during
-// a run is noticed and its work given up.
+// serve runs the requests of the link.
 func (l *serverLink) serve(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	var reading sync.WaitGroup
-	defer reading.Wait()
 	defer func() { _ = l.conn.Close() }()
-	defer cancel()
-	requests := make(chan incoming)
-	_ = l.conn.SetReadDeadline(time.Now().Add(linkIdleLimit))
-	reading.Go(func() {
-		defer cancel()
-		defer close(requests)
-		l.readRequests(ctx, requests)
-	})
 	link := l.server.Open()
 	defer link.Release()
-	for q := range requests {
-		if !l.run(ctx, link, q) {
+	_ = l.conn.SetReadDeadline(time.Now().Add(linkIdleLimit))
+	for {
+		q, err := l.readRequest()
+		if err != nil || !l.run(ctx, link, q) {
 			return
 		}
 	}
@@ -81,9 +71,14 @@
 
 // run runs one request and reports whether the link may take another one.
 func (l *serverLink) run(ctx context.Context, link currantloom.Link, q incoming) bool {
+	l.setRunning(q.header.Key)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	w := &working{link: l}
 	w.start()
+	watched := l.watch(cancel)
 	t := link.Run(ctx, q.header, q.body, l)
+	watched.stop()
 	w.stop()
 	l.setRunning(currantloom.RequestKey{})
 	idle := t.Transaction != currantloom.TransactionOpen && t.Transaction != currantloom.TransactionFailed
@@ -203,23 +198,6 @@
 	}
 }
 
-func (l *serverLink) readRequests(ctx context.Context, requests chan<- incoming) {
-	for {
-		q, err := l.readRequest()
-		if err != nil {
-			return
-		}
-		// The reader has to notice the end of the link while the request runs, however long that takes.
-		_ = l.conn.SetReadDeadline(time.Time{})
-		l.setRunning(q.header.Key)
-		select {
-		case requests <- q:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // readRequest reads a header and the messages up to Query or Sync. It answers probes and cancels in front of them.
 func (l *serverLink) readRequest() (incoming, error) {
 	for {
