--- a/cmd/currantloom/fake_test.go
+++ b/cmd/currantloom/fake_test.go
@@ -55,6 +55,12 @@
 	return g.inserted[id]
 }
 
+func (g *fakeGroup) cancelCount() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cancelled
+}
+
 type fakeConn struct {
 	group   *fakeGroup
 	role    string
--- a/cmd/currantloom/node_test.go
+++ b/cmd/currantloom/node_test.go
@@ -69,6 +69,7 @@
 				t.Fatal(err)
 			}
 			cancelRunning(t, conn, "select sleep(20001)")
+			leaveRunning(t, group, address)
 		})
 	}
 }
@@ -85,6 +86,21 @@
 	}
 }
 
+// leaveRunning closes a client connection while its statement runs and expects a cancel at the server.
+func leaveRunning(t *testing.T, group *fakeGroup, address string) {
+	t.Helper()
+	before := group.cancelCount()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, _ = dial(t, address).Exec(ctx, "select sleep(20002)")
+	for end := time.Now().Add(3 * time.Second); group.cancelCount() == before; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Error("the statement of a client that is gone was not cancelled")
+			return
+		}
+	}
+}
+
 // TestNodeStop guards against goroutines and connections that outlive a node, and against requests that it cuts off.
 func TestNodeStop(t *testing.T) {
 	group, servers := startFakeGroup(t)
--- a/loomnode/effect_test.go
+++ b/loomnode/effect_test.go
@@ -164,10 +164,10 @@
 	if n.setLink(r, &localLink{node: n}) {
 		t.Error("a cancelled request was given a link")
 	}
-	w := &localWork{mailbox: newMailbox()}
+	w := &localWork{mailbox: newMailbox(), giveUp: func() {}}
 	w.cancel()
 	l := &localLink{node: n}
-	got := l.runOnServer(t.Context(), func() {}, w, loomcore.Run{Server: "a"}, currantloom.RequestHeader{}, nil, nil)
+	got := l.runOnServer(t.Context(), w, loomcore.Run{Server: "a"}, currantloom.RequestHeader{}, nil, nil)
 	if got.Verdict != currantloom.NotRun || got.Code != currantloom.CodeQueryCanceled {
 		t.Errorf("got %+v, want a cancel before the work ran", got)
 	}
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -25,8 +25,10 @@
 	conn      currantloom.ServerConn
 	cancelled bool
 	finished  bool
-	// giveUp ends the wait for a connection.
+	// giveUp ends the wait for a connection and the run itself.
 	giveUp context.CancelFunc
+	// grace ends work that does not end after its cancel.
+	grace *time.Timer
 	// rejected is the trailer of a withheld completion that must not pass; only the goroutine of the work uses it.
 	rejected *currantloom.Trailer
 }
@@ -40,9 +42,7 @@
 	}
 	w.cancelled = true
 	if w.conn == nil {
-		if w.giveUp != nil {
-			w.giveUp()
-		}
+		w.giveUp()
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
@@ -50,6 +50,17 @@
 	_ = w.conn.Cancel(ctx)
 }
 
+// expire gives the work up because its context or its time has ended. Its connection is closed only if the cancel at
+// the server does not end it.
+func (w *localWork) expire(n *Node, key currantloom.RequestKey) {
+	w.mu.Lock()
+	if w.grace == nil && !w.finished {
+		w.grace = time.AfterFunc(cancelGrace, w.giveUp)
+	}
+	w.mu.Unlock()
+	n.CancelWork(key)
+}
+
 // start notes the connection that the work runs on. It reports false if the work was cancelled before.
 func (w *localWork) start(conn currantloom.ServerConn) bool {
 	w.mu.Lock()
@@ -63,6 +74,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.finished = true
+	if w.grace != nil {
+		w.grace.Stop()
+	}
 }
 
 // localLink runs requests at servers that this node carries. It holds the server connection of an open transaction.
@@ -138,55 +152,38 @@
 	if l.conn != nil {
 		header.Server = l.server
 	}
-	w := &localWork{mailbox: newMailbox()}
+	hard, giveUp := context.WithCancel(context.Background())
+	defer giveUp()
+	w := &localWork{mailbox: newMailbox(), giveUp: giveUp}
+	defer w.finish()
 	n.mu.Lock()
 	n.works[header.Key] = w
 	n.mu.Unlock()
 	defer n.forgetWork(header.Key)
-	stop := context.AfterFunc(ctx, func() { n.CancelWork(header.Key) })
-	defer stop()
 	n.submit(loomcore.WorkArrived{
 		Stamp: n.stamp(), Header: header, Pinned: l.conn != nil, Transaction: l.transaction,
 	})
-	if ctx.Err() != nil {
-		n.CancelWork(header.Key)
-	}
+	stop := context.AfterFunc(ctx, func() { w.expire(n, header.Key) })
+	defer stop()
 	for {
 		switch e := w.take().(type) {
 		case loomcore.Reject:
 			return e.Trailer
 		case loomcore.Run:
-			return l.runWork(ctx, w, e, header, body, out)
+			limit := time.AfterFunc(e.Limit, func() { w.expire(n, header.Key) })
+			defer limit.Stop()
+			return l.runWork(hard, w, e, header, body, out)
 		}
 	}
 }
 
-// runWork runs admitted work on the transaction's connection or one of the pool. At the deadline the work is cancelled
-// at the server; only if that does not end it the connection is closed.
+// runWork runs admitted work on the transaction's connection or one of the pool.
 func (l *localLink) runWork(
 	ctx context.Context, w *localWork, e loomcore.Run, header currantloom.RequestHeader, body []byte,
 	out currantloom.ResponseWriter,
 ) currantloom.Trailer {
 	n := l.node
-	hard, giveUp := context.WithCancel(context.WithoutCancel(ctx))
-	defer giveUp()
-	soft, cancel := context.WithTimeout(ctx, e.Limit)
-	defer cancel()
-	var grace *time.Timer
-	var graceLock sync.Mutex
-	stop := context.AfterFunc(soft, func() {
-		graceLock.Lock()
-		grace = time.AfterFunc(cancelGrace, giveUp)
-		graceLock.Unlock()
-		n.CancelWork(header.Key)
-	})
-	result := l.runOnServer(hard, giveUp, w, e, header, body, out)
-	stop()
-	graceLock.Lock()
-	if grace != nil {
-		grace.Stop()
-	}
-	graceLock.Unlock()
+	result := l.runOnServer(ctx, w, e, header, body, out)
 	w.finish()
 	n.submit(loomcore.WorkFinished{Stamp: n.stamp(), Key: header.Key, Result: result})
 	if result.Transaction != currantloom.TransactionOpen && result.Transaction != currantloom.TransactionFailed {
@@ -210,11 +207,10 @@
 }
 
 func (l *localLink) runOnServer(
-	ctx context.Context, giveUp context.CancelFunc, w *localWork, e loomcore.Run, header currantloom.RequestHeader,
-	body []byte, out currantloom.ResponseWriter,
+	ctx context.Context, w *localWork, e loomcore.Run, header currantloom.RequestHeader, body []byte,
+	out currantloom.ResponseWriter,
 ) currantloom.WorkResult {
 	w.mu.Lock()
-	w.giveUp = giveUp
 	cancelled := w.cancelled
 	w.mu.Unlock()
 	var err error
