--- a/loomnode/control_test.go
+++ b/loomnode/control_test.go
@@ -62,15 +62,6 @@
 	return currantloom.VMSet{VMs: f, Index: 1}, nil
 }
 
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
-}
-
 // cluster starts nodes of one region; the function starts the node at i.
 func cluster(t *testing.T, n int, store currantloom.ConfigStore) (vms fixedVMs, start func(i int) *Node) {
 	t.Helper()
--- a/loomnode/metrics.go
+++ b/loomnode/metrics.go
@@ -70,17 +70,21 @@
 	started time.Duration
 }
 
+// newMetrics returns metrics that count nothing until they are started.
 func newMetrics() *metrics {
-	m := &metrics{
-		labelled: make(map[labels]tally.Scope), entries: make(map[currantloom.RequestKey]*entryMetric),
-		works: make(map[currantloom.RequestKey]*workMetric),
+	return &metrics{
+		scope: tally.NoopScope, labelled: make(map[labels]tally.Scope),
+		entries: make(map[currantloom.RequestKey]*entryMetric), works: make(map[currantloom.RequestKey]*workMetric),
 	}
+}
+
+// start begins to count and to report. It is called before the first event.
+func (m *metrics) start() {
 	m.reporter = tallyprom.NewReporter(tallyprom.Options{Registerer: prometheus.NewRegistry()})
 	m.scope, m.closer = tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "currantloom", CachedReporter: m.reporter, Separator: tallyprom.DefaultSeparator,
 		SanitizeOptions: &sanitizer, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return m
 }
 
 func (m *metrics) with(l labels) tally.Scope {
@@ -207,4 +211,8 @@
 	}
 }
 
-func (m *metrics) close() { _ = m.closer.Close() }
+func (m *metrics) close() {
+	if m.closer != nil {
+		_ = m.closer.Close()
+	}
+}
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -138,6 +138,9 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.mu.Lock()
 	n.running = true
+	if n.config.HTTP != nil {
+		n.metrics.start()
+	}
 	n.mu.Unlock()
 	defer close(n.finished)
 	var g run.Group
