--- a/cmd/currantloom/main.go
+++ b/cmd/currantloom/main.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loommeasure"
 )
 
 var version = "0.1.0"
@@ -37,6 +38,8 @@
 	timeout      time.Duration
 	afterRestore bool
 	once         bool
+	json         bool
+	seeds        int
 	files        [maxFiles]string
 }
 
@@ -58,7 +61,7 @@
 type commands struct {
 	parser                                 *flaggy.Parser
 	serve, check, rules, apply, show, diff *flaggy.Subcommand
-	status, demo                           *flaggy.Subcommand
+	status, demo, measure                  *flaggy.Subcommand
 	options                                options
 }
 
@@ -97,6 +100,10 @@
 	c.status.Duration(&o.timeout, "t", "timeout", "time to wait for the node")
 	c.demo = c.add(nil, "demo", "Run a platform stand-in, two database groups and three nodes in this process.",
 		"currantloom demo --once")
+	c.measure = c.add(nil, "measure", "Run the measures in virtual time, the policy against its baselines.",
+		"currantloom measure --seeds 3")
+	c.measure.Int(&o.seeds, "", "seeds", "runs of each measure, with different random numbers; 0 means 5")
+	c.measure.Bool(&o.json, "j", "json", "print JSON")
 	c.demo.Bool(&o.once, "", "once", "run a scripted booking through two nodes, print what happened and exit")
 	return c
 }
@@ -141,6 +148,8 @@
 		return runDiff(ctx, o)
 	case c.status.Used:
 		return runStatus(ctx, o)
+	case c.measure.Used:
+		return loommeasure.Run(os.Stdout, loommeasure.Options{JSON: o.json, Seeds: o.seeds})
 	case c.demo.Used:
 		return runDemo(ctx, o.once)
 	}
