--- a/loomsettings/settings_test.go
+++ b/loomsettings/settings_test.go
@@ -75,3 +75,20 @@
 		t.Errorf("docs/settings.md must hold this table:\n%s", want.String())
 	}
 }
+
+// FuzzParse guards against a panic on any text, and against settings that are returned together with a fault.
+func FuzzParse(f *testing.F) {
+	paths, _ := filepath.Glob("testdata/*.txt")
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if s, err := Parse("f", data); (s == nil) == (err == nil) {
+			t.Fatalf("got settings %v with error %v", s, err)
+		}
+	})
+}
