Treat a leaving mark that a node learns of after a pause as old

Ruled out: a time stamp in the VM list, which the platform does not give.

Conclusion: events within 1 s of a pause of more than 1 s may be late, and are treated like those at the start of the node.

--- a/loomcore/members.go
+++ b/loomcore/members.go
@@ -30,7 +30,7 @@
 	for _, name := range e.Set.LeavingServers {
 		m.leaving[name] = true
 	}
-	s.noteLeaving(first)
+	s.noteLeaving(first || s.mayBeLate())
 	s.resetPlacement(e.Set.VMs)
 	s.updateCarried()
 }
@@ -75,15 +75,15 @@
 	return s.members.leaving[server] || s.rules.rules.Leaving(server)
 }
 
-// noteLeaving records since when each leaving server is known to leave. A server that is leaving when this node starts
-// may have been for long, so its time to drain counts as over.
-func (s *State) noteLeaving(atStart bool) {
+// noteLeaving records since when each leaving server is known to leave. A server that a node learns of late, at its
+// start or after a pause, may have been leaving for long, so its time to drain counts as over.
+func (s *State) noteLeaving(late bool) {
 	m := &s.members
 	if m.leavingSince == nil {
 		m.leavingSince = make(map[currantloom.ServerName]time.Duration)
 	}
 	since := s.now
-	if atStart {
+	if late {
 		since -= drainExpiry
 	}
 	for _, g := range s.ordered {
--- a/loomcore/rules.go
+++ b/loomcore/rules.go
@@ -56,7 +56,7 @@
 	}
 	s.rules.document = e.Document
 	s.rules.rules = *e.Rules
-	s.noteLeaving(own == 0)
+	s.noteLeaving(own == 0 || s.mayBeLate())
 	s.emit(Decision{Event: "rules", VM: e.From, Revision: revision, Reason: "newer revision in effect"})
 	if targets := s.rulesTargets(e.From); len(targets) > 0 {
 		s.emit(SpreadRules{VMs: targets, Document: e.Document})
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -9,6 +9,13 @@
 // TickInterval is the time between two Tick events.
 const TickInterval = 50 * time.Millisecond
 
+const (
+	// pauseGap is a time without events that only a pause of the process explains, since ticks come every 50 ms.
+	pauseGap = time.Second
+	// resumePeriod is how long after a pause events may be late by the length of the pause.
+	resumePeriod = time.Second
+)
+
 // Config is what a node learns from its settings.
 type Config struct {
 	Self      currantloom.VMName
@@ -23,6 +30,8 @@
 	now     time.Duration
 	random  uint64
 	effects []Effect
+	// resumedAt is the end of the last pause of the process.
+	resumedAt time.Duration
 
 	rules   rulesInEffect
 	members members
@@ -52,6 +61,9 @@
 // Reduce applies an event and returns its effects in order. The slice is valid until the next call.
 func (s *State) Reduce(e Event) []Effect {
 	stamp := e.stamp()
+	if stamp.Now-s.now > pauseGap {
+		s.resumedAt = stamp.Now
+	}
 	s.now = max(s.now, stamp.Now)
 	s.random = stamp.Random
 	s.effects = s.effects[:0]
@@ -126,5 +138,9 @@
 	s.tickStop()
 }
 
+// mayBeLate reports whether the current event may tell of something that happened long ago, because the node has just
+// started or resumed.
+func (s *State) mayBeLate() bool { return s.now-s.resumedAt < resumePeriod }
+
 // emit appends an effect to those of the current event.
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
