Wait for open transactions and for a replica that can catch up

Cause: a planned change counted only running statements while it held writes, so it cut off a leaving primary's idle transaction after 3 s instead of 4.5 s; and a rule that names a replica which stays behind made new long work and new transactions wait for it without an end.

A hold now also waits for open transactions, and a change by rule starts only when the target can catch up within the hold, and ends if it falls behind.

--- a/loomcore/planned.go
+++ b/loomcore/planned.go
@@ -74,11 +74,12 @@
 		}
 		return
 	}
-	if v.change == nil && s.now < v.changeAt {
+	leaving := v.members[g.primary].leaving
+	if v.change == nil && (s.now < v.changeAt || !leaving && !g.caughtUp(target, s.now)) {
 		return
 	}
 	if v.change == nil {
-		v.change = &plannedChange{startedAt: s.now, leaving: v.members[g.primary].leaving, reason: reason}
+		v.change = &plannedChange{startedAt: s.now, leaving: leaving, reason: reason}
 		s.emit(Decision{Event: "planned change", Server: target, VM: s.self, Term: g.term, Reason: reason})
 	}
 	if !v.change.holding {
@@ -96,21 +97,11 @@
 		s.propose(g, c.target, c.reason+"; the time to drain is over")
 		return
 	}
-	if !c.holding {
-		if !g.caughtUp(c.target, s.now) {
-			return
-		}
-		limit := drainLimitOfRule
-		if c.leaving {
-			limit = drainLimitOfLeaving
-		}
-		if l.lasting > 0 && s.now-c.startedAt < limit {
-			return
-		}
-		c.holding, c.holdUntil = true, s.now+holdLimit
+	if !c.holding && !s.beginHold(g, c, l) {
+		return
 	}
 	target := g.view.members[c.target]
-	if l.running > 0 {
+	if l.running+l.lasting > 0 {
 		c.quiet = false
 	} else if !c.quiet {
 		c.quiet, c.quietAt = true, s.now
@@ -127,6 +118,25 @@
 	s.pollNow(target)
 }
 
+// beginHold holds new writes once the lasting work has ended, or has had its time, and the target can catch up.
+func (s *State) beginHold(g *group, c *plannedChange, l load) bool {
+	limit := drainLimitOfRule
+	if c.leaving {
+		limit = drainLimitOfLeaving
+	}
+	switch {
+	case l.lasting > 0 && s.now-c.startedAt < limit:
+		return false
+	case g.caughtUp(c.target, s.now):
+		c.holding, c.holdUntil = true, s.now+holdLimit
+		return true
+	case !c.leaving:
+		// New long work must not wait for a replica that may stay behind.
+		s.endChange(g, "the target is behind; tried again later")
+	}
+	return false
+}
+
 // endChange releases the held work. The next try comes after a while, unless another server is primary by then.
 func (s *State) endChange(g *group, reason string) {
 	c := g.view.change
--- a/loomcore/planned_test.go
+++ b/loomcore/planned_test.go
@@ -29,19 +29,26 @@
 		least      time.Duration
 		most       time.Duration
 		mostOutage time.Duration
+		// idle says that a transaction stays open without a statement.
+		idle bool
 	}{
-		{"no work", nil, 0, 0, 400 * time.Millisecond, 250 * time.Millisecond},
-		{"short work ends within the hold", &work{running: true}, ms(100), 0, ms(500), 250 * time.Millisecond},
+		{"no work", nil, 0, 0, 400 * time.Millisecond, 250 * time.Millisecond, false},
+		{"short work ends within the hold", &work{running: true}, ms(100), 0, ms(500), 250 * time.Millisecond, false},
 		{"long work ends in time", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
-			2 * time.Second, 2 * time.Second, ms(2500), 250 * time.Millisecond},
-		{"transaction ends in time", &work{running: true, pinned: true}, time.Second, time.Second, ms(1500), ms(250)},
+			2 * time.Second, 2 * time.Second, ms(2500), 250 * time.Millisecond, false},
+		{"transaction ends in time", &work{running: true, pinned: true}, time.Second, time.Second, ms(1500), ms(250), false},
 		{"work does not end", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
-			0, 3 * time.Second, 5 * time.Second, 500 * time.Millisecond},
+			0, 3 * time.Second, 5 * time.Second, 500 * time.Millisecond, false},
+		{"transaction stays idle", nil, 0, 4 * time.Second, 5 * time.Second, 500 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(1, 5, t.Fatalf)
 			w.run(3 * time.Second)
 			n := w.carrierIn(serverA)
+			if c.idle {
+				x := &transaction{queue: &queue{server: serverA}}
+				n.state.carrier.transactions.ordered = []*transaction{x}
+			}
 			if c.work != nil {
 				c.work.header.Server = serverA
 				n.state.carrier.works = map[currantloom.RequestKey]*work{{}: c.work}
@@ -74,6 +81,19 @@
 	}
 }
 
+// rule puts a rules file into effect on all nodes.
+func (w *world) rule(text string) {
+	rules, err := loomrules.Parse(text + "\n")
+	if err != nil {
+		w.fail("rules: %v", err)
+	}
+	for _, n := range w.nodes {
+		w.deliver(n, RulesReceived{
+			Stamp: w.stamp(), Document: currantloom.NewRulesDocument(1, "1", text), Rules: rules,
+		})
+	}
+}
+
 // runWhile runs as long as the condition holds, but no longer than the limit.
 func (w *world) runWhile(limit time.Duration, condition func() bool) {
 	for end := w.now + limit; condition() && w.now < end; {
@@ -152,6 +172,39 @@
 	}
 }
 
+// TestTargetBehind guards against long work that waits for a replica that stays behind, and against a change that holds
+// writes for it.
+func TestTargetBehind(t *testing.T) {
+	t.Run("named by a rule", func(t *testing.T) {
+		w := newWorld(1, 5, t.Fatalf)
+		w.server(serverC).behind = true
+		w.run(5 * time.Second)
+		w.rule("primary wheel-core-1 wheel-core-1-c # op")
+		g := w.carrierIn(serverA).state.groups[testDatabase]
+		for range 600 {
+			w.run(10 * time.Millisecond)
+			if g.holdsLong() || g.holdsWrites() {
+				t.Fatalf("at %v: work waits for a replica that is behind", w.now)
+			}
+		}
+		w.server(serverC).behind = false
+		w.run(7 * time.Second)
+		if name := w.primaryName(); name != serverC {
+			t.Errorf("got primary %q after the replica caught up, want %s", name, serverC)
+		}
+	})
+	t.Run("nearest to a leaving primary", func(t *testing.T) {
+		w := newWorld(1, 5, t.Fatalf)
+		w.server(serverB).behind = true
+		w.run(5 * time.Second)
+		w.leave(serverA)
+		w.run(time.Second)
+		if name := w.primaryName(); name != serverC {
+			t.Errorf("got primary %q, want %s, which has the position", name, serverC)
+		}
+	})
+}
+
 // TestRulePrimary guards against a rule that has no effect, that moves the primary away from a server again and again,
 // or that cuts off running work.
 func TestRulePrimary(t *testing.T) {
@@ -169,10 +222,6 @@
 		{"unknown server", "primary wheel-core-1 wheel-core-9-x # op", nil, serverA, 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			rules, err := loomrules.Parse(c.rules + "\n")
-			if err != nil {
-				t.Fatal(err)
-			}
 			w := newWorld(1, 5, t.Fatalf)
 			w.run(3 * time.Second)
 			if c.work != nil {
@@ -182,11 +231,7 @@
 			if c.name == "named server is leaving" {
 				w.leave(serverB)
 			}
-			for _, n := range w.nodes {
-				w.deliver(n, RulesReceived{
-					Stamp: w.stamp(), Document: currantloom.NewRulesDocument(1, "1", c.rules), Rules: rules,
-				})
-			}
+			w.rule(c.rules)
 			w.run(20 * time.Second)
 			if name := w.primaryName(); name != c.want || w.server(name).term != c.wantTerm {
 				t.Errorf("got primary %q, want %s in term %d", name, c.want, c.wantTerm)
--- a/loomcore/world_test.go
+++ b/loomcore/world_test.go
@@ -63,6 +63,8 @@
 	heardAt       time.Duration
 	pausedUntil   time.Duration
 	refuses       bool
+	// behind says that the server hears from its primary but does not apply its log.
+	behind bool
 }
 
 type message struct {
@@ -314,6 +316,9 @@
 				continue
 			}
 			r.heardAt = w.now
+			if r.behind {
+				continue
+			}
 			r.log = append(r.log[:0], p.log...)
 			holders++
 		}
