--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -10,6 +10,11 @@
 	// controlConnections of each server's limit are kept for control, because the carriers of the three servers of a
 	// database poll all three.
 	controlConnections = 4
+	// admittedWait is the part in percent of the time until work has to start that it may be expected to wait. The
+	// rest covers errors of the estimate, so that work is refused when it arrives and not after a wait.
+	admittedWait = 75
+	// busyShort is the run time that short work starts per usageWindow from which on it gets a second slot.
+	busyShort = usageWindow / 20
 	// minRetryAfter is the least time after which a refused request shall be retried.
 	minRetryAfter = 100 * time.Millisecond
 	// allowanceStep is the time after which one more connection is tried after the server refused some.
@@ -22,6 +27,9 @@
 	group  *group
 	short  share
 	long   share
+	// shortUsage and longUsage hold what each caller used of the class lately.
+	shortUsage usages
+	longUsage  usages
 	// running holds the work that occupies a slot, in the order of start.
 	running []*work
 	// held counts the connections in use, byCaller those of each caller.
@@ -42,7 +50,10 @@
 	if q, ok := c.queues[server]; ok {
 		return q
 	}
-	q := &queue{server: server, group: g, byCaller: make(map[currantloom.CallerName]int)}
+	q := &queue{
+		server: server, group: g, byCaller: make(map[currantloom.CallerName]int),
+		shortUsage: make(usages), longUsage: make(usages),
+	}
 	c.queues[server] = q
 	c.ordered = append(c.ordered, q)
 	return q
@@ -55,8 +66,22 @@
 	return &q.short
 }
 
-// longSlots is the number of slots that long work may take; one is reserved for short work.
-func (q *queue) longSlots() int { return max(1, q.group.database.Slots()-1) }
+func (q *queue) usage(class currantloom.Class) usages {
+	if class == currantloom.Long {
+		return q.longUsage
+	}
+	return q.shortUsage
+}
+
+// longSlots is the number of slots that long work may take. One is reserved for short work; a second one is while there
+// is short work, because a single slot makes it wait for itself.
+func (q *queue) longSlots(now time.Duration) int {
+	reserved := 1
+	if q.shortUsage.total(now) > busyShort {
+		reserved = 2
+	}
+	return max(1, q.group.database.Slots()-reserved)
+}
 
 // longRunning counts the running long work, and says whether some of it started as short work.
 func (q *queue) longRunning() (count int, reclassified bool) {
@@ -135,7 +160,7 @@
 		if w == nil {
 			return
 		}
-		if s.now >= w.deadline {
+		if s.now >= w.startBy {
 			s.refuseLate(q, w)
 			continue
 		}
@@ -151,7 +176,7 @@
 func (s *State) nextWork(g *group, q *queue) *work {
 	can := func(w *work) bool { return s.canStart(g, q, w) }
 	long, _ := q.longRunning()
-	if long < q.longSlots() && len(q.running) < g.database.Slots() {
+	if long < q.longSlots(s.now) && len(q.running) < g.database.Slots() {
 		if w := q.long.next(can); w != nil {
 			return w
 		}
@@ -169,6 +194,8 @@
 	w.startedAt = s.now
 	w.term = q.group.term
 	q.running = append(q.running, w)
+	weight := s.rules.rules.Weight(w.header.Database, w.header.Caller)
+	q.usage(w.class).add(w.header.Caller, weight, w.cost, s.now)
 	if !w.pinned {
 		q.held++
 		q.byCaller[w.header.Caller]++
@@ -200,26 +227,14 @@
 }
 
 // estimateWait returns how long new work of the caller is expected to wait. Under deficit round robin it waits for its
-// caller's earlier work at the caller's share of the slots, and at most for all waiting work of its class.
+// caller's earlier work, at the rate that the other callers leave to it, and for running work if no slot is free.
 func (s *State) estimateWait(q *queue, w *work) time.Duration {
 	sh := q.share(w.class)
-	lanes := q.longSlots()
+	lanes := q.longSlots(s.now)
 	if w.class == currantloom.Short {
 		lanes = max(1, q.shortSlots())
 	}
-	ahead := sh.total
-	if len(sh.accounts) > 0 {
-		weight := time.Duration(max(1, s.rules.rules.Weight(w.header.Database, w.header.Caller)))
-		all := time.Duration(sh.weights())
-		own := time.Duration(0)
-		if a := sh.account(w.header.Caller); a != nil {
-			own = a.total
-		} else {
-			all += weight
-		}
-		ahead = min(ahead, own*all/weight)
-	}
-	busy := 0
+	busy, ahead := 0, time.Duration(0)
 	for _, r := range q.running {
 		if r.class == w.class {
 			busy++
@@ -229,15 +244,19 @@
 	if busy < lanes && len(sh.accounts) == 0 {
 		return 0
 	}
-	return ahead / time.Duration(lanes)
+	if a := sh.account(w.header.Caller); a != nil {
+		ahead += a.total
+	}
+	weight := s.rules.rules.Weight(w.header.Database, w.header.Caller)
+	return ahead * 1000 / time.Duration(q.usage(w.class).available(w.header.Caller, weight, lanes, s.now))
 }
 
 // enqueue puts work into the queue, or refuses it if it cannot start in time.
 func (s *State) enqueue(q *queue, w *work) {
 	wait := s.estimateWait(q, w)
-	if s.now+wait > w.startBy {
+	if limit := (w.startBy - s.now) * admittedWait / 100; wait > limit {
 		s.reject(w, currantloom.CodeTooManyConnections, "estimated wait exceeds the deadline",
-			max(minRetryAfter, s.now+wait-w.startBy))
+			max(minRetryAfter, wait-limit))
 		return
 	}
 	w.state = workWaiting
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -25,8 +25,12 @@
 	conn      currantloom.ServerConn
 	cancelled bool
 	finished  bool
-	// giveUp ends the wait for a connection.
+	// giveUp ends the wait for a connection and the run itself.
 	giveUp context.CancelFunc
+	// grace ends work that does not end after its cancel.
+	grace *time.Timer
+	// rejected is the trailer of a withheld completion that must not pass; only the goroutine of the work uses it.
+	rejected *currantloom.Trailer
 }
 
 // cancel executes CancelWork.
@@ -38,9 +42,7 @@
 	}
 	w.cancelled = true
 	if w.conn == nil {
-		if w.giveUp != nil {
-			w.giveUp()
-		}
+		w.giveUp()
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
@@ -48,6 +50,17 @@
 	_ = w.conn.Cancel(ctx)
 }
 
+// expire gives the work up because its context or its time has ended. Its connection is closed only if the cancel at
+// the server does not end it.
+func (w *localWork) expire(n *Node, key currantloom.RequestKey) {
+	w.mu.Lock()
+	if w.grace == nil && !w.finished {
+		w.grace = time.AfterFunc(cancelGrace, w.giveUp)
+	}
+	w.mu.Unlock()
+	n.CancelWork(key)
+}
+
 // start notes the connection that the work runs on. It reports false if the work was cancelled before.
 func (w *localWork) start(conn currantloom.ServerConn) bool {
 	w.mu.Lock()
@@ -61,6 +74,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.finished = true
+	if w.grace != nil {
+		w.grace.Stop()
+	}
 }
 
 // localLink runs requests at servers that this node carries. It holds the server connection of an open transaction.
@@ -69,6 +85,11 @@
 	conn        currantloom.ServerConn
 	server      currantloom.ServerName
 	transaction currantloom.RequestKey
+
+	mu   sync.Mutex
+	busy bool
+	// closed says why the core closed the connection of the transaction.
+	closed *loomcore.CloseConnection
 }
 
 // Cancel gives up the request if it is known to the core of this node.
@@ -82,64 +103,98 @@
 // Run runs one request. Once the context ends the work is cancelled, as on CancelWork.
 func (l *localLink) Run(
 	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
+) currantloom.Trailer {
+	if t, ok := l.begin(); !ok {
+		return t
+	}
+	defer l.end()
+	return l.run(ctx, header, body, out)
+}
+
+// begin marks the link as busy. It returns false and a trailer if the core has closed the transaction's connection.
+func (l *localLink) begin() (currantloom.Trailer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.closed; c != nil {
+		l.closed = nil
+		return currantloom.Trailer{Verdict: currantloom.NotRun, Code: c.Code, Reason: c.Reason}, false
+	}
+	l.busy = true
+	return currantloom.Trailer{}, true
+}
+
+func (l *localLink) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.busy = false
+	if l.closed != nil {
+		l.release()
+	}
+}
+
+// closeConnection executes the effect of the same name. A request that is about to run ends first; the core rejects it.
+func (l *localLink) closeConnection(e loomcore.CloseConnection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil || l.transaction != e.Transaction {
+		return
+	}
+	l.closed = &e
+	if !l.busy {
+		l.release()
+	}
+}
+
+func (l *localLink) run(
+	ctx context.Context, header currantloom.RequestHeader, body []byte, out currantloom.ResponseWriter,
 ) currantloom.Trailer {
 	n := l.node
 	if l.conn != nil {
 		header.Server = l.server
 	}
-	w := &localWork{mailbox: newMailbox()}
+	hard, giveUp := context.WithCancel(context.Background())
+	defer giveUp()
+	w := &localWork{mailbox: newMailbox(), giveUp: giveUp}
+	defer w.finish()
 	n.mu.Lock()
 	n.works[header.Key] = w
 	n.mu.Unlock()
 	defer n.forgetWork(header.Key)
-	stop := context.AfterFunc(ctx, func() { n.CancelWork(header.Key) })
-	defer stop()
 	n.submit(loomcore.WorkArrived{
 		Stamp: n.stamp(), Header: header, Pinned: l.conn != nil, Transaction: l.transaction,
 	})
-	if ctx.Err() != nil {
-		n.CancelWork(header.Key)
-	}
+	stop := context.AfterFunc(ctx, func() { w.expire(n, header.Key) })
+	defer stop()
 	for {
 		switch e := w.take().(type) {
 		case loomcore.Reject:
 			return e.Trailer
 		case loomcore.Run:
-			return l.runWork(ctx, w, e, header, body, out)
+			limit := time.AfterFunc(e.Limit, func() { w.expire(n, header.Key) })
+			defer limit.Stop()
+			return l.runWork(hard, w, e, header, body, out)
 		}
 	}
 }
 
-// runWork runs admitted work on the transaction's connection or one of the pool. At the deadline the work is cancelled
-// at the server; only if that does not end it the connection is closed.
+// runWork runs admitted work on the transaction's connection or one of the pool.
 func (l *localLink) runWork(
 	ctx context.Context, w *localWork, e loomcore.Run, header currantloom.RequestHeader, body []byte,
 	out currantloom.ResponseWriter,
 ) currantloom.Trailer {
 	n := l.node
-	hard, giveUp := context.WithCancel(context.WithoutCancel(ctx))
-	defer giveUp()
-	soft, cancel := context.WithTimeout(ctx, e.Limit)
-	defer cancel()
-	var grace *time.Timer
-	var graceLock sync.Mutex
-	stop := context.AfterFunc(soft, func() {
-		graceLock.Lock()
-		grace = time.AfterFunc(cancelGrace, giveUp)
-		graceLock.Unlock()
-		n.CancelWork(header.Key)
-	})
-	result := l.runOnServer(hard, giveUp, w, e, header, body, out)
-	stop()
-	graceLock.Lock()
-	if grace != nil {
-		grace.Stop()
-	}
-	graceLock.Unlock()
+	result := l.runOnServer(ctx, w, e, header, body, out)
 	w.finish()
 	n.submit(loomcore.WorkFinished{Stamp: n.stamp(), Key: header.Key, Result: result})
 	if result.Transaction != currantloom.TransactionOpen && result.Transaction != currantloom.TransactionFailed {
-		l.Release()
+		l.mu.Lock()
+		l.release()
+		l.mu.Unlock()
+	}
+	if w.rejected != nil {
+		t := *w.rejected
+		t.Started, t.Transaction = result.Started, result.Transaction
+		return t
 	}
 	for {
 		switch e := w.take().(type) {
@@ -152,11 +207,10 @@
 }
 
 func (l *localLink) runOnServer(
-	ctx context.Context, giveUp context.CancelFunc, w *localWork, e loomcore.Run, header currantloom.RequestHeader,
-	body []byte, out currantloom.ResponseWriter,
+	ctx context.Context, w *localWork, e loomcore.Run, header currantloom.RequestHeader, body []byte,
+	out currantloom.ResponseWriter,
 ) currantloom.WorkResult {
 	w.mu.Lock()
-	w.giveUp = giveUp
 	cancelled := w.cancelled
 	w.mu.Unlock()
 	var err error
@@ -185,7 +239,12 @@
 	if err != nil {
 		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conn, l.server, l.transaction = conn, e.Server, header.Key
+	l.node.mu.Lock()
+	l.node.pinned[header.Key] = l
+	l.node.mu.Unlock()
 	return nil
 }
 
@@ -197,19 +256,32 @@
 		case loomcore.Acknowledge:
 			return nil
 		case loomcore.Reject:
+			w.rejected = &e.Trailer
 			return currantloom.NewRequestError(
 				e.Trailer.Verdict, e.Trailer.Code, e.Trailer.RetryAfter, "%s", e.Trailer.Reason)
 		}
 	}
 }
 
-// Release returns the connection; an open transaction is rolled back by closing it.
+// Release ends the use of the link; an open transaction is rolled back by closing its connection.
 func (l *localLink) Release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = nil
+	l.release()
+}
+
+// release returns the connection. The link's lock is held. Only the goroutine of the link calls it, or closeConnection
+// while the link is idle.
+func (l *localLink) release() {
 	if l.conn == nil {
 		return
 	}
 	l.conn.Release()
 	l.conn = nil
+	l.node.mu.Lock()
+	delete(l.node.pinned, l.transaction)
+	l.node.mu.Unlock()
 	l.node.submit(loomcore.TransactionEnded{Stamp: l.node.stamp(), Transaction: l.transaction})
 }
 
