Measure the held writes of a planned change from its start

TestLeavingPrimary let 50 ms pass before it counted the time in which writes are held, so the check could not fail for a change without running work.

--- a/loomcore/planned_test.go
+++ b/loomcore/planned_test.go
@@ -57,13 +57,13 @@
 				w.after(c.ends, func() { clear(n.state.carrier.works) })
 			}
 			w.leave(serverA)
-			w.run(TickInterval)
-			if c.work != nil && !n.state.groups[testDatabase].holdsLong() {
-				t.Error("new long work does not wait while running work finishes")
-			}
-			start, outage := w.now-TickInterval, time.Duration(0)
+			g := n.state.groups[testDatabase]
+			start, outage := w.now, time.Duration(0)
 			for w.primaryName() != serverB {
-				held := n.state.groups[testDatabase].holdsWrites()
+				held := g.holdsWrites()
+				if c.work != nil && w.now-start == TickInterval && !g.holdsLong() {
+					t.Error("new long work does not wait while running work finishes")
+				}
 				w.run(time.Millisecond)
 				if held {
 					outage += time.Millisecond
@@ -74,7 +74,7 @@
 			}
 			checkBetween(t, "time to the change", w.now-start, c.least, c.most)
 			checkBetween(t, "time with held writes", outage, 0, c.mostOutage)
-			if n.state.groups[testDatabase].holdsWrites() {
+			if g.holdsWrites() {
 				t.Error("writes are still held after the change")
 			}
 		})
