--- a/loomcore/carrier_fuzz_test.go
+++ b/loomcore/carrier_fuzz_test.go
@@ -45,42 +45,6 @@
 	decided   bool
 }
 
-// TestFuzzShare drives deficit round robin alone. A caller that waits must get its turn: meanwhile each other caller
-// gets at most what the waiting one needs to earn, by the proportion of weights, and one statement ahead of its turn.
-func TestFuzzShare(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var sh share
-		weights := map[currantloom.CallerName]int{"steyr": 1, "enns": 2, "traun": 3}
-		const most = 100 * time.Millisecond
-		served := make(map[currantloom.CallerName]time.Duration)
-		t.Repeat(map[string]func(*rapid.T){
-			"add": func(t *rapid.T) {
-				caller := rapid.SampledFrom([]currantloom.CallerName{"enns", "steyr", "traun"}).Draw(t, "caller")
-				for range rapid.IntRange(1, 30).Draw(t, "burst") {
-					w := &work{cost: time.Duration(rapid.IntRange(1, int(most)).Draw(t, "cost"))}
-					w.header.Caller = caller
-					sh.add(w, weights[caller])
-				}
-			},
-			"next": func(t *rapid.T) {
-				w := sh.next(func(*work) bool { return true })
-				if w == nil {
-					t.Skip("nothing waits")
-				}
-				for _, a := range sh.accounts {
-					served[a.caller] += w.cost
-				}
-				delete(served, w.header.Caller)
-				for caller, got := range served {
-					if bound := 6*(most+2*quantum)/time.Duration(weights[caller]) + 4*most; got > bound {
-						t.Fatalf("caller %s waits while others got %v, more than %v", caller, got, bound)
-					}
-				}
-			},
-		})
-	})
-}
-
 // TestFuzzCarrier drives a carrier in virtual time with random work, answers, failures and terms.
 func TestFuzzCarrier(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -241,42 +241,6 @@
 	}
 }
 
-// TestShareWeights guards against a caller below its share: with equal costs, runs are in the proportion of weights.
-func TestShareWeights(t *testing.T) {
-	tests := []struct {
-		name  string
-		costs [2]time.Duration
-		want  [2]int
-	}{
-		{"equal costs", [2]time.Duration{10 * time.Millisecond, 10 * time.Millisecond}, [2]int{15, 5}},
-		{"a caller with long statements gets fewer runs", [2]time.Duration{30 * time.Millisecond, 10 * time.Millisecond},
-			[2]int{10, 10}},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			var sh share
-			for range 40 {
-				for i, caller := range []currantloom.CallerName{"steyr", "enns"} {
-					w := &work{cost: test.costs[i]}
-					w.header.Caller = caller
-					sh.add(w, 3-2*i)
-				}
-			}
-			var got [2]int
-			for range 20 {
-				if w := sh.next(func(*work) bool { return true }); w.header.Caller == "steyr" {
-					got[0]++
-				} else {
-					got[1]++
-				}
-			}
-			if got != test.want {
-				t.Errorf("got %v runs of 20, want %v", got, test.want)
-			}
-		})
-	}
-}
-
 // TestFingerprint guards against a history per literal value.
 func TestFingerprint(t *testing.T) {
 	for statement, want := range map[string]string{
--- /dev/null
+++ b/loomcore/share_test.go
@@ -0,0 +1,82 @@
+package loomcore
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"currantloom.example/currantloom"
+)
+
+// TestShareWeights guards against a caller below its share: with equal costs, runs are in the proportion of weights.
+func TestShareWeights(t *testing.T) {
+	tests := []struct {
+		name  string
+		costs [2]time.Duration
+		want  [2]int
+	}{
+		{"equal costs", [2]time.Duration{10 * time.Millisecond, 10 * time.Millisecond}, [2]int{15, 5}},
+		{"a caller with long statements gets fewer runs", [2]time.Duration{30 * time.Millisecond, 10 * time.Millisecond},
+			[2]int{10, 10}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var sh share
+			for range 40 {
+				for i, caller := range []currantloom.CallerName{"steyr", "enns"} {
+					w := &work{cost: test.costs[i]}
+					w.header.Caller = caller
+					sh.add(w, 3-2*i)
+				}
+			}
+			var got [2]int
+			for range 20 {
+				if w := sh.next(func(*work) bool { return true }); w.header.Caller == "steyr" {
+					got[0]++
+				} else {
+					got[1]++
+				}
+			}
+			if got != test.want {
+				t.Errorf("got %v runs of 20, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestFuzzShare drives deficit round robin alone. A caller that waits must get its turn: meanwhile each other caller
+// gets at most what the waiting one needs to earn, by the proportion of weights, and one statement ahead of its turn.
+func TestFuzzShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sh share
+		weights := map[currantloom.CallerName]int{"steyr": 1, "enns": 2, "traun": 3}
+		const most = 100 * time.Millisecond
+		served := make(map[currantloom.CallerName]time.Duration)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				caller := rapid.SampledFrom([]currantloom.CallerName{"enns", "steyr", "traun"}).Draw(t, "caller")
+				for range rapid.IntRange(1, 30).Draw(t, "burst") {
+					w := &work{cost: time.Duration(rapid.IntRange(1, int(most)).Draw(t, "cost"))}
+					w.header.Caller = caller
+					sh.add(w, weights[caller])
+				}
+			},
+			"next": func(t *rapid.T) {
+				w := sh.next(func(*work) bool { return true })
+				if w == nil {
+					t.Skip("nothing waits")
+				}
+				for _, a := range sh.accounts {
+					served[a.caller] += w.cost
+				}
+				delete(served, w.header.Caller)
+				for caller, got := range served {
+					if bound := 6*(most+2*quantum)/time.Duration(weights[caller]) + 4*most; got > bound {
+						t.Fatalf("caller %s waits while others got %v, more than %v", caller, got, bound)
+					}
+				}
+			},
+		})
+	})
+}
