Make verdicts, request ids and cancels of server connections exact

Cause: the pool was unbounded, kept dead connections, waited without a limit for a silent server, and ignored request ids. A completion that was followed by a CloseComplete passed before it was acknowledged.

A run now has a progress deadline, cancels its request when its context ends, and holds the first messages back until a read-only refusal can no longer follow, so that a refused write in the extended protocol is still "not run". Request ids are recorded in the transaction of the request. Connections are checked before reuse, without a round trip unless they were idle for 5 s or cancelled; one dead connection purges the others.

Ruled out: pgconn for control calls; on a timeout it keeps the connection and a goroutine for up to 15 s, which adds up at two polls a second.

--- /dev/null
+++ b/loomserver/helper_test.go
@@ -0,0 +1,190 @@
+package loomserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"go.uber.org/goleak"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomstandin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func startGroup(t *testing.T, o loomstandin.Options) []*loomstandin.Server {
+	t.Helper()
+	g, err := loomstandin.StartGroup(o, listen(t), listen(t), listen(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = g.Close() })
+	return g.Servers()
+}
+
+func startRelay(t *testing.T, target string) *loomstandin.Relay {
+	t.Helper()
+	r := loomstandin.StartRelay(listen(t), target)
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
+func newPool(t *testing.T, address string, options ...Option) *Pool {
+	t.Helper()
+	p := NewPool(server(address), "currantloom", "", options...)
+	t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+func server(address string) currantloom.Server {
+	return currantloom.NewServer("wheel-core-1-a", "wheel-core-1", address, currantloom.Place{})
+}
+
+// trace is a response as text: one word for each message.
+type trace struct {
+	words  []string
+	broken bool
+}
+
+func (w *trace) WriteMessage(kind byte, _ int, body io.Reader) error {
+	content, err := io.ReadAll(body)
+	if err != nil {
+		w.broken = true
+		return err
+	}
+	word := string(kind)
+	switch kind {
+	case 'C':
+		word = strings.TrimRight(string(content), "\x00")
+	case 'D':
+		var m pgproto3.DataRow
+		_ = m.Decode(content)
+		word = fmt.Sprintf("%s", m.Values)
+	case 'E':
+		var m pgproto3.ErrorResponse
+		_ = m.Decode(content)
+		word = m.Code
+	}
+	w.words = append(w.words, word)
+	return nil
+}
+
+func (w *trace) Flush() error { return nil }
+
+func simple(sql string) currantloom.Work {
+	return currantloom.Work{Body: queryMessage(sql), WithholdCompletion: true}
+}
+
+func read(sql string) currantloom.Work {
+	return currantloom.Work{Body: queryMessage(sql), ReadOnly: true}
+}
+
+func extended(t *testing.T, sql string, parameters ...string) currantloom.Work {
+	t.Helper()
+	body, err := executeMessages(sql, parameters...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return currantloom.Work{Body: body, WithholdCompletion: true}
+}
+
+func withID(w currantloom.Work, id string) currantloom.Work {
+	w.Caller, w.RequestID = "steyr", id
+	return w
+}
+
+func acquire(t *testing.T, p *Pool) *Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	c, err := p.Acquire(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c.(*Conn)
+}
+
+// runOn runs work on a connection and returns the response as words.
+func runOn(t *testing.T, c *Conn, w currantloom.Work) (currantloom.WorkResult, string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var out trace
+	result := c.Run(ctx, w, &out)
+	return result, strings.Join(out.words, " ")
+}
+
+// runOnce runs work on a connection of the pool.
+func runOnce(t *testing.T, p *Pool, w currantloom.Work) (currantloom.WorkResult, string) {
+	t.Helper()
+	c := acquire(t, p)
+	defer c.Release()
+	return runOn(t, c, w)
+}
+
+func wantResponse(t *testing.T, p *Pool, w currantloom.Work, want string) currantloom.WorkResult {
+	t.Helper()
+	result, got := runOnce(t, p, w)
+	if result.Err != nil || result.Verdict != currantloom.Ran || got != want {
+		t.Errorf("got %q, verdict %s, error %v, want %q", got, result.Verdict, result.Err, want)
+	}
+	return result
+}
+
+// wantFailure checks a result without an answer of the server.
+func wantFailure(t *testing.T, r currantloom.WorkResult, v currantloom.Verdict, code currantloom.SQLState) {
+	t.Helper()
+	if r.Err == nil || r.Verdict != v || currantloom.VerdictOf(r.Err) != v || r.Code != code {
+		t.Errorf("got verdict %s, code %s, error %v, want %s, %s and an error", r.Verdict, r.Code, r.Err, v, code)
+	}
+}
+
+func idleConnections(p *Pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
+
+// promote makes the server with the latest mark of the given ones the primary of the term.
+func promote(t *testing.T, term currantloom.Term, servers ...*loomstandin.Server) *Pool {
+	t.Helper()
+	var leader *Pool
+	var latest currantloom.Mark
+	for _, s := range servers {
+		p := newPool(t, s.Address())
+		grant, err := p.RaiseTerm(t.Context(), term, "vm-1")
+		if err != nil || !grant.Granted {
+			t.Fatalf("got %+v, %v, want a grant", grant, err)
+		}
+		if leader == nil || !latest.Covers(grant.Mark) {
+			leader, latest = p, grant.Mark
+		}
+	}
+	if err := leader.Lead(t.Context(), term); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range servers {
+		if s.Address() != leader.server.Address() {
+			if err := newPool(t, s.Address()).Follow(t.Context(), term, leader.server); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return leader
+}
--- a/loomserver/pool.go
+++ b/loomserver/pool.go
@@ -3,90 +3,200 @@
 import (
 	"context"
 	"errors"
-	"strconv"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/joomcode/errorx"
 
 	"currantloom.example/currantloom"
 )
 
+const (
+	// idleLimit is the age after which an idle connection is probed, because it may have gone silent.
+	idleLimit = 5 * time.Second
+	// probeLimit bounds a probe; a connection that does not answer within it is closed.
+	probeLimit = 500 * time.Millisecond
+	// connectLimit bounds the opening of a connection. It is far above the 25 ms that the slowest servers take.
+	connectLimit = 2 * time.Second
+)
+
 // Pool holds the connections to one database server.
 type Pool struct {
 	server   currantloom.Server
 	user     string
 	password string
+	// places holds one element for each connection in use or idle; nil means no limit.
+	places chan struct{}
+
+	configOnce sync.Once
+	config     *pgconn.Config
+	configErr  error
 
 	mu      sync.Mutex
 	idle    []*Conn
-	control *pgconn.PgConn
+	control *Conn
 	closed  bool
 	inUse   sync.WaitGroup
 }
 
+// Option changes a pool.
+type Option func(*Pool)
+
+// WithLimit bounds the connections for requests; control calls use further ones. Acquire waits when all are in use.
+func WithLimit(connections int) Option {
+	return func(p *Pool) { p.places = make(chan struct{}, connections) }
+}
+
 // NewPool returns a pool without connections; they are opened on demand.
-func NewPool(server currantloom.Server, user, password string) *Pool {
-	return &Pool{server: server, user: user, password: password}
+func NewPool(server currantloom.Server, user, password string, options ...Option) *Pool {
+	p := &Pool{server: server, user: user, password: password}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
-// connect opens a connection; an error carries the verdict NotRun.
-func (p *Pool) connect(ctx context.Context) (*pgconn.PgConn, error) {
+var refusedProperty = errorx.RegisterProperty("refused")
+
+// Refused reports whether an error says that the server's address refused a connection, which means that no process
+// listens there. A server that answers with an error is not refused in this sense.
+func Refused(err error) bool {
+	refused, ok := errorx.ExtractProperty(err, refusedProperty)
+	return ok && refused.(bool)
+}
+
+// parseConfig prepares the configuration once, since it reads the environment.
+func (p *Pool) parseConfig() {
 	config, err := pgconn.ParseConfig("postgres://" + p.server.Address() + "/?sslmode=disable")
 	if err != nil {
-		return nil, currantloom.ErrInput.Wrap(err, "address of server %s", p.server.Name())
+		p.configErr = currantloom.ErrInput.Wrap(err, "address of server %s", p.server.Name())
+		return
 	}
 	config.User, config.Password, config.Database = p.user, p.password, string(p.server.Database())
-	conn, err := pgconn.ConnectConfig(ctx, config)
+	config.Fallbacks, config.RuntimeParams = nil, map[string]string{"application_name": "currantloom"}
+	dialer := net.Dialer{Timeout: connectLimit}
+	config.DialFunc = dialer.DialContext
+	p.config = config
+}
+
+// connect opens a connection; an error carries the verdict NotRun.
+func (p *Pool) connect(ctx context.Context) (*Conn, error) {
+	p.configOnce.Do(p.parseConfig)
+	if p.configErr != nil {
+		return nil, p.configErr
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectLimit)
+	defer cancel()
+	raw, err := pgconn.ConnectConfig(ctx, p.config.Copy())
+	if err != nil {
+		return nil, p.connectError(err)
+	}
+	h, err := raw.Hijack()
 	if err != nil {
-		return nil, connectError(p.server.Name(), err)
+		return nil, p.connectError(err)
 	}
-	return conn, nil
+	return newConn(p, h), nil
 }
 
-func connectError(server currantloom.ServerName, err error) error {
+func (p *Pool) connectError(err error) error {
 	code := currantloom.CodeConnectionFailure
-	var refusal *pgconn.PgError
-	if errors.As(err, &refusal) {
-		code = currantloom.SQLState(refusal.Code)
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		code = currantloom.SQLState(answer.Code)
 	}
-	return currantloom.NewRequestError(currantloom.NotRun, code, time.Second, "connect to server %s: %v", server, err)
+	result := currantloom.NewRequestError(currantloom.NotRun, code, time.Second, "connect to server %s: %v",
+		p.server.Name(), err)
+	return errorx.Cast(result).WithProperty(refusedProperty, errors.Is(err, syscall.ECONNREFUSED))
 }
 
-// Acquire returns an idle connection or opens one.
+// Acquire returns an idle connection that is known to be alive, or opens one. An error means that nothing was sent.
 func (p *Pool) Acquire(ctx context.Context) (currantloom.ServerConn, error) {
+	if err := p.takePlace(ctx); err != nil {
+		return nil, err
+	}
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
+		p.givePlace()
 		return nil, currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeShuttingDown, 0, "pool is closed")
 	}
 	p.inUse.Add(1)
-	if n := len(p.idle); n > 0 {
-		conn := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		p.mu.Unlock()
-		return conn, nil
-	}
 	p.mu.Unlock()
-	raw, err := p.connect(ctx)
-	if err != nil {
-		p.inUse.Done()
-		return nil, err
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			break
+		}
+		if c.usable(ctx) {
+			return c, nil
+		}
+		// What ended this connection has probably ended the others.
+		c.close()
+		p.purge()
 	}
-	conn, err := newConn(p, raw)
+	c, err := p.connect(ctx)
 	if err != nil {
+		p.givePlace()
 		p.inUse.Done()
 		return nil, err
 	}
-	return conn, nil
+	return c, nil
+}
+
+func (p *Pool) takePlace(ctx context.Context) error {
+	if p.places == nil {
+		return nil
+	}
+	select {
+	case p.places <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeTooManyConnections, time.Second,
+			"all %d connections to server %s are in use", cap(p.places), p.server.Name())
+	}
+}
+
+func (p *Pool) givePlace() {
+	if p.places != nil {
+		<-p.places
+	}
+}
+
+// takeIdle returns the connection that was used last, nil if there is none.
+func (p *Pool) takeIdle() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+// purge closes the idle connections.
+func (p *Pool) purge() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
 }
 
 // release takes a connection back; a connection that is not clean is closed.
 func (p *Pool) release(c *Conn, clean bool) {
 	defer p.inUse.Done()
+	defer p.givePlace()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if clean && !p.closed {
+		c.idleSince = time.Now()
 		p.idle = append(p.idle, c)
 		return
 	}
@@ -97,63 +207,13 @@
 func (p *Pool) Close() error {
 	p.mu.Lock()
 	p.closed = true
-	for _, c := range p.idle {
-		c.close()
-	}
-	p.idle = nil
 	control := p.control
 	p.control = nil
 	p.mu.Unlock()
+	p.purge()
 	if control != nil {
-		_ = control.Close(context.Background())
+		control.close()
 	}
 	p.inUse.Wait()
 	return nil
 }
-
-// query runs a control statement and returns the first row.
-func (p *Pool) query(ctx context.Context, sql string) ([]string, error) {
-	p.mu.Lock()
-	conn := p.control
-	p.control = nil
-	p.mu.Unlock()
-	if conn == nil {
-		var err error
-		if conn, err = p.connect(ctx); err != nil {
-			return nil, err
-		}
-	}
-	results, err := conn.Exec(ctx, sql).ReadAll()
-	if err != nil {
-		_ = conn.Close(ctx)
-		return nil, currantloom.ErrUnavailable.Wrap(err, "%s on server %s", sql, p.server.Name())
-	}
-	p.keepControl(conn)
-	if len(results) == 0 || len(results[0].Rows) == 0 {
-		return nil, nil
-	}
-	var row []string
-	for _, value := range results[0].Rows[0] {
-		row = append(row, string(value))
-	}
-	return row, nil
-}
-
-// keepControl keeps one idle control connection and closes any further one.
-func (p *Pool) keepControl(conn *pgconn.PgConn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.control == nil && !p.closed {
-		p.control = conn
-		return
-	}
-	_ = conn.Close(context.Background())
-}
-
-func parseUint(text string) uint64 {
-	n, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
--- /dev/null
+++ b/loomserver/pool_test.go
@@ -0,0 +1,332 @@
+package loomserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomstandin"
+)
+
+// TestResponse guards against responses that are incomplete, reordered or completed before they are accepted.
+func TestResponse(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{})
+	p := newPool(t, servers[0].Address())
+	r := wantResponse(t, p, simple("INSERT INTO orders VALUES ('a', 'x')"), "INSERT 0 1")
+	if !r.Wrote || r.Confirmed < 2 || r.Term != 1 || r.Mark != currantloom.NewMark(1, 2) {
+		t.Errorf("got %+v, want a confirmed write at 1/2", r)
+	}
+	wantResponse(t, p, read("SELECT * FROM orders"), "T [a x] SELECT 1")
+	confirmed := read("SELECT id FROM orders")
+	confirmed.ConfirmTerm, confirmed.WithholdCompletion = true, true
+	if r := wantResponse(t, p, confirmed, "T [a] SELECT 1"); r.Confirmed < 2 || r.Wrote {
+		t.Errorf("got %+v, want a confirmed read", r)
+	}
+	wantResponse(t, p, simple("INSERT INTO orders VALUES ('a', 'x')"), "23505")
+	wantResponse(t, p, extended(t, "SELECT value FROM orders WHERE id = $1", "a"), "1 2 [x] SELECT 1")
+
+	var body []byte
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Query: "INSERT INTO orders VALUES ('b', 'x')"}, &pgproto3.Bind{}, &pgproto3.Execute{},
+		&pgproto3.Close{ObjectType: 'P'}, &pgproto3.Sync{},
+	} {
+		body, _ = m.Encode(body)
+	}
+	refused := currantloom.Work{Body: body, WithholdCompletion: true, Accept: func(currantloom.WorkResult) error {
+		return currantloom.NewRequestError(currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown, 0, "not confirmed")
+	}}
+	r, got := runOnce(t, p, refused)
+	wantFailure(t, r, currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown)
+	if strings.Contains(got, "INSERT") {
+		t.Errorf("got %q, want no completion", got)
+	}
+	if p.places != nil || idleConnections(p) != 1 {
+		t.Errorf("got %d idle connections, want one that all requests used", idleConnections(p))
+	}
+}
+
+// TestRefusedWrite guards against a write that reached a replica, or a read that writes, and is not reported as not
+// run.
+func TestRefusedWrite(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{})
+	primary, replica := newPool(t, servers[0].Address()), newPool(t, servers[1].Address())
+	insert := extended(t, "INSERT INTO orders VALUES ($1, $2)", "a", "x")
+	misread := insert
+	misread.ReadOnly = true
+	for name, test := range map[string]struct {
+		pool *Pool
+		work currantloom.Work
+	}{
+		"simple at a replica":    {replica, simple("DELETE FROM orders")},
+		"extended at a replica":  {replica, insert},
+		"id at a replica":        {replica, withID(insert, "id-1")},
+		"BEGIN with id":          {replica, withID(simple("BEGIN"), "id-1")},
+		"read-only at a primary": {primary, misread},
+	} {
+		r, got := runOnce(t, test.pool, test.work)
+		if got != "" || r.Started {
+			t.Errorf("%s: got response %q", name, got)
+		}
+		wantFailure(t, r, currantloom.NotRun, currantloom.CodeReadOnly)
+	}
+	wantResponse(t, primary, insert, "1 2 INSERT 0 1")
+}
+
+// TestLostConnection guards against verdicts that claim too much when the connection is lost before, during and after
+// sending, and against other connections to a dead server that stay in the pool.
+func TestLostConnection(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{})
+	relay := startRelay(t, servers[0].Address())
+	p := newPool(t, relay.Address())
+	body := simple("INSERT INTO orders VALUES ('a', 'x')")
+
+	a, b := acquire(t, p), acquire(t, p)
+	a.Release()
+	b.Release()
+	relay.CloseConnections()
+	wantResponse(t, p, body, "INSERT 0 1")
+	if n := idleConnections(p); n != 1 {
+		t.Errorf("got %d idle connections, want only the new one", n)
+	}
+	for name, cut := range map[string]func(){
+		"during sending": func() { relay.CutToServer(10) },
+		"after sending":  func() { relay.CutToClient(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := acquire(t, p)
+			cut()
+			r, _ := runOn(t, c, simple("DELETE FROM orders"))
+			wantFailure(t, r, currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown)
+			r, _ = runOn(t, c, simple("DELETE FROM orders"))
+			wantFailure(t, r, currantloom.NotRun, currantloom.CodeConnectionFailure)
+			c.Release()
+			if n := idleConnections(p); n != 0 {
+				t.Errorf("got %d idle connections, want none", n)
+			}
+		})
+	}
+	t.Run("in a row", func(t *testing.T) {
+		c := acquire(t, p)
+		relay.CutToClient(5000)
+		r, got := runOn(t, c, read("SELECT * FROM generate_rows(10, 1500)"))
+		wantFailure(t, r, currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown)
+		if !r.Started || !strings.HasPrefix(got, "T [1 xxx") || strings.Contains(got, "SELECT") {
+			t.Errorf("got %.20q, started %t, want rows without completion", got, r.Started)
+		}
+		c.Release()
+	})
+	t.Run("before sending", func(t *testing.T) {
+		c := acquire(t, p)
+		_ = c.conn.Close()
+		r, _ := runOn(t, c, body)
+		wantFailure(t, r, currantloom.NotRun, currantloom.CodeConnectionFailure)
+		c.Release()
+	})
+	_ = relay.Close()
+	_, err := p.Acquire(t.Context())
+	if !Refused(err) || currantloom.VerdictOf(err) != currantloom.NotRun {
+		t.Errorf("got %v, want a refused connection that was not run", err)
+	}
+	if _, err := p.Status(t.Context()); !Refused(err) {
+		t.Errorf("got %v from a control call, want a refused connection", err)
+	}
+}
+
+// TestSilentServer guards against requests, control calls and openings that hang on a server that accepts and never
+// answers.
+func TestSilentServer(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{})
+	relay := startRelay(t, servers[0].Address())
+	p := newPool(t, relay.Address())
+	c := acquire(t, p)
+	idle := acquire(t, p)
+	idle.Release()
+	relay.Silence(true)
+	w := read("SELECT 1")
+	w.Progress = 100 * time.Millisecond
+	start := time.Now()
+	r, _ := runOn(t, c, w)
+	wantFailure(t, r, currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown)
+	c.Release()
+	if took := time.Since(start); took > time.Second || idleConnections(p) != 0 {
+		t.Errorf("took %v, %d idle connections, want 100 ms and none", took, idleConnections(p))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := p.Acquire(ctx)
+	_, statusErr := p.Status(ctx)
+	for _, err := range []error{err, statusErr} {
+		if err == nil || Refused(err) {
+			t.Errorf("got %v, want an error that is not a refusal", err)
+		}
+	}
+	if took := time.Since(start); took > 2*time.Second {
+		t.Errorf("took %v, want the deadline of 100 ms", took)
+	}
+	relay.Silence(false)
+
+	// A connection that went silent while it was idle for long is replaced before it takes a request.
+	c = acquire(t, p)
+	c.Release()
+	c.idleSince = time.Now().Add(-idleLimit - time.Second)
+	opened := relay.Accepted()
+	wantResponse(t, p, read("SELECT 1"), "T [1] SELECT 1")
+	if relay.Accepted() != opened {
+		t.Error("probe replaced a connection that answers")
+	}
+	servers[0].Pause()
+	c.idleSince = time.Now().Add(-idleLimit - time.Second)
+	if c.usable(t.Context()) {
+		t.Error("silent connection is usable")
+	}
+	servers[0].Resume()
+}
+
+// TestCleanConnections guards against state of one request that reaches the next one on the connection.
+func TestCleanConnections(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{Connections: 3})
+	p := newPool(t, servers[0].Address(), WithLimit(1))
+	wantResponse(t, p, simple("BEGIN; INSERT INTO orders VALUES ('open', 'x')"), "BEGIN INSERT 0 1")
+	wantResponse(t, p, read("SELECT count(*) FROM orders"), "T [0] SELECT 1")
+	wantResponse(t, p, simple("INSERT INTO orders VALUES ('a', 'x')"), "INSERT 0 1")
+	wantResponse(t, p, read("SHOW default_transaction_read_only"), "T [on] SHOW")
+	wantResponse(t, p, simple("SHOW default_transaction_read_only"), "T [off] SHOW")
+
+	c := acquire(t, p)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := p.Acquire(ctx)
+	if currantloom.CodeOf(err) != currantloom.CodeTooManyConnections || currantloom.VerdictOf(err) != currantloom.NotRun {
+		t.Errorf("got %v over the pool's limit, want 53300 and not run", err)
+	}
+	c.Release()
+	other := newPool(t, servers[0].Address())
+	for range 2 {
+		defer acquire(t, other).Release()
+	}
+	_, err = other.Acquire(t.Context())
+	if currantloom.CodeOf(err) != currantloom.CodeTooManyConnections || Refused(err) {
+		t.Errorf("got %v over the server's limit, want 53300", err)
+	}
+}
+
+// TestCancel guards against a cancel that does not arrive, or that hits a later request on the connection.
+func TestCancel(t *testing.T) {
+	p := newPool(t, startGroup(t, loomstandin.Options{})[0].Address())
+	c := acquire(t, p)
+	time.AfterFunc(50*time.Millisecond, func() { _ = c.Cancel(context.Background()) })
+	r, got := runOn(t, c, simple("SELECT pg_sleep(60)"))
+	if got != "57014" || r.Err != nil {
+		t.Errorf("got %q, %v, want the server's answer 57014", got, r.Err)
+	}
+	c.Release()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	c = acquire(t, p)
+	if r := c.Run(ctx, simple("SELECT pg_sleep(60)"), &trace{}); r.Code != currantloom.CodeQueryCanceled || r.Err != nil {
+		t.Errorf("got %+v after the deadline, want the server's answer 57014", r)
+	}
+	c.Release()
+	for i := range 200 {
+		c := acquire(t, p)
+		var group sync.WaitGroup
+		group.Go(func() {
+			time.Sleep(time.Duration(i%20) * 20 * time.Microsecond)
+			_ = c.Cancel(context.Background())
+		})
+		runOn(t, c, simple("SELECT pg_sleep(0.0001)"))
+		c.Release()
+		wantResponse(t, p, simple("SELECT 1"), "T [1] SELECT 1")
+		group.Wait()
+	}
+}
+
+// TestControl guards against grants and roles that are misread.
+func TestControl(t *testing.T) {
+	servers := startGroup(t, loomstandin.Options{})
+	p := newPool(t, servers[0].Address())
+	s, err := p.Status(t.Context())
+	if err != nil || s.Role != currantloom.RolePrimary || s.Term != 1 || s.Mark != currantloom.NewMark(1, 1) {
+		t.Errorf("got %+v, %v, want the primary at 1/1", s, err)
+	}
+	leader := promote(t, 2, servers...)
+	if s, _ := leader.Status(t.Context()); s.Role != currantloom.RolePrimary || s.Term != 2 || s.Granted != 2 {
+		t.Errorf("got %+v, want the primary of term 2", s)
+	}
+	grant, err := leader.RaiseTerm(t.Context(), 2, "vm-2")
+	if err != nil || grant.Granted || grant.Highest != 2 {
+		t.Errorf("got %+v, %v, want a refused grant", grant, err)
+	}
+	if err := leader.Lead(t.Context(), 3); err == nil || Refused(err) {
+		t.Errorf("got %v, want an error for a term that was not granted", err)
+	}
+}
+
+// discard counts what it is given.
+type discard struct{ bytes int64 }
+
+func (d *discard) WriteMessage(_ byte, _ int, body io.Reader) error {
+	n, err := io.Copy(io.Discard, body)
+	d.bytes += n
+	return err
+}
+
+func (d *discard) Flush() error { return nil }
+
+// TestLargeRow guards against a row that is read into memory.
+func TestLargeRow(t *testing.T) {
+	const size = 256 << 20
+	l := listen(t)
+	var group sync.WaitGroup
+	t.Cleanup(group.Wait)
+	group.Go(func() { serveLargeRow(l, size) })
+	p := newPool(t, l.Addr().String())
+	c := acquire(t, p)
+	defer c.Release()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var out discard
+	r := c.Run(t.Context(), simple("SELECT large"), &out)
+	runtime.ReadMemStats(&after)
+	if r.Err != nil || out.bytes < size {
+		t.Errorf("got %d bytes, %v, want at least %d", out.bytes, r.Err, size)
+	}
+	if used := after.TotalAlloc - before.TotalAlloc; used > 4<<20 {
+		t.Errorf("allocated %d bytes for a row of %d", used, size)
+	}
+}
+
+// serveLargeRow answers one query with a row that is made up while it is sent.
+func serveLargeRow(l net.Listener, size int) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	b := pgproto3.NewBackend(conn, conn)
+	_, _ = b.ReceiveStartupMessage()
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = b.Flush()
+	_, _ = b.Receive()
+	_, _ = fmt.Fprintf(conn, "D%c%c%c%c", (size+4)>>24, (size+4)>>16&255, (size+4)>>8&255, (size+4)&255)
+	chunk := make([]byte, 64<<10)
+	for range size / len(chunk) {
+		if _, err := conn.Write(chunk); err != nil {
+			return
+		}
+	}
+	b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = b.Flush()
+	_, _ = b.Receive()
+}
--- a/loomserver/run.go
+++ b/loomserver/run.go
@@ -1,235 +1,285 @@
 package loomserver
 
 import (
-	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
 
-	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"currantloom.example/currantloom"
 )
 
+const (
+	// positionParameter is the parameter in which a server reports "term/log term/position/confirmed".
+	positionParameter = "group_position"
+	// maxHeld bounds the messages that are held back because a refusal may still follow.
+	maxHeld = 64 << 10
+	// maxInlineWrite is the size up to which messages are written before the answer is read. A longer write could
+	// wait for the server while the server waits for its answer to be read, so it runs beside the reading.
+	maxInlineWrite = 32 << 10
+
+	confirmSQL = "SELECT * FROM group_confirm()"
+)
+
 // run is one use of a connection. Segments of messages are sent at once; each ends with ReadyForQuery: an optional
 // switch of the read-only mode, the caller's body, and an optional confirmation of the term.
 type run struct {
-	conn     *Conn
-	work     currantloom.Work
-	out      currantloom.ResponseWriter
-	result   currantloom.WorkResult
+	conn   *Conn
+	work   currantloom.Work
+	out    currantloom.ResponseWriter
+	result currantloom.WorkResult
+	// wasIdle says that no transaction was open at the start.
+	wasIdle bool
+	// held are encoded messages that precede the first row or completion. A read-only refusal after them drops them,
+	// so the request can run elsewhere.
+	held []byte
+	// withheld is the last CommandComplete, encoded, with the messages after it that carry no data.
 	withheld []byte
-	inBody   bool
+	// refusal is the body of the read-only refusal that dropped the held messages.
+	refusal []byte
+	// records says that the run records a request id, so every last completion is withheld.
+	records bool
+	tags    []string
+	writing chan writeEnd
+	// outcome replaces the response of the server: encoded messages that report a recorded outcome.
+	outcome []byte
 }
 
-func (r *run) do() {
-	c := r.conn
-	var message []byte
-	switchMode := c.status == currantloom.TransactionIdle && c.readOnly != r.work.ReadOnly
-	if switchMode {
-		message = append(message, queryMessage(readOnlyStatement(r.work.ReadOnly))...)
-	}
-	message = append(message, r.work.Body...)
-	if r.work.ConfirmTerm {
-		message = append(message, queryMessage("SELECT * FROM group_confirm()")...)
-	}
-	n, err := c.conn.Write(message)
-	if err != nil {
-		r.fail(err, n == 0)
-		return
+// writeEnd is the end of a write: the bytes that were written.
+type writeEnd struct {
+	n   int
+	err error
+}
+
+// callerError is an error of the response writer, not of the server.
+type callerError struct{ err error }
+
+func (e callerError) Error() string { return "pass the response on: " + e.err.Error() }
+func (e callerError) Unwrap() error { return e.err }
+
+// Run sends the work and passes the response on.
+func (c *Conn) Run(ctx context.Context, w currantloom.Work, out currantloom.ResponseWriter) currantloom.WorkResult {
+	c.awaitCancels()
+	r := &run{conn: c, work: w, out: out, wasIdle: c.status == currantloom.TransactionIdle}
+	c.mu.Lock()
+	failed := c.failed
+	c.mu.Unlock()
+	if failed {
+		r.end(currantloom.NotRun, currantloom.CodeConnectionFailure, "connection to server %s is lost", c.pool.server.Name())
+		return r.result
 	}
-	if switchMode {
-		if !r.skipSegment() {
-			return
-		}
-		c.readOnly = r.work.ReadOnly
+	end := c.start(ctx, w.Progress)
+	if err := r.talk(); err != nil {
+		r.fail(err)
 	}
-	if !r.relayBody() {
-		return
+	end()
+	if r.result.Err == nil {
+		r.finish()
 	}
-	if r.work.ConfirmTerm && !r.readConfirmation() {
-		return
-	}
-	r.complete()
+	r.result.Transaction = c.status
+	return r.result
 }
 
-func readOnlyStatement(on bool) string {
-	if on {
-		return "SET default_transaction_read_only = on"
-	}
-	return "SET default_transaction_read_only = off"
+// end ends the run with an error that is not an answer of the server.
+func (r *run) end(verdict currantloom.Verdict, code currantloom.SQLState, format string, args ...any) {
+	r.result.Verdict, r.result.Code = verdict, code
+	r.result.Err = currantloom.NewRequestError(verdict, code, 0, format, args...)
 }
 
-// fail ends the run without an answer of the server.
-func (r *run) fail(err error, nothingSent bool) {
-	verdict := currantloom.MayHaveRun
-	if nothingSent {
-		verdict = currantloom.NotRun
+// fail ends the run because the connection or the caller is lost. NotRun needs proof that no byte of the body was
+// written.
+func (r *run) fail(err error) {
+	c := r.conn
+	c.fail()
+	verdict, code := currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown
+	var unsent notSent
+	if errors.As(err, &unsent) {
+		verdict, code = currantloom.NotRun, currantloom.CodeConnectionFailure
 	}
-	r.result.Verdict = verdict
-	r.result.Err = currantloom.NewRequestError(verdict, currantloom.CodeConnectionFailure, 0,
-		"connection to server %s: %v", r.conn.pool.server.Name(), err)
-	r.result.Code = currantloom.CodeConnectionFailure
-}
-
-// skipSegment reads messages up to ReadyForQuery without passing them on.
-func (r *run) skipSegment() bool {
-	for {
-		kind, _, err := r.conn.reader.Next()
-		if err != nil {
-			r.fail(err, false)
-			return false
-		}
-		if kind == 'Z' {
-			return r.readReady()
+	if r.writing != nil {
+		// Closing the connection ends the write; what it wrote by then decides.
+		c.close()
+		if w := <-r.writing; w.n == 0 && w.err != nil {
+			verdict, code = currantloom.NotRun, currantloom.CodeConnectionFailure
 		}
+		r.writing = nil
 	}
-}
-
-func (r *run) readReady() bool {
-	body, err := r.conn.reader.Body()
-	if err != nil || len(body) != 1 {
-		r.fail(err, false)
-		return false
+	c.mu.Lock()
+	expired := !c.expired.IsZero()
+	c.mu.Unlock()
+	var caller callerError
+	switch {
+	case errors.As(err, &caller):
+	case expired:
+		err = fmt.Errorf("no answer after the request's deadline: %w", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = fmt.Errorf("no byte for %v: %w", r.work.Progress, err)
+		c.pool.purge()
+	default:
+		c.pool.purge()
 	}
-	r.conn.status = currantloom.TransactionStatus(body[0])
-	return true
+	r.end(verdict, code, "connection to server %s: %v", c.pool.server.Name(), err)
 }
 
-// relayBody passes the response of the caller's messages on, without its ReadyForQuery.
-func (r *run) relayBody() bool {
-	r.inBody = true
-	defer func() { r.inBody = false }()
-	for {
-		kind, length, err := r.conn.reader.Next()
-		if err != nil {
-			r.fail(err, false)
-			return false
-		}
-		if kind == 'Z' {
-			return r.readReady()
-		}
-		if err := r.relay(kind, length); err != nil {
-			r.fail(err, false)
-			return false
-		}
-	}
-}
+// notSent says that no byte of the body was written.
+type notSent struct{ error }
 
-// relay passes one message on. The last CommandComplete is kept back if the work asks for it.
-func (r *run) relay(kind byte, length int) error {
-	reader := r.conn.reader
-	switch {
-	case kind == 'S':
-		body, err := reader.Body()
+// talk exchanges the messages with the server. An error means that the connection is in an unknown state.
+func (r *run) talk() error {
+	if r.work.RequestID != "" && !r.work.ReadOnly && r.wasIdle {
+		messages, err := splitBody(r.work.Body)
 		if err != nil {
-			return err
-		}
-		if name, value := parseStatusParameter(body); name == positionParameter {
-			r.parsePosition(value)
+			return notSent{err}
 		}
-		return nil
-	case kind == 'C' && r.work.WithholdCompletion:
-		if err := r.flushWithheld(); err != nil {
-			return err
+		if executes(messages) {
+			return r.talkRecorded(messages)
 		}
-		body, err := reader.Body()
-		r.withheld = body
+	}
+	var rest []byte
+	if r.work.ConfirmTerm {
+		rest = queryMessage(confirmSQL)
+	}
+	if err := r.send(nil, rest); err != nil {
 		return err
-	case kind == 'E':
-		return r.relayError()
 	}
-	if err := r.flushWithheld(); err != nil {
+	if err := r.relayBody(); err != nil {
 		return err
 	}
-	r.result.Started = true
-	return r.out.WriteMessage(kind, length, reader)
-}
-
-func (r *run) relayError() error {
-	body, err := r.conn.reader.Body()
+	if !r.work.ConfirmTerm {
+		return r.awaitWrite()
+	}
+	s, err := r.conn.readSegment()
 	if err != nil {
 		return err
 	}
-	var m pgproto3.ErrorResponse
-	if err := m.Decode(body); err != nil {
+	r.readConfirmation(&s)
+	return r.awaitWrite()
+}
+
+// send writes the switch of the read-only mode if it is needed, the messages before the body, the body and the
+// messages after it, and reads the answer to the switch.
+func (r *run) send(before, after []byte) error {
+	c := r.conn
+	var message []byte
+	switchMode := r.wasIdle && c.readOnly != r.work.ReadOnly
+	if switchMode {
+		message = append(message, queryMessage(readOnlyStatement(r.work.ReadOnly))...)
+	}
+	message = append(message, before...)
+	prefix := len(message)
+	message = append(message, r.work.Body...)
+	message = append(message, after...)
+	if err := r.write(prefix, message); err != nil {
 		return err
 	}
-	r.result.Code = currantloom.SQLState(m.Code)
-	if r.result.Code == currantloom.CodeReadOnly && r.work.ReadOnly && !r.result.Started {
-		r.withheld = nil
+	if !switchMode {
 		return nil
 	}
-	if err := r.flushWithheld(); err != nil {
-		return err
+	s, err := c.readSegment()
+	if err == nil && s.failure != nil {
+		err = s.failure
+	}
+	if err == nil {
+		c.readOnly = r.work.ReadOnly
 	}
-	r.result.Started = true
-	return r.out.WriteMessage('E', len(body), bytes.NewReader(body))
+	return err
 }
 
-func (r *run) flushWithheld() error {
-	if r.withheld == nil {
-		return nil
+func readOnlyStatement(on bool) string {
+	if on {
+		return "SET default_transaction_read_only = on"
 	}
-	body := r.withheld
-	r.withheld = nil
-	r.result.Started = true
-	return r.out.WriteMessage('C', len(body), bytes.NewReader(body))
+	return "SET default_transaction_read_only = off"
 }
 
-// readConfirmation reads the answer to group_confirm: term, last log term, position.
-func (r *run) readConfirmation() bool {
-	for {
-		kind, _, err := r.conn.reader.Next()
-		if err != nil {
-			r.fail(err, false)
-			return false
-		}
-		switch kind {
-		case 'Z':
-			return r.readReady()
-		case 'S', 'D':
-			body, err := r.conn.reader.Body()
-			if err != nil {
-				r.fail(err, false)
-				return false
+// write writes a message whose first bytes, the prefix, do not belong to the body.
+func (r *run) write(prefix int, message []byte) error {
+	c := r.conn
+	if err := c.setDeadline(c.conn.SetWriteDeadline); err != nil {
+		return notSent{err}
+	}
+	step := func() writeEnd {
+		n, err := c.conn.Write(message)
+		return writeEnd{max(0, n-prefix), err}
+	}
+	if len(message) > maxInlineWrite {
+		r.writing = make(chan writeEnd, 1)
+		go func() {
+			w := step()
+			if w.err != nil {
+				c.close()
 			}
-			r.readConfirmationMessage(kind, body)
-		}
+			r.writing <- w
+		}()
+		return nil
+	}
+	w := step()
+	if w.err != nil && w.n == 0 {
+		return notSent{w.err}
 	}
+	return w.err
 }
 
-func (r *run) readConfirmationMessage(kind byte, body []byte) {
-	if kind == 'S' {
-		return
+// awaitWrite waits for a write that runs beside the reading. The server has answered, so it has read everything or
+// refused to.
+func (r *run) awaitWrite() error {
+	if r.writing == nil {
+		return nil
 	}
-	var m pgproto3.DataRow
-	if err := m.Decode(body); err != nil || len(m.Values) != 4 {
+	w := <-r.writing
+	r.writing = nil
+	return w.err
+}
+
+// parsePosition reads the report "term/log term/position/confirmed".
+func (r *run) parsePosition(value string, wrote bool) {
+	parts := strings.Split(value, "/")
+	if len(parts) != 4 {
 		return
 	}
-	r.result.Term = currantloom.Term(parseUint(string(m.Values[0])))
+	r.result.Wrote = wrote
+	r.result.Term = currantloom.Term(parseUint(parts[0]))
 	r.result.Mark = currantloom.NewMark(
-		currantloom.Term(parseUint(string(m.Values[1]))), currantloom.Position(parseUint(string(m.Values[2]))))
-	r.result.Confirmed = int(parseUint(string(m.Values[3])))
+		currantloom.Term(parseUint(parts[1])), currantloom.Position(parseUint(parts[2])))
+	r.result.Confirmed = int(parseUint(parts[3]))
 }
 
-// complete decides on the withheld completion.
-func (r *run) complete() {
-	r.result.Verdict = currantloom.Ran
-	if r.result.Code == currantloom.CodeReadOnly && r.work.ReadOnly && !r.result.Started {
-		r.result.Verdict = currantloom.NotRun
-		r.result.Err = currantloom.NewRequestError(currantloom.NotRun, r.result.Code, 0, "statement writes")
-		return
+// readConfirmation reads the answer to group_confirm: term, log term, position, number of servers. A server that is
+// no longer the primary refuses; then nothing is confirmed.
+func (r *run) readConfirmation(s *segment) {
+	r.result.Confirmed = 0
+	if s.failure == nil && len(s.rows) == 1 && len(s.rows[0]) == 4 {
+		r.parsePosition(strings.Join(s.rows[0], "/"), r.result.Wrote)
 	}
-	if r.withheld == nil {
+}
+
+// finish decides on the withheld completion, after the server has answered.
+func (r *run) finish() {
+	r.result.Verdict = currantloom.Ran
+	if r.withheld == nil && r.outcome == nil {
 		return
 	}
 	if r.work.Accept != nil {
 		if err := r.work.Accept(r.result); err != nil {
-			r.result.Verdict = currantloom.VerdictOf(err)
-			r.result.Code = currantloom.CodeOf(err)
-			r.result.Err = err
+			r.result.Verdict, r.result.Code, r.result.Err = currantloom.VerdictOf(err), currantloom.CodeOf(err), err
 			return
 		}
 	}
-	if err := r.flushWithheld(); err != nil {
-		r.fail(err, false)
+	if r.outcome != nil {
+		r.held, r.withheld = r.outcome, nil
+	}
+	if err := r.flush(); err != nil {
+		r.fail(err)
+	}
+}
+
+// asFailure returns an answer of the server as an error, nil if it succeeded.
+func asFailure(f *pgconn.PgError) error {
+	if f == nil {
+		return nil
 	}
+	return f
 }
--- a/server.go
+++ b/server.go
@@ -153,6 +153,9 @@
 	// Caller and RequestID are recorded in the same transaction if RequestID is not empty.
 	Caller    CallerName
 	RequestID string
+	// Progress is the longest time without a byte from the server, after which the connection counts as silent. Zero
+	// means that only the context bounds the run.
+	Progress time.Duration
 	// Accept decides, for work whose completion is withheld, whether the caller may be told that it committed.
 	Accept func(WorkResult) error
 }
