Keep failed control calls apart from failed links

A pull that took over 1 s counted as a failed peer, and the core then moved the servers that the VM carries to other VMs for 2 s, although their links worked.

--- a/loomcore/event.go
+++ b/loomcore/event.go
@@ -47,6 +47,12 @@
 		Stamp
 		VM currantloom.VMName
 	}
+	// ControlFailed reports a call of the control protocol without an answer. It tells nothing about the VM's links, so
+	// it does not move the servers that the VM carries.
+	ControlFailed struct {
+		Stamp
+		VM currantloom.VMName
+	}
 	// PeerAnswered reports an answer of a VM and the revision it has in effect.
 	PeerAnswered struct {
 		Stamp
--- a/loomcore/rules.go
+++ b/loomcore/rules.go
@@ -194,14 +194,14 @@
 }
 
 // rulesPeerFailed counts a candidate for a relay as silent.
-func (s *State) rulesPeerFailed(e PeerFailed) {
-	if !s.isRelayCandidate(e.VM) {
+func (s *State) rulesPeerFailed(vm currantloom.VMName) {
+	if !s.isRelayCandidate(vm) {
 		return
 	}
 	if s.rules.silent == nil {
 		s.rules.silent = make(map[currantloom.VMName]bool)
 	}
-	s.rules.silent[e.VM] = true
+	s.rules.silent[vm] = true
 	s.updateWatch()
 }
 
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -74,7 +74,9 @@
 		s.rulesVMsReceived()
 	case PeerFailed:
 		s.peerFailed(e)
-		s.rulesPeerFailed(e)
+		s.rulesPeerFailed(e.VM)
+	case ControlFailed:
+		s.rulesPeerFailed(e.VM)
 	case PeerAnswered:
 		s.peerAnswered(e)
 		s.rulesPeerAnswered(e)
--- a/loomnode/control.go
+++ b/loomnode/control.go
@@ -115,7 +115,7 @@
 	newest, update, err := c.peers.PullRules(ctx, address, n.config.Core.Self, known)
 	if err != nil {
 		if n.background.Err() == nil {
-			n.submit(loomcore.PeerFailed{Stamp: n.stamp(), VM: vm})
+			n.submit(loomcore.ControlFailed{Stamp: n.stamp(), VM: vm})
 		}
 		return
 	}
--- a/loomnode/metrics.go
+++ b/loomnode/metrics.go
@@ -116,6 +116,8 @@
 		}
 	case loomcore.PeerFailed:
 		m.scope.Counter("peer_failures").Inc(1)
+	case loomcore.ControlFailed:
+		m.scope.Counter("control_failures").Inc(1)
 	case loomcore.StatusFailed:
 		m.scope.Counter("poll_failures").Inc(1)
 	}
