--- a/loommeasure/failover.go
+++ b/loommeasure/failover.go
@@ -84,12 +84,22 @@
 	}
 }
 
-// measureUnplanned measures how long writes are interrupted when the primary's process dies.
-func measureUnplanned(d deployment, policy policy, seed uint64) []value {
+// measureCrash measures how long writes are interrupted when the primary's process dies.
+func measureCrash(d deployment, policy policy, seed uint64) []value {
+	return measureLoss(d, policy, seed, (*server).stop)
+}
+
+// measureSilence measures the same when the primary's VM is gone and connections to it get no answer.
+func measureSilence(d deployment, policy policy, seed uint64) []value {
+	return measureLoss(d, policy, seed, (*server).vanish)
+}
+
+func measureLoss(d deployment, policy policy, seed uint64, lose func(*server)) []value {
 	w := newWorld(d, policy, seed, "")
 	p := &probes{world: w}
 	p.start(w.now + failoverTime)
-	w.after(failoverAfter+time.Duration(w.random.Int64N(int64(time.Second))), w.primary(w.list[0].Name()).stop)
+	primary := w.primary(w.list[0].Name())
+	w.after(failoverAfter+time.Duration(w.random.Int64N(int64(time.Second))), func() { lose(primary) })
 	w.runUntil(w.now + failoverTime + 12*time.Second)
 	return p.values()
 }
--- a/loommeasure/node.go
+++ b/loommeasure/node.go
@@ -92,11 +92,14 @@
 func (n *node) ask(name currantloom.ServerName, do func(*server), failed func()) {
 	s := n.world.servers[name]
 	n.world.send(n.vm.Place(), s.server.Place(), pollSize, trafficControl, func() {
-		if !s.up {
+		switch {
+		case s.up:
+			do(s)
+		case s.mute:
+			n.world.after(pollTimeout, failed)
+		default:
 			n.world.send(s.server.Place(), n.vm.Place(), pollSize, trafficControl, failed)
-			return
 		}
-		do(s)
 	})
 }
 
@@ -111,6 +114,10 @@
 		status := s.status()
 		n.back(s, func() { n.deliver(loomcore.StatusReceived{Server: name, SentAt: sentAt, Status: status}) })
 	}, func() {
+		if n.world.servers[name].mute {
+			n.deliver(loomcore.StatusFailed{Server: name})
+			return
+		}
 		if n.world.policy == policyNoSuspicion {
 			n.world.after(pollTimeout, func() { n.deliver(loomcore.StatusFailed{Server: name}) })
 			return
@@ -240,12 +247,15 @@
 // connect takes an idle connection or opens one.
 func (n *node) connect(s *server, then func(failure *currantloom.WorkResult)) {
 	switch {
-	case s.up && s.idle[n] > 0:
+	case (s.up || s.mute) && s.idle[n] > 0:
 		s.idle[n]--
 		then(nil)
 	case !s.up:
-		lost := connectionLost(currantloom.NotRun)
-		n.world.after(2*domainTime, func() { then(&lost) })
+		lost, delay := connectionLost(currantloom.NotRun), 2*domainTime
+		if s.mute {
+			delay = progressTime
+		}
+		n.world.after(delay, func() { then(&lost) })
 	case s.connections >= n.world.deployment.connections:
 		refused := currantloom.WorkResult{
 			Verdict: currantloom.NotRun, Code: currantloom.CodeTooManyConnections,
@@ -264,7 +274,11 @@
 		n.world.send(s.server.Place(), n.vm.Place(), responseSize, trafficStatement, func() { done(r) })
 	}
 	n.world.send(n.vm.Place(), s.server.Place(), requestSize, trafficStatement, func() {
-		if !s.up {
+		switch {
+		case s.mute:
+			n.world.after(progressTime, func() { done(connectionLost(currantloom.MayHaveRun)) })
+			return
+		case !s.up:
 			back(connectionLost(currantloom.MayHaveRun))
 			return
 		}
--- a/loommeasure/reads.go
+++ b/loommeasure/reads.go
@@ -9,10 +9,12 @@
 const (
 	readTime     = 30 * time.Second
 	sessionCount = 60
-	acceptedAge  = 5 * time.Second
 	shortWork    = 5 * time.Millisecond
 )
 
+// acceptedAges are the ages that the sessions accept in turn. The smallest one is below the interval of the polls.
+var acceptedAges = []time.Duration{5 * time.Second, time.Second, 300 * time.Millisecond}
+
 // session is a client session of the measure of reads.
 type session struct {
 	world *world
@@ -20,6 +22,7 @@
 	token currantloom.Token
 	// editing sessions write and read what they wrote; the others mostly read.
 	editing bool
+	age     time.Duration
 	step    int
 	written int
 	until   time.Duration
@@ -41,6 +44,7 @@
 	for i := range sessionCount {
 		s := &session{
 			world: w, entry: w.nodes[i%len(w.nodes)], editing: i%3 == 0, until: w.now + readTime, counts: c,
+			age: acceptedAges[i/2%len(acceptedAges)],
 		}
 		if i%2 == 0 {
 			s.token, _ = currantloom.ParseToken("none", w.list[0].Name())
@@ -81,7 +85,7 @@
 	}
 	q.entry = s.entry
 	q.request.Token = s.token
-	q.request.MaxAge = acceptedAge
+	q.request.MaxAge = s.age
 	if w.policy == policyPrimaryReads || w.policy == policyNoToken && s.written > 0 {
 		q.request.MaxAge = 0
 	}
@@ -128,7 +132,7 @@
 		c.browsing++
 		c.browsingReplica += atReplica
 	}
-	old := q.held < len(primary.log) && primary.writtenAt(q.held) < q.ranAt-acceptedAge
+	old := q.held < len(primary.log) && primary.writtenAt(q.held) < q.ranAt-s.age
 	if q.held < s.written || old {
 		c.wrong++
 	}
--- a/loommeasure/run.go
+++ b/loommeasure/run.go
@@ -48,7 +48,12 @@
 			},
 		},
 		{
-			"unplanned failover", "median 2 s, never over 8 s", measureUnplanned, []namedPolicy{
+			"failover, process of the primary dies", "median 2 s, never over 8 s", measureCrash, []namedPolicy{
+				{policyCore, "policy"}, {policyNoSuspicion, "baseline: without suspicion by users"},
+			},
+		},
+		{
+			"failover, VM of the primary is gone", "median 2 s, never over 8 s", measureSilence, []namedPolicy{
 				{policyCore, "policy"}, {policyNoSuspicion, "baseline: without suspicion by users"},
 			},
 		},
--- a/loommeasure/run_test.go
+++ b/loommeasure/run_test.go
@@ -9,7 +9,7 @@
 // against a failover that loses acknowledged writes.
 func TestMeasuresAreReproducible(t *testing.T) {
 	d := deployments()[0]
-	for _, run := range []func(deployment, policy, uint64) []value{measureUnplanned, measurePlanned, measurePeak} {
+	for _, run := range []func(deployment, policy, uint64) []value{measureCrash, measureSilence, measurePlanned, measurePeak} {
 		first, second := run(d, policyCore, 1), run(d, policyCore, 1)
 		if !slices.Equal(first, second) {
 			t.Errorf("two runs on the same seed differ:\n%v\n%v", first, second)
--- a/loommeasure/server.go
+++ b/loommeasure/server.go
@@ -10,6 +10,8 @@
 	heartbeatInterval = 100 * time.Millisecond
 	// reportWait is how long a primary waits for a majority before it reports a commit.
 	reportWait = time.Second
+	// progressTime is when a connection without progress is given up.
+	progressTime = 2 * time.Second
 	// excessLoss is the part of the throughput that each statement beyond the slots costs.
 	excessLoss = 0.05
 	minRate    = 0.5
@@ -24,9 +26,11 @@
 
 // server is a fake of one database server.
 type server struct {
-	world   *world
-	server  currantloom.Server
-	up      bool
+	world  *world
+	server currantloom.Server
+	up     bool
+	// mute says that the VM of the server is gone: nothing answers, not even with a refusal.
+	mute    bool
 	role    currantloom.Role
 	term    currantloom.Term
 	granted currantloom.Term
@@ -233,11 +237,11 @@
 	})
 }
 
-// applyTime is how long a replica takes to apply an entry. About once in 10 s it falls behind by up to 400 ms.
+// applyTime is how long a replica takes to apply an entry. Now and then it falls behind by up to 2 s.
 func (s *server) applyTime() time.Duration {
 	w := s.world
 	if w.now >= s.slowUntil && w.random.Float64() < 0.0005 {
-		s.slowUntil = w.now + time.Duration(w.random.Float64()*float64(400*time.Millisecond))
+		s.slowUntil = w.now + time.Duration(w.random.Float64()*float64(2*time.Second))
 	}
 	if w.now < s.slowUntil {
 		return s.slowUntil - w.now
@@ -287,20 +291,34 @@
 	s.log = s.log[:common:common]
 }
 
+// vanish ends the server's VM: connections stay open without an answer.
+func (s *server) vanish() {
+	s.mute = true
+	s.stop()
+}
+
 // stop ends the server's process: statements and connections are lost.
 func (s *server) stop() {
 	s.up = false
 	s.version++
 	lost, commits := s.running, s.commits
 	s.running, s.commits = nil, nil
-	s.connections = 0
-	s.idle = make(map[*node]int)
-	for _, x := range lost {
-		x.done(connectionLost(currantloom.MayHaveRun))
+	if !s.mute {
+		s.connections = 0
+		s.idle = make(map[*node]int)
 	}
-	for _, c := range commits {
-		c.fail()
+	delay := time.Duration(0)
+	if s.mute {
+		delay = progressTime
 	}
+	s.world.after(delay, func() {
+		for _, x := range lost {
+			x.done(connectionLost(currantloom.MayHaveRun))
+		}
+		for _, c := range commits {
+			c.fail()
+		}
+	})
 }
 
 func connectionLost(v currantloom.Verdict) currantloom.WorkResult {
