--- a/loommeasure/run.go
+++ b/loommeasure/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"text/tabwriter"
 )
 
@@ -47,7 +48,12 @@
 			},
 		},
 		{
-			"unplanned failover", "median 2 s, never over 8 s", measureUnplanned, []namedPolicy{
+			"failover, process of the primary dies", "median 2 s, never over 8 s", measureCrash, []namedPolicy{
+				{policyCore, "policy"}, {policyNoSuspicion, "baseline: without suspicion by users"},
+			},
+		},
+		{
+			"failover, VM of the primary is gone", "median 2 s, never over 8 s", measureSilence, []namedPolicy{
 				{policyCore, "policy"}, {policyNoSuspicion, "baseline: without suspicion by users"},
 			},
 		},
@@ -107,10 +113,12 @@
 
 // runSeeds runs one measure with the seeds 1 to seeds.
 func runSeeds(d deployment, m measure, p namedPolicy, seeds int) []row {
-	var results [][]value
+	results := make([][]value, seeds)
+	var wait sync.WaitGroup
 	for seed := range seeds {
-		results = append(results, m.run(d, p.policy, uint64(seed+1)))
+		wait.Go(func() { results[seed] = m.run(d, p.policy, uint64(seed+1)) })
 	}
+	wait.Wait()
 	var rows []row
 	for i, v := range results[0] {
 		var amounts []float64
