--- a/loomcore/planned.go
+++ b/loomcore/planned.go
@@ -18,8 +18,9 @@
 	// forceAfter is when a leaving primary is replaced although work still runs. The rest of the 5 s that a leaving
 	// server may get work for is needed to notice the mark and to promote.
 	forceAfter = 4500 * time.Millisecond
-	// drainExpiry is when a leaving primary gets no new work in any case.
-	drainExpiry = 5 * time.Second
+	// drainExpiry is when a leaving primary gets no new work in any case. The rest of the 5 s is for the lag of this
+	// node's events.
+	drainExpiry = forceAfter
 	// maxTargetAge is the lag up to which a replica can catch up while writes are held.
 	maxTargetAge = 2 * time.Second
 )
@@ -48,8 +49,8 @@
 // drainExpired reports whether the primary has been leaving for so long that it gets no new work, even if no other
 // server could take over.
 func (s *State) drainExpired(g *group) bool {
-	v := g.member(g.primary)
-	return v != nil && v.leaving && s.now-v.leavingAt >= drainExpiry
+	since, leaving := s.members.leavingSince[g.primary]
+	return leaving && s.now-since >= drainExpiry
 }
 
 // releaseHeld admits work that waited for a planned change or for a newer report.
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -11,7 +11,7 @@
 
 const (
 	// pauseGap is a time without events that only a pause of the process explains, since ticks come every 50 ms.
-	pauseGap = time.Second
+	pauseGap = 450 * time.Millisecond
 	// resumePeriod is how long after a pause events may be late by the length of the pause.
 	resumePeriod = time.Second
 )
--- a/loomcore/system_fuzz_test.go
+++ b/loomcore/system_fuzz_test.go
@@ -292,7 +292,7 @@
 		s, n := sessions[w.random.IntN(len(sessions))], w.nodes[w.random.IntN(len(w.nodes))]
 		s.lostNode(w)
 		if s.current == nil && !n.dead {
-			op := &operation{kind: currantloom.Kind(step % 2), write: step, maxAge: time.Duration(step%3) * time.Second}
+			op := &operation{kind: currantloom.Kind(step % 2), write: step + 1, maxAge: time.Duration(step%3) * time.Second}
 			s.issue(w, n, op)
 		}
 		if step%40 == 39 {
--- a/loomcore/system_oracle_test.go
+++ b/loomcore/system_oracle_test.go
@@ -87,7 +87,9 @@
 func writesOf(log []logEntry) map[int]int {
 	held := make(map[int]int, len(log))
 	for _, e := range log {
-		held[e.write]++
+		if e.write > 0 {
+			held[e.write]++
+		}
 	}
 	return held
 }
--- a/loomcore/system_server_test.go
+++ b/loomcore/system_server_test.go
@@ -58,12 +58,17 @@
 	return currantloom.TermGrant{Granted: repeated, Highest: m.granted, Mark: m.mark()}
 }
 
-// lead makes the server primary of a term it granted to the proposer.
-func (m *modelServer) lead(term currantloom.Term) bool {
-	if m.granted != term || m.role == currantloom.RoleReplica && m.term == term {
+// lead makes the server primary of a term it granted to the proposer. Its first entry in the term makes the entries of
+// older terms final once a majority holds it.
+func (m *modelServer) lead(term currantloom.Term, now time.Duration) bool {
+	if m.role == currantloom.RolePrimary && m.term == term {
+		return m.granted == term
+	}
+	if m.granted != term || m.term == term {
 		return false
 	}
 	m.role, m.term = currantloom.RolePrimary, term
+	m.log = append(slices.Clone(m.log), logEntry{term: term, at: now})
 	return true
 }
 
--- a/loomcore/system_test.go
+++ b/loomcore/system_test.go
@@ -99,7 +99,7 @@
 	for i, domain := range domains {
 		name := currantloom.ServerName(fmt.Sprintf("%s-%c", worldDatabase, 'a'+i))
 		described = append(described, currantloom.NewServer(name, worldDatabase, "", domain))
-		m := &modelServer{name: name, term: 1, granted: 1, primary: described[0].Name(),
+		m := &modelServer{name: name, term: 1, granted: 1, primary: described[0].Name(), log: []logEntry{{term: 1}},
 			running: make(map[currantloom.RequestKey]bool)}
 		if i == 0 {
 			m.role = currantloom.RolePrimary
@@ -326,7 +326,7 @@
 		})
 	}
 	n.call(e.Server, func(m *modelServer) func() {
-		ok := m.lead(e.Term)
+		ok := m.lead(e.Term, n.world.now)
 		if ok {
 			n.world.oracle.led(n.world, m)
 		}
