Let more short work run while some of it waits for a distant replica

A statement that waits for the confirmation of its commit uses no capacity of the server. The carrier estimates the wait by the round trip of its polls to the nearest reachable replica and opens as many slots as statements are waiting on average, at most four times the slots. A lag of the replica itself is not part of the estimate.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -25,6 +25,7 @@
 	confirming   []*work
 	transactions transactions
 	history      history
+	commitWait   commitWait
 }
 
 type workState uint8
@@ -289,6 +290,9 @@
 func (s *State) observe(q *queue, w *work) {
 	took := s.now - w.startedAt
 	s.carrier.history.observe(w.statement, took)
+	if w.class == currantloom.Short && w.answer.Term > 0 && (w.answer.Wrote || w.confirms) {
+		q.observeConfirmed(took)
+	}
 	q.share(w.class).settle(w.header.Caller, took-w.cost)
 }
 
--- /dev/null
+++ b/loomcore/commitwait_test.go
@@ -0,0 +1,37 @@
+package loomcore
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWaitingSlots guards against slots that stay occupied while a statement only waits for a distant replica, and
+// against more than the slots at a server that is busy.
+func TestWaitingSlots(t *testing.T) {
+	tests := []struct {
+		name            string
+		server          string
+		run, roundTrips time.Duration
+		want            int
+	}{
+		{"a near replica", "a", 22 * time.Millisecond, time.Millisecond, 0},
+		{"a distant replica", "a", 80 * time.Millisecond, 60 * time.Millisecond, 6},
+		{"hardly more than the wait", "a", 61 * time.Millisecond, 60 * time.Millisecond, 6},
+		{"no run time known", "a", 0, 60 * time.Millisecond, 0},
+		{"a replica does not wait", "b", 80 * time.Millisecond, 60 * time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newScript(t, 2, 16, "")
+			x.run("arrive 1 => run 1")
+			for _, server := range x.state.groups["wheel"].database.Servers() {
+				x.state.carrier.commitWait.roundTrips[server.Name()] = test.roundTrips
+			}
+			q := x.state.queueOf(x.state.groups["wheel"], scriptDatabase(2, 16).Servers()[int(test.server[0]-'a')].Name())
+			q.confirmedRun = test.run
+			if got := x.state.waitingSlots(q); got != test.want {
+				t.Errorf("got %d more slots, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -30,6 +30,8 @@
 	// shortUsage and longUsage hold what each caller used of the class lately.
 	shortUsage usages
 	longUsage  usages
+	// confirmedRun is the moving average of the run time of short work that waits for a replica at its end.
+	confirmedRun time.Duration
 	// running holds the work that occupies a slot, in the order of start.
 	running []*work
 	// held counts the connections in use, byCaller those of each caller.
@@ -96,10 +98,10 @@
 
 // shortSlots is the number of slots that short work may take now. One slot is opened in place of one that short work
 // has occupied for too long, or if the server's only slot runs long work.
-func (q *queue) shortSlots() int {
-	slots := q.group.database.Slots()
+func (s *State) shortSlots(q *queue) int {
+	slots := q.group.database.Slots() + s.waitingSlots(q)
 	long, reclassified := q.longRunning()
-	if reclassified || slots == 1 && long > 0 {
+	if reclassified || q.group.database.Slots() == 1 && long > 0 {
 		slots++
 	}
 	return slots - long
@@ -176,12 +178,12 @@
 func (s *State) nextWork(g *group, q *queue) *work {
 	can := func(w *work) bool { return s.canStart(g, q, w) }
 	long, _ := q.longRunning()
-	if long < q.longSlots(s.now) && len(q.running) < g.database.Slots() {
+	if long < q.longSlots(s.now) && len(q.running) < g.database.Slots()+s.waitingSlots(q) {
 		if w := q.long.next(can); w != nil {
 			return w
 		}
 	}
-	if len(q.running)-long < q.shortSlots() {
+	if len(q.running)-long < s.shortSlots(q) {
 		return q.short.next(can)
 	}
 	return nil
@@ -232,7 +234,7 @@
 	sh := q.share(w.class)
 	lanes := q.longSlots(s.now)
 	if w.class == currantloom.Short {
-		lanes = max(1, q.shortSlots())
+		lanes = max(1, s.shortSlots(q))
 	}
 	busy, ahead := 0, time.Duration(0)
 	for _, r := range q.running {
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -109,6 +109,9 @@
 
 // review lets waiting work and requests act on what the event changed for the groups or the VMs.
 func (s *State) review(e Event) {
+	if r, ok := e.(StatusReceived); ok {
+		s.carrier.commitWait.observe(r.Server, s.now-r.SentAt)
+	}
 	switch e.(type) {
 	case StatusReceived, StatusFailed, TermAnswered, LeadAnswered, RulesReceived, VMsReceived:
 		s.reviewCarrier()
