--- a/loommeasure/run.go
+++ b/loommeasure/run.go
@@ -1,12 +1,12 @@
 package loommeasure
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
 	"sync"
-	"text/tabwriter"
 )
 
 // defaultSeeds is the number of runs per measure if the options state none.
@@ -136,24 +136,26 @@
 
 // writeTables writes one table per deployment.
 func writeTables(w io.Writer, rows []row, seeds int) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	var b bytes.Buffer
 	deployment, measure, policy := "", "", ""
 	for _, r := range rows {
 		if r.Deployment != deployment {
 			deployment, measure = r.Deployment, ""
-			_, _ = fmt.Fprintf(t, "\n%s, %d seeds\tmin\tmedian\tmax\t\n", r.Deployment, seeds)
+			fmt.Fprintf(&b, "\n%-48s%10s%10s%10s\n", fmt.Sprintf("%s, %d seeds", r.Deployment, seeds), "min", "median", "max")
 		}
 		if r.Measure != measure {
 			measure, policy = r.Measure, ""
-			_, _ = fmt.Fprintf(t, "%s (target: %s)\t\t\t\t\n", r.Measure, r.Target)
+			fmt.Fprintf(&b, "%s (target: %s)\n", r.Measure, r.Target)
 		}
 		if r.Policy != policy {
 			policy = r.Policy
-			_, _ = fmt.Fprintf(t, "  %s\t\t\t\t\n", r.Policy)
+			fmt.Fprintf(&b, "  %s\n", r.Policy)
 		}
-		_, _ = fmt.Fprintf(t, "    %s\t%s\t%s\t%s\t%s\n", r.Value, format(r.Min), format(r.Median), format(r.Max), r.Unit)
+		fmt.Fprintf(&b, "    %-44s%10s%10s%10s %s\n",
+			r.Value, format(r.Min), format(r.Median), format(r.Max), r.Unit)
 	}
-	return t.Flush()
+	_, err := w.Write(b.Bytes())
+	return err
 }
 
 func format(x float64) string {
