Keep a delayed cancel from reaching the next use of a connection

Cause: the pool handed out the connection itself, so a cancel that came after Release hit whatever ran on it by then, and a second Release was counted twice. Each use is now a lease of its own.

--- a/loomserver/conn.go
+++ b/loomserver/conn.go
@@ -115,16 +115,27 @@
 // that carried the request. Until then the connection is not used again, so the cancel cannot hit later work. Without
 // a request at the server it does nothing.
 func (c *Conn) Cancel(ctx context.Context) error {
+	if !c.beginCancel() {
+		return nil
+	}
+	return c.finishCancel(ctx)
+}
+
+// beginCancel keeps the connection from being used again until finishCancel, if a request is at the server.
+func (c *Conn) beginCancel() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.running {
-		c.mu.Unlock()
-		return nil
+		return false
 	}
 	if c.cancels == 0 {
 		c.cancelled = make(chan struct{})
 	}
 	c.cancels++
-	c.mu.Unlock()
+	return true
+}
+
+func (c *Conn) finishCancel(ctx context.Context) error {
 	ctx, stop := context.WithTimeout(ctx, cancelLimit)
 	defer stop()
 	err := c.sendCancel(ctx)
--- a/loomserver/helper_test.go
+++ b/loomserver/helper_test.go
@@ -109,7 +109,7 @@
 	return w
 }
 
-func acquire(t *testing.T, p *Pool) *Conn {
+func acquire(t *testing.T, p *Pool) *lease {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
@@ -117,11 +117,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return c.(*Conn)
+	return c.(*lease)
 }
 
 // runOn runs work on a connection and returns the response as words.
-func runOn(t *testing.T, c *Conn, w currantloom.Work) (currantloom.WorkResult, string) {
+func runOn(t *testing.T, c *lease, w currantloom.Work) (currantloom.WorkResult, string) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
--- a/loomserver/pool.go
+++ b/loomserver/pool.go
@@ -28,7 +28,8 @@
 	server   currantloom.Server
 	user     string
 	password string
-	// places holds one element for each connection in use or idle; nil means no limit.
+	// places holds one element for each connection in use; nil means no limit. A connection is opened only when none
+	// is idle, so the idle ones need no place of their own.
 	places chan struct{}
 
 	configOnce sync.Once
@@ -131,7 +132,7 @@
 			break
 		}
 		if c.usable(ctx) {
-			return c, nil
+			return &lease{Conn: c}, nil
 		}
 		// What ended this connection has probably ended the others.
 		c.close()
@@ -143,7 +144,7 @@
 		p.inUse.Done()
 		return nil, err
 	}
-	return c, nil
+	return &lease{Conn: c}, nil
 }
 
 func (p *Pool) takePlace(ctx context.Context) error {
--- a/loomserver/pool_test.go
+++ b/loomserver/pool_test.go
@@ -102,7 +102,8 @@
 		"after sending":  func() { relay.CutToClient(0) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := acquire(t, p)
+			c, idle := acquire(t, p), acquire(t, p)
+			idle.Release()
 			cut()
 			r, _ := runOn(t, c, simple("DELETE FROM orders"))
 			wantFailure(t, r, currantloom.MayHaveRun, currantloom.CodeOutcomeUnknown)
@@ -221,7 +222,8 @@
 
 // TestCancel guards against a cancel that does not arrive, or that hits a later request on the connection.
 func TestCancel(t *testing.T) {
-	p := newPool(t, startGroup(t, loomstandin.Options{})[0].Address())
+	server := startGroup(t, loomstandin.Options{})[0]
+	p := newPool(t, server.Address())
 	c := acquire(t, p)
 	time.AfterFunc(50*time.Millisecond, func() { _ = c.Cancel(context.Background()) })
 	r, got := runOn(t, c, simple("SELECT pg_sleep(60)"))
@@ -245,9 +247,23 @@
 		})
 		runOn(t, c, simple("SELECT pg_sleep(0.0001)"))
 		c.Release()
-		wantResponse(t, p, simple("SELECT 1"), "T [1] SELECT 1")
+		wantResponse(t, p, simple("SELECT pg_sleep(0.0005)"), "T [] SELECT 1")
 		group.Wait()
 	}
+	server.SetCancelDelay(60 * time.Millisecond)
+	c = acquire(t, p)
+	time.AfterFunc(10*time.Millisecond, func() { _ = c.Cancel(context.Background()) })
+	runOn(t, c, simple("SELECT pg_sleep(0.03)"))
+	c.Release()
+	wantResponse(t, p, simple("SELECT pg_sleep(0.1)"), "T [] SELECT 1")
+	server.SetCancelDelay(0)
+	stale := acquire(t, p)
+	stale.Release()
+	stale.Release()
+	time.AfterFunc(20*time.Millisecond, func() { _ = stale.Cancel(context.Background()) })
+	wantResponse(t, p, simple("SELECT pg_sleep(0.1)"), "T [] SELECT 1")
+	r, _ = runOn(t, stale, simple("SELECT 1"))
+	wantFailure(t, r, currantloom.NotRun, currantloom.CodeConnectionFailure)
 }
 
 // TestControl guards against grants and roles that are misread.
--- a/loomstandin/group_test.go
+++ b/loomstandin/group_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -273,6 +274,65 @@
 	wantCode(t, err, "55000")
 }
 
+// TestFencing guards against a server that commits or leads in an old term after it granted a newer one.
+func TestFencing(t *testing.T) {
+	s := startGroup(t, Options{})[0]
+	open, other := dial(t, s), dial(t, s)
+	run(t, open, "BEGIN; INSERT INTO t VALUES ('open', '1')")
+	for range 2 {
+		wantRows(t, other, "SELECT * FROM group_raise_term(5, 'vm-1')", "t|5|1|1")
+	}
+	wantRows(t, other, "SELECT * FROM group_raise_term(5, 'vm-2')", "f|5|1|1")
+	if got := run(t, other, "SELECT * FROM group_status()"); !strings.HasPrefix(got[0], "fenced|1|5|1|1|") {
+		t.Errorf("got status %v, want fenced", got)
+	}
+	for sql, conn := range map[string]*pgx.Conn{
+		"COMMIT": open, "INSERT INTO t VALUES ('new', '1')": other, "SELECT * FROM group_confirm()": other,
+	} {
+		_, err := try(t, conn, sql)
+		wantCode(t, err, "25006")
+	}
+	wantRows(t, other, "SELECT count(*) FROM t", "0")
+	for _, sql := range []string{"SELECT group_lead(4)", "SELECT group_follow(4, '127.0.0.1:1')"} {
+		_, err := try(t, other, sql)
+		wantCode(t, err, "55000")
+	}
+	run(t, other, "SELECT group_lead(5)")
+	run(t, other, "INSERT INTO t VALUES ('new', '1')")
+}
+
+// TestOldTermEntry guards against a confirmed entry that is lost because it was written in an older term: it is held by
+// a majority of a later term, while a server that is away holds an entry of the term between them.
+func TestOldTermEntry(t *testing.T) {
+	servers := startGroup(t, Options{})
+	servers[1].SetDelay(time.Hour)
+	servers[2].SetDelay(time.Hour)
+	run(t, dial(t, servers[0]), "INSERT INTO t VALUES ('old', '1')")
+	if leader := promote(t, 2, servers[1], servers[2]); leader != servers[1] {
+		t.Fatalf("got primary %s, want the first of equal ones", leader.Address())
+	}
+	run(t, dial(t, servers[1]), "INSERT INTO t VALUES ('between', '2')")
+	servers[1].Pause()
+	servers[0].SetDelay(0)
+	servers[2].SetDelay(0)
+	if leader := promote(t, 3, servers[0], servers[2]); leader != servers[0] {
+		t.Fatalf("got primary %s, want the one with the later mark", leader.Address())
+	}
+	rows := run(t, dial(t, servers[0]), "SELECT * FROM group_confirm()")
+	if rows[0] != "3|3|3|2" {
+		t.Errorf("got confirmation %v, want 3|3|3|2", rows)
+	}
+	servers[0].Pause()
+	servers[1].SetDelay(0)
+	servers[1].Resume()
+	leader := promote(t, 4, servers[1], servers[2])
+	wantRows(t, dial(t, leader), "SELECT id FROM t", "old")
+	eventually(t, "dropping the entry between", func() bool {
+		return fmt.Sprint(run(t, dial(t, servers[1]), "SELECT id FROM t")) == "[old]"
+	})
+	servers[0].Resume()
+}
+
 // TestRestart guards against grants and entries that a killed process forgets, and against a server that lost its log
 // and votes.
 func TestRestart(t *testing.T) {
--- a/loomstandin/server.go
+++ b/loomstandin/server.go
@@ -44,6 +44,7 @@
 	pid        atomic.Uint32
 	networkLag atomic.Int64
 	stateTime  atomic.Int64
+	cancelLag  atomic.Int64
 
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
@@ -126,6 +127,9 @@
 // SetStatementTime changes the time a statement uses its slot.
 func (s *Server) SetStatementTime(d time.Duration) { s.stateTime.Store(int64(d)) }
 
+// SetCancelDelay changes the time after which a cancel request is processed.
+func (s *Server) SetCancelDelay(d time.Duration) { s.cancelLag.Store(int64(d)) }
+
 func (s *Server) delay() time.Duration { return time.Duration(s.networkLag.Load()) }
 
 // Pause makes the server silent: it accepts connections and answers nothing until Resume.
@@ -231,7 +235,9 @@
 			}
 			continue
 		case *pgproto3.CancelRequest:
-			s.cancelSession(m)
+			if s.pause(ctx, time.Duration(s.cancelLag.Load())) {
+				s.cancelSession(m)
+			}
 		case *pgproto3.StartupMessage:
 			if _, ok := m.Parameters[replicationParameter]; ok {
 				s.serveStream(ctx, b)
--- a/server.go
+++ b/server.go
@@ -132,9 +132,12 @@
 
 // ServerConn is a connection to a database server in the use of one request or transaction.
 type ServerConn interface {
-	// Run sends the encoded messages and passes the response on. It returns after ReadyForQuery.
+	// Run sends the encoded messages and passes the response on. It returns after ReadyForQuery. When the context
+	// ends, the server is asked to cancel the request and gets a second to answer; ending the context therefore
+	// cancels exactly this request, also within a transaction.
 	Run(ctx context.Context, work Work, out ResponseWriter) WorkResult
-	// Cancel asks the server to cancel what runs on the connection. It returns once the server has processed it.
+	// Cancel asks the server to cancel what runs on the connection now. It returns once the server has processed it.
+	// After Release it does nothing.
 	Cancel(ctx context.Context) error
 	// Release returns the connection to the pool if it is clean and closes it otherwise.
 	Release()
