--- /dev/null
+++ b/loomstandin/promotion_test.go
@@ -0,0 +1,92 @@
+package loomstandin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// confirmedWrites are the ids of the rows that were reported with a majority.
+type confirmedWrites struct {
+	mu  sync.Mutex
+	ids []string
+}
+
+// write inserts rows at a server until the context ends or the server refuses.
+func (w *confirmedWrites) write(ctx context.Context, s *Server, prefix string) {
+	conn, err := pgconn.Connect(ctx, "postgres://test@"+s.Address()+"/test?sslmode=disable")
+	if err != nil {
+		return
+	}
+	defer func() {
+		closing, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = conn.Close(closing)
+		<-conn.CleanupDone()
+	}()
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("%s-%d", prefix, i)
+		if _, err := conn.Exec(ctx, "INSERT INTO t VALUES ('"+id+"', '')").ReadAll(); err != nil {
+			return
+		}
+		if position := conn.ParameterStatus("group_position"); !strings.HasSuffix(position, "/1") {
+			w.mu.Lock()
+			w.ids = append(w.ids, id)
+			w.mu.Unlock()
+		}
+	}
+}
+
+// TestPromotionsUnderLoad guards against a confirmed entry that is lost, and against servers that keep different logs,
+// when one server after the other is cut off while the rest promotes.
+func TestPromotionsUnderLoad(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 1))
+			servers := startGroup(t, Options{})
+			var writes confirmedWrites
+			var writers sync.WaitGroup
+			ctx, cancel := context.WithCancel(t.Context())
+			defer writers.Wait()
+			defer cancel()
+			leader := servers[0]
+			for term := 2; term < 8; term++ {
+				writers.Go(func() { writes.write(ctx, leader, fmt.Sprint(term)) })
+				time.Sleep(time.Duration(20+random.IntN(80)) * time.Millisecond)
+				away := random.IntN(len(servers))
+				servers[away].Pause()
+				rest := append(append([]*Server(nil), servers[:away]...), servers[away+1:]...)
+				leader = promote(t, term, rest...)
+				servers[away].Resume()
+				run(t, dial(t, servers[away]), fmt.Sprintf("SELECT group_follow(%d, '%s')", term, leader.Address()))
+			}
+			cancel()
+			writers.Wait()
+			kept := make(map[string]bool)
+			for _, id := range run(t, dial(t, leader), "SELECT id FROM t") {
+				kept[id] = true
+			}
+			for _, id := range writes.ids {
+				if !kept[id] {
+					t.Errorf("confirmed row %s is lost", id)
+				}
+			}
+			if len(writes.ids) < 50 {
+				t.Errorf("only %d rows were confirmed, too few for the test", len(writes.ids))
+			}
+			for _, s := range servers {
+				eventually(t, "agreement of the logs", func() bool {
+					want := run(t, dial(t, leader), "SELECT id FROM t")
+					return fmt.Sprint(run(t, dial(t, s), "SELECT id FROM t")) == fmt.Sprint(want)
+				})
+			}
+		})
+	}
+}
