Let only the settings decide how a pool connects

Cause: pgconn reads further connection rules from the environment, for example to accept only a writable server, which would refuse replicas. A limit of zero made Acquire wait for ever; it now means no limit.

--- a/loomserver/pool.go
+++ b/loomserver/pool.go
@@ -47,8 +47,13 @@
 type Option func(*Pool)
 
 // WithLimit bounds the connections for requests; control calls use further ones. Acquire waits when all are in use.
+// Without a positive limit only the server's limit applies.
 func WithLimit(connections int) Option {
-	return func(p *Pool) { p.places = make(chan struct{}, connections) }
+	return func(p *Pool) {
+		if connections > 0 {
+			p.places = make(chan struct{}, connections)
+		}
+	}
 }
 
 // NewPool returns a pool without connections; they are opened on demand.
@@ -77,7 +82,9 @@
 		return
 	}
 	config.User, config.Password, config.Database = p.user, p.password, string(p.server.Database())
+	// Only the settings decide, not what the environment says about other databases.
 	config.Fallbacks, config.RuntimeParams = nil, map[string]string{"application_name": "currantloom"}
+	config.ValidateConnect, config.AfterConnect = nil, nil
 	dialer := net.Dialer{Timeout: connectLimit}
 	config.DialFunc = dialer.DialContext
 	p.config = config
--- a/server.go
+++ b/server.go
@@ -157,7 +157,8 @@
 	Caller    CallerName
 	RequestID string
 	// Progress is the longest time without a byte from the server, after which the connection counts as silent. Zero
-	// means that only the context bounds the run.
+	// means that only the context bounds the run. It has to exceed the second for which a server may delay the report of
+	// a commit or a confirmation.
 	Progress time.Duration
 	// Accept decides, for work whose completion is withheld, whether the caller may be told that it committed.
 	Accept func(WorkResult) error
