--- a/loomserver/pool.go
+++ b/loomserver/pool.go
@@ -28,7 +28,8 @@
 	server   currantloom.Server
 	user     string
 	password string
-	// places holds one element for each connection in use or idle; nil means no limit.
+	// places holds one element for each connection in use; nil means no limit. A connection is opened only when none
+	// is idle, so the idle ones need no place of their own.
 	places chan struct{}
 
 	configOnce sync.Once
@@ -46,8 +47,13 @@
 type Option func(*Pool)
 
 // WithLimit bounds the connections for requests; control calls use further ones. Acquire waits when all are in use.
+// Without a positive limit only the server's limit applies.
 func WithLimit(connections int) Option {
-	return func(p *Pool) { p.places = make(chan struct{}, connections) }
+	return func(p *Pool) {
+		if connections > 0 {
+			p.places = make(chan struct{}, connections)
+		}
+	}
 }
 
 // NewPool returns a pool without connections; they are opened on demand.
@@ -76,7 +82,9 @@
 		return
 	}
 	config.User, config.Password, config.Database = p.user, p.password, string(p.server.Database())
+	// Only the settings decide, not what the environment says about other databases.
 	config.Fallbacks, config.RuntimeParams = nil, map[string]string{"application_name": "currantloom"}
+	config.ValidateConnect, config.AfterConnect = nil, nil
 	dialer := net.Dialer{Timeout: connectLimit}
 	config.DialFunc = dialer.DialContext
 	p.config = config
@@ -131,7 +139,7 @@
 			break
 		}
 		if c.usable(ctx) {
-			return c, nil
+			return &lease{Conn: c}, nil
 		}
 		// What ended this connection has probably ended the others.
 		c.close()
@@ -143,7 +151,7 @@
 		p.inUse.Done()
 		return nil, err
 	}
-	return c, nil
+	return &lease{Conn: c}, nil
 }
 
 func (p *Pool) takePlace(ctx context.Context) error {
