--- a/loomcore/planned_test.go
+++ b/loomcore/planned_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomrules"
 )
 
 // leave marks a server as leaving in the VM list of all nodes but those given.
@@ -28,19 +29,26 @@
 		least      time.Duration
 		most       time.Duration
 		mostOutage time.Duration
+		// idle says that a transaction stays open without a statement.
+		idle bool
 	}{
-		{"no work", nil, 0, 0, 400 * time.Millisecond, 250 * time.Millisecond},
-		{"short work ends within the hold", &work{running: true}, ms(100), 0, ms(500), 250 * time.Millisecond},
+		{"no work", nil, 0, 0, 400 * time.Millisecond, 250 * time.Millisecond, false},
+		{"short work ends within the hold", &work{running: true}, ms(100), 0, ms(500), 250 * time.Millisecond, false},
 		{"long work ends in time", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
-			2 * time.Second, 2 * time.Second, ms(2500), 250 * time.Millisecond},
-		{"transaction ends in time", &work{running: true, pinned: true}, time.Second, time.Second, ms(1500), ms(250)},
+			2 * time.Second, 2 * time.Second, ms(2500), 250 * time.Millisecond, false},
+		{"transaction ends in time", &work{running: true, pinned: true}, time.Second, time.Second, ms(1500), ms(250), false},
 		{"work does not end", &work{running: true, header: currantloom.RequestHeader{Class: currantloom.Long}},
-			0, 3 * time.Second, 5 * time.Second, 500 * time.Millisecond},
+			0, 3 * time.Second, 5 * time.Second, 500 * time.Millisecond, false},
+		{"transaction stays idle", nil, 0, 4 * time.Second, 5 * time.Second, 500 * time.Millisecond, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(1, 5, t.Fatalf)
 			w.run(3 * time.Second)
 			n := w.carrierIn(serverA)
+			if c.idle {
+				x := &transaction{queue: &queue{server: serverA}}
+				n.state.carrier.transactions.ordered = []*transaction{x}
+			}
 			if c.work != nil {
 				c.work.header.Server = serverA
 				n.state.carrier.works = map[currantloom.RequestKey]*work{{}: c.work}
@@ -73,6 +81,26 @@
 	}
 }
 
+// rule puts a rules file into effect on all nodes.
+func (w *world) rule(text string) {
+	rules, err := loomrules.Parse(text + "\n")
+	if err != nil {
+		w.fail("rules: %v", err)
+	}
+	for _, n := range w.nodes {
+		w.deliver(n, RulesReceived{
+			Stamp: w.stamp(), Document: currantloom.NewRulesDocument(1, "1", text), Rules: rules,
+		})
+	}
+}
+
+// runWhile runs as long as the condition holds, but no longer than the limit.
+func (w *world) runWhile(limit time.Duration, condition func() bool) {
+	for end := w.now + limit; condition() && w.now < end; {
+		w.run(time.Millisecond)
+	}
+}
+
 func checkBetween(t *testing.T, what string, got, least, most time.Duration) {
 	t.Helper()
 	t.Logf("%s: %v", what, got)
@@ -110,6 +138,9 @@
 	if name := w.primaryName(); name != serverA {
 		t.Errorf("got primary %q, want %s to stay", name, serverA)
 	}
+	if term := w.server(serverA).term; term != 1 {
+		t.Errorf("got term %d, want no change of primary", term)
+	}
 }
 
 // TestHoldEndsWithoutChange guards against writes that stay held when the target falls behind or the proposal fails.
@@ -129,18 +160,82 @@
 			w.run(3 * time.Second)
 			n := w.carrierIn(serverA)
 			w.leave(serverA)
-			for !n.state.groups[testDatabase].holdsWrites() {
-				w.run(time.Millisecond)
-			}
+			w.runWhile(5*time.Second, func() bool { return !n.state.groups[testDatabase].holdsWrites() })
 			w.drop = c.drop
 			c.fault(w)
 			held := w.now
-			for n.state.groups[testDatabase].holdsWrites() {
-				w.run(time.Millisecond)
-			}
+			w.runWhile(5*time.Second, func() bool { return n.state.groups[testDatabase].holdsWrites() })
 			checkBetween(t, "hold", w.now-held, 0, ms(1300))
 			w.drop = nil
 			w.awaitPrimary(serverA)
 		})
 	}
 }
+
+// TestTargetBehind guards against long work that waits for a replica that stays behind, and against a change that holds
+// writes for it.
+func TestTargetBehind(t *testing.T) {
+	t.Run("named by a rule", func(t *testing.T) {
+		w := newWorld(1, 5, t.Fatalf)
+		w.server(serverC).behind = true
+		w.run(5 * time.Second)
+		w.rule("primary wheel-core-1 wheel-core-1-c # op")
+		g := w.carrierIn(serverA).state.groups[testDatabase]
+		for range 600 {
+			w.run(10 * time.Millisecond)
+			if g.holdsLong() || g.holdsWrites() {
+				t.Fatalf("at %v: work waits for a replica that is behind", w.now)
+			}
+		}
+		w.server(serverC).behind = false
+		w.run(7 * time.Second)
+		if name := w.primaryName(); name != serverC {
+			t.Errorf("got primary %q after the replica caught up, want %s", name, serverC)
+		}
+	})
+	t.Run("nearest to a leaving primary", func(t *testing.T) {
+		w := newWorld(1, 5, t.Fatalf)
+		w.server(serverB).behind = true
+		w.run(5 * time.Second)
+		w.leave(serverA)
+		w.run(time.Second)
+		if name := w.primaryName(); name != serverC {
+			t.Errorf("got primary %q, want %s, which has the position", name, serverC)
+		}
+	})
+}
+
+// TestRulePrimary guards against a rule that has no effect, that moves the primary away from a server again and again,
+// or that cuts off running work.
+func TestRulePrimary(t *testing.T) {
+	for _, c := range []struct {
+		name, rules string
+		work        *work
+		want        currantloom.ServerName
+		wantTerm    currantloom.Term
+	}{
+		{"named replica", "primary wheel-core-1 wheel-core-1-c # op", nil, serverC, 2},
+		{"named server is primary", "primary wheel-core-1 wheel-core-1-a # op", nil, serverA, 1},
+		{"named server is leaving", "primary wheel-core-1 wheel-core-1-b # op", nil, serverA, 1},
+		{"leaving by rule", "leave wheel-core-1-a # op", nil, serverB, 2},
+		{"work does not end", "primary wheel-core-1 wheel-core-1-b # op", &work{running: true}, serverA, 1},
+		{"unknown server", "primary wheel-core-1 wheel-core-9-x # op", nil, serverA, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(1, 5, t.Fatalf)
+			w.run(3 * time.Second)
+			if c.work != nil {
+				c.work.header.Server = serverA
+				w.carrierIn(serverA).state.carrier.works = map[currantloom.RequestKey]*work{{}: c.work}
+			}
+			if c.name == "named server is leaving" {
+				w.leave(serverB)
+			}
+			w.rule(c.rules)
+			w.run(20 * time.Second)
+			if name := w.primaryName(); name != c.want || w.server(name).term != c.wantTerm {
+				t.Errorf("got primary %q, want %s in term %d", name, c.want, c.wantTerm)
+			}
+		})
+	}
+}
--- a/loomcore/rules.go
+++ b/loomcore/rules.go
@@ -56,6 +56,7 @@
 	}
 	s.rules.document = e.Document
 	s.rules.rules = *e.Rules
+	s.noteLeaving(own == 0)
 	s.emit(Decision{Event: "rules", VM: e.From, Revision: revision, Reason: "newer revision in effect"})
 	if targets := s.rulesTargets(e.From); len(targets) > 0 {
 		s.emit(SpreadRules{VMs: targets, Document: e.Document})
@@ -194,14 +195,14 @@
 }
 
 // rulesPeerFailed counts a candidate for a relay as silent.
-func (s *State) rulesPeerFailed(e PeerFailed) {
-	if !s.isRelayCandidate(e.VM) {
+func (s *State) rulesPeerFailed(vm currantloom.VMName) {
+	if !s.isRelayCandidate(vm) {
 		return
 	}
 	if s.rules.silent == nil {
 		s.rules.silent = make(map[currantloom.VMName]bool)
 	}
-	s.rules.silent[e.VM] = true
+	s.rules.silent[vm] = true
 	s.updateWatch()
 }
 
