Run real processes under faults and a steady load

Cause: the fuzz tests use models; nothing showed the processes together. TestFaults starts a platform, three database servers and three nodes as processes, with relays between them, and kills, freezes, cuts and silences them under a load of pgx clients that move between nodes.

--- /dev/null
+++ b/cmd/currantloom/fault_cluster_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	faultNodes   = 3
+	faultServers = 3
+)
+
+// faultProcess is a process that the run kills, freezes and starts again.
+type faultProcess struct {
+	t       *testing.T
+	name    string
+	args    []string
+	log     *os.File
+	command *exec.Cmd
+	frozen  bool
+}
+
+func (p *faultProcess) start() {
+	p.command = exec.Command(p.args[0], p.args[1:]...)
+	p.command.Stderr = p.log
+	if err := p.command.Start(); err != nil {
+		p.t.Error(err)
+	}
+}
+
+// kill ends the process without a chance to clean up.
+func (p *faultProcess) kill() {
+	if p.command == nil {
+		return
+	}
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+	p.command, p.frozen = nil, false
+}
+
+func (p *faultProcess) freeze() {
+	p.frozen = true
+	_ = p.command.Process.Signal(syscall.SIGSTOP)
+}
+
+func (p *faultProcess) thaw() {
+	p.frozen = false
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+}
+
+// faultCluster is a platform, a database group and nodes as processes, with relays before each of them.
+type faultCluster struct {
+	t        *testing.T
+	platform *faultProcess
+	servers  []*faultProcess
+	nodes    []*faultProcess
+	// serverRelays stand before the servers, linkRelays before the nodes' links, storeRelay before the platform.
+	serverRelays []*relay
+	linkRelays   []*relay
+	storeRelay   *relay
+	control      string
+	callers      []string
+}
+
+func startFaultCluster(t *testing.T) *faultCluster {
+	t.Helper()
+	c := &faultCluster{t: t}
+	binaries, dir := buildOnce(t), t.TempDir()
+	ports := freePorts(t, 1+faultServers+3*faultNodes)
+	c.control = "http://" + ports[0]
+	c.storeRelay = startRelay(t, ports[0])
+	c.platform = c.process(dir, "platform", filepath.Join(binaries, "standin"),
+		"platform", "--listen", ports[0], "--lag", "500ms")
+	for i := range faultServers {
+		c.serverRelays = append(c.serverRelays, startRelay(t, ports[1+i]))
+	}
+	for i := range faultServers {
+		c.servers = append(c.servers, c.process(dir, fmt.Sprintf("server-%d", i), filepath.Join(binaries, "standin"),
+			"server", "--listen", ports[1+i], "--bootstrap", c.serverRelays[0].address(), "--connections", "16",
+			"--slots", "4", "--open-delay", "12ms", "--lag", "20ms",
+			"--journal", filepath.Join(dir, fmt.Sprintf("journal-%d", i))))
+	}
+	awaitOpen(t, ports[0])
+	for i := range faultNodes {
+		own := ports[1+faultServers+3*i:]
+		c.callers = append(c.callers, own[0])
+		c.linkRelays = append(c.linkRelays, startRelay(t, own[1]))
+		name := fmt.Sprintf("vm-%d", i+1)
+		path := filepath.Join(dir, name+".yaml")
+		if err := os.WriteFile(path, []byte(c.settings(name, own)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c.register(name, c.linkRelays[i].address(), own[2])
+		c.nodes = append(c.nodes, c.process(dir, name, filepath.Join(binaries, "currantloom"), "serve", "--settings", path))
+	}
+	return c
+}
+
+// process starts a process whose log goes to a file that a failed test prints the end of.
+func (c *faultCluster) process(dir, name string, args ...string) *faultProcess {
+	log, err := os.Create(filepath.Join(dir, name+".log"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	p := &faultProcess{t: c.t, name: name, args: args, log: log}
+	p.start()
+	c.t.Cleanup(func() {
+		p.kill()
+		_ = log.Close()
+	})
+	return p
+}
+
+func awaitOpen(t *testing.T, address string) {
+	t.Helper()
+	for range 200 {
+		response, err := http.Get("http://" + address + "/v1/kv/none")
+		if err == nil {
+			_ = response.Body.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%s does not answer", address)
+}
+
+func (c *faultCluster) register(name, links, control string) {
+	query := url.Values{"links": {links}, "control": {control}, "region": {"ost"}, "failure-domain": {"ost-linz"}}
+	c.request(http.MethodPut, "/standin/vms/"+name+"?"+query.Encode())
+}
+
+// request sets a fault of the platform; the faults do not affect it.
+func (c *faultCluster) request(method, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, c.control+path, nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		c.t.Errorf("%s %s: %v", method, path, err)
+		return
+	}
+	_ = response.Body.Close()
+}
+
+func (c *faultCluster) settings(name string, own []string) string {
+	var servers strings.Builder
+	for i, r := range c.serverRelays {
+		domain := []string{"ost-linz", "ost-steyr", "ost-steyr"}[i]
+		fmt.Fprintf(&servers, "      - {name: wheel-core-1-%c, address: %q, region: ost, failure-domain: %s}\n",
+			'a'+i, r.address(), domain)
+	}
+	return fmt.Sprintf(`vm: %s
+region: ost
+failure-domain: ost-linz
+listen: {callers: %q, links: %q, control: %q}
+platform: {address: "http://%s", timeout: 1s}
+callers: [{name: steyr, password: secret}, {name: graz, password: secret}]
+databases:
+  - name: wheel-core-1
+    slots: 4
+    connections: 16
+    servers:
+%s`, name, own[0], own[1], own[2], c.storeRelay.address(), servers.String())
+}
