--- a/cmd/currantloom/fault_load_test.go
+++ b/cmd/currantloom/fault_load_test.go
@@ -307,7 +307,9 @@
 }
 
 // runLoad starts the clients; the returned function waits for them.
-func runLoad(ctx context.Context, t *testing.T, cluster *faultCluster, seed uint64) (*faultOutcome, func() []*faultClient) {
+func runLoad(
+	ctx context.Context, t *testing.T, cluster *faultCluster, seed uint64,
+) (*faultOutcome, func() []*faultClient) {
 	t.Helper()
 	outcome := &faultOutcome{counts: make(map[string]int)}
 	var clients []*faultClient
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -97,8 +97,8 @@
 }
 
 // maxRunning bounds the statements that run at a time. Short work keeps all slots beside long work, which takes all but
-// one: p99 of the wait of short work beside long work falls from 5.0 and 6.9 times that without long work to 1.9 and 2.0
-// times with 2 and 3 slots, compared with one slot kept for short work.
+// one. With a single slot kept for short work, the p99 of its wait beside long work was 5.0 and 6.9 times that without
+// long work (2 and 3 slots); now it is 1.9 and 2.0 times.
 func (q *queue) maxRunning() int { return max(2, 2*q.group.database.Slots()-1) }
 
 // shortSlots is the number of slots that short work may take now.
