Use connection limits, progress deadlines and refusals of loomserver

The node opened pools without a limit, ran work without a progress deadline, recognized a refused connection by the text of its error, and reported the refused connections of requests as plain failures. A write over a connection that went silent ended only after its deadline of 10 s and the cancel's grace.

The core now sets the progress deadline with the Run effect: 5 s for short work, none for long work. Work whose run time is unknown and that has more than 10 s gets half of its time instead, because a batch with a stated deadline and no history would otherwise be cut off in its first run. connectError keeps its cause, and WorkResult.Refused carries the refusal to the core.

--- /dev/null
+++ b/cmd/currantloom/silent_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomstandin"
+)
+
+// TestSilentConnection guards against a write that waits for its whole deadline of 10 s at a server whose connections
+// have gone silent, and against one reported as anything but "may have run".
+func TestSilentConnection(t *testing.T) {
+	servers, _ := startGroup(t)
+	relay := loomstandin.StartRelay(listen(t, 1)[0], servers[0])
+	t.Cleanup(func() { _ = relay.Close() })
+	_, addresses := startNodes(t, 1, append([]string{relay.Address()}, servers[1:]...))
+	conn := dial(t, addresses[0])
+	if _, err := conn.Exec(t.Context(), "INSERT INTO orders VALUES ('a', 1)"); err != nil {
+		t.Fatal(err)
+	}
+	relay.Silence(true)
+	start := time.Now()
+	_, err := conn.Exec(context.Background(), "INSERT INTO orders VALUES ('b', 1)")
+	var e *pgconn.PgError
+	if !errors.As(err, &e) || e.Code != string(currantloom.CodeOutcomeUnknown) || time.Since(start) > 7*time.Second {
+		t.Errorf("write over a silent connection: got %v after %s, want 08007 after 5 s", err, time.Since(start))
+	}
+	if _, err := conn.Exec(t.Context(), "INSERT INTO orders VALUES ('c', 1)"); err != nil {
+		t.Errorf("write after the silent one: %v", err)
+	}
+}
--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -14,6 +14,11 @@
 // exceed three times their mean, and work that ends after its deadline takes capacity from work that would not.
 const runMargin = 3
 
+// progressLimit is the longest time without a byte from a server that runs short work, after which its connection
+// counts as silent. It exceeds the second for which a server may delay the report of a commit, and leaves half of the
+// default deadline of 10 s for another attempt.
+const progressLimit = 5 * time.Second
+
 // carrier holds the work at the servers that this node carries.
 type carrier struct {
 	works   map[currantloom.RequestKey]*work
@@ -58,7 +63,9 @@
 	transaction  currantloom.RequestKey
 	class        currantloom.Class
 	reclassified bool
-	statement    statementKey
+	// expected says that a rule or the history gave the class.
+	expected  bool
+	statement statementKey
 	// cost is the expected run time.
 	cost      time.Duration
 	startedAt time.Duration
@@ -226,7 +233,20 @@
 	w.confirms = w.confirmsTerm(g)
 	return Run{
 		Key: h.Key, Server: h.Server, ReadOnly: read, ConfirmTerm: w.confirms,
-		WithholdCompletion: !read || w.confirms, Limit: w.deadline - s.now,
+		WithholdCompletion: !read || w.confirms, Limit: w.deadline - s.now, Progress: w.progress(s.now),
+	}
+}
+
+// progress returns the longest time without a byte from the server. Work whose run time is unknown may be long in spite
+// of its class, so it gets half of a deadline that is longer than the default.
+func (w *work) progress(now time.Duration) time.Duration {
+	switch {
+	case w.class == currantloom.Long:
+		return 0
+	case w.expected:
+		return progressLimit
+	default:
+		return max(progressLimit, (w.deadline-now)/2)
 	}
 }
 
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -86,6 +86,10 @@
 			down a =>
 			wait 1s =>
 			arrive 1 => reject 1 not_run 08006`},
+		{name: "a refused connection of a request is as good as two failed polls", script: `
+			arrive 1 => run 1
+			finish 1 verdict=not_run code=08006 refused => complete 1 not_run 08006
+			arrive 2 => reject 2 not_run 08006`},
 		{name: "waiting work leaves a server that is no longer primary", script: `
 			arrive 1 long => run 1
 			arrive 2 long =>
@@ -263,3 +267,29 @@
 		t.Errorf("got %d statements, want %d", len(h.times), historySize)
 	}
 }
+
+// TestProgress guards against a silent connection that holds short work until its deadline, and against long work, or
+// work that may be long, that is ended because the server is busy with it.
+func TestProgress(t *testing.T) {
+	tests := []struct {
+		name string
+		rule string
+		o    scriptOptions
+		want time.Duration
+	}{
+		{"unknown", "", options(nil), 5 * time.Second},
+		{"unknown with much time", "", options([]string{"remaining=10m"}), 5 * time.Minute},
+		{"short by a rule", "class wheel short \"s\" # ops\n", options([]string{"remaining=10m"}), 5 * time.Second},
+		{"long", "", options([]string{"long"}), 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			x := newScript(t, 2, 16, test.rule)
+			for _, e := range x.state.Reduce(x.arrival(scriptKey("1"), test.o)) {
+				if r, ok := e.(Run); ok && r.Progress != test.want {
+					t.Errorf("got a progress deadline of %s, want %s", r.Progress, test.want)
+				}
+			}
+		})
+	}
+}
--- a/loomcore/class.go
+++ b/loomcore/class.go
@@ -136,6 +136,7 @@
 	w.statement = statementKey{h.Database, fingerprint(h.Statement)}
 	average, known := s.carrier.history.estimate(w.statement)
 	class, ruled := s.rules.rules.Class(h.Database, h.Statement)
+	w.expected = ruled || known
 	switch {
 	case ruled:
 		w.class = class
--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -96,6 +96,8 @@
 		WithholdCompletion bool
 		// Limit is the time until the request's deadline.
 		Limit time.Duration
+		// Progress is the longest time without a byte from the server; zero means that only Limit applies.
+		Progress time.Duration
 	}
 	// Acknowledge lets the withheld completion pass.
 	Acknowledge struct{ Key currantloom.RequestKey }
--- a/loomcore/reach.go
+++ b/loomcore/reach.go
@@ -2,6 +2,9 @@
 
 import "currantloom.example/currantloom"
 
+// WorkConnections returns the number of connections to each server that work may use; the others are for control.
+func WorkConnections(d currantloom.Database) int { return max(1, d.Connections()-controlConnections) }
+
 // unreachable reports whether this node's polls of the server fail.
 func (g *group) unreachable(server currantloom.ServerName) bool {
 	if g.view == nil {
@@ -29,7 +32,7 @@
 	case r.Code == currantloom.CodeTooManyConnections && r.Verdict == currantloom.NotRun:
 		q.connectionRefused(s.now)
 	case r.Code == currantloom.CodeConnectionFailure:
-		s.serverFailed(q.group, q.server, false)
+		s.serverFailed(q.group, q.server, r.Refused)
 	}
 }
 
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -254,7 +254,7 @@
 	r := currantloom.WorkResult{
 		Verdict: currantloom.ParseVerdict(o.get("verdict", "ran")), Code: currantloom.SQLState(o.get("code", "")),
 		Term: o.term(), Mark: o.mark("mark", "1/101"), Confirmed: int(number(o.get("confirmed", "2"))),
-		Wrote: o.has("wrote"), Transaction: currantloom.TransactionIdle, Started: o.has("started"),
+		Wrote: o.has("wrote"), Refused: o.has("refused"), Transaction: currantloom.TransactionIdle, Started: o.has("started"),
 	}
 	if o.has("open") {
 		r.Transaction = currantloom.TransactionOpen
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -6,6 +6,7 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomserver"
 )
 
 // serverTimeout bounds a control call to a database server. It is less than the poll interval, so that two failed
@@ -155,7 +156,7 @@
 		sentAt := time.Since(n.start)
 		status, err := s.Status(ctx)
 		if err != nil {
-			return loomcore.StatusFailed{Stamp: n.stamp(), Server: server, Refused: isRefused(err)}
+			return loomcore.StatusFailed{Stamp: n.stamp(), Server: server, Refused: loomserver.Refused(err)}
 		}
 		return loomcore.StatusReceived{Stamp: n.stamp(), Server: server, SentAt: sentAt, Status: status}
 	})
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -6,10 +6,8 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -112,7 +110,8 @@
 	for _, d := range c.Core.Databases {
 		for _, s := range d.Servers() {
 			n.servers[s.Name()] = s
-			n.pools[s.Name()] = loomserver.NewPool(s, c.ServerUser, c.ServerPassword)
+			n.pools[s.Name()] = loomserver.NewPool(s, c.ServerUser, c.ServerPassword,
+				loomserver.WithLimit(loomcore.WorkConnections(d)))
 		}
 	}
 	if c.ControlListener != nil {
@@ -283,7 +282,3 @@
 	case <-time.After(d):
 	}
 }
-
-// isRefused reports whether a server's address refused the connection. The cause is only in the text, because errors
-// with a verdict have none.
-func isRefused(err error) bool { return strings.Contains(err.Error(), syscall.ECONNREFUSED.Error()) }
--- /dev/null
+++ b/loomnode/pool_test.go
@@ -0,0 +1,42 @@
+package loomnode
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomstandin"
+)
+
+// TestConnectionLimit guards against work that takes the connections of a server that are kept for control.
+func TestConnectionLimit(t *testing.T) {
+	listener := listen(t)
+	g, err := loomstandin.StartGroup(loomstandin.Options{}, listener)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = g.Close() }()
+	server := currantloom.NewServer("a", "db", listener.Addr().String(), currantloom.Place{})
+	n := New(Config{
+		Core: loomcore.Config{Self: "vm-1", Databases: []currantloom.Database{
+			currantloom.NewDatabase("db", 1, 5, []currantloom.Server{server}),
+		}},
+		Log: io.Discard,
+	})
+	conn, err := n.pools["a"].Acquire(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	second, err := n.pools["a"].Acquire(ctx)
+	if err == nil {
+		second.Release()
+		t.Error("got a second connection, want 1 of the server's 5 for work")
+	}
+	conn.Release()
+	_ = n.pools["a"].Close()
+}
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -7,6 +7,7 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomserver"
 )
 
 const (
@@ -222,11 +223,13 @@
 			"cancelled before it was sent to a server")
 	}
 	if err != nil {
-		return currantloom.WorkResult{Verdict: currantloom.VerdictOf(err), Code: currantloom.CodeOf(err), Err: err}
+		return currantloom.WorkResult{
+			Verdict: currantloom.VerdictOf(err), Code: currantloom.CodeOf(err), Err: err, Refused: loomserver.Refused(err),
+		}
 	}
 	return l.conn.Run(ctx, currantloom.Work{
 		Body: body, ReadOnly: e.ReadOnly, ConfirmTerm: e.ConfirmTerm, WithholdCompletion: e.WithholdCompletion,
-		Caller: header.Caller, RequestID: header.RequestID,
+		Caller: header.Caller, RequestID: header.RequestID, Progress: e.Progress,
 		Accept: func(r currantloom.WorkResult) error { return l.node.accept(w, header.Key, r) },
 	}, out)
 }
--- a/loomserver/pool.go
+++ b/loomserver/pool.go
@@ -115,8 +115,8 @@
 	if errors.As(err, &answer) {
 		code = currantloom.SQLState(answer.Code)
 	}
-	result := currantloom.NewRequestError(currantloom.NotRun, code, time.Second, "connect to server %s: %v",
-		p.server.Name(), err)
+	result := currantloom.WrapRequestError(err, currantloom.NotRun, code, time.Second, "connect to server %s",
+		p.server.Name())
 	return errorx.Cast(result).WithProperty(refusedProperty, errors.Is(err, syscall.ECONNREFUSED))
 }
 
--- a/server.go
+++ b/server.go
@@ -169,6 +169,8 @@
 	Verdict Verdict
 	// Err is the error that ended the run without an answer of the server; nil if the server answered.
 	Err error
+	// Refused says that the server's address refused the connection, so that no process listens there.
+	Refused bool
 	// Code is the SQLSTATE of the server's error answer, empty if there was none.
 	Code SQLState
 	// Term is the term the server reported, Mark its last log entry.
--- a/verdict.go
+++ b/verdict.go
@@ -93,6 +93,16 @@
 		WithProperty(retryProperty, retryAfter)
 }
 
+// WrapRequestError is NewRequestError for an error that has a cause.
+func WrapRequestError(
+	cause error, verdict Verdict, code SQLState, retryAfter time.Duration, format string, args ...any,
+) error {
+	return ErrRequest.Wrap(cause, format, args...).
+		WithProperty(verdictProperty, verdict).
+		WithProperty(codeProperty, code).
+		WithProperty(retryProperty, retryAfter)
+}
+
 // VerdictOf returns the verdict of an error, MayHaveRun if it carries none.
 func VerdictOf(err error) Verdict {
 	if v, ok := errorx.ExtractProperty(err, verdictProperty); ok {
