Give statements without a history three quarters of their time

TestStopUnderLoad failed once after the progress deadline of 5 s came into use: a first "SELECT pg_sleep(5)" was cut off at 5 s, retried as a read and refused by a node that was stopping (invariant 8). 5 s for every short statement is too strict for one whose run time nobody knows yet. It now has 7.5 s of the default 10 s; statements with a history or a rule keep 5 s.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -238,7 +238,7 @@
 }
 
 // progress returns the longest time without a byte from the server. Work whose run time is unknown may be long in spite
-// of its class, so it gets half of a deadline that is longer than the default.
+// of its class, so it gets three quarters of its time: 7.5 s of the default deadline.
 func (w *work) progress(now time.Duration) time.Duration {
 	switch {
 	case w.class == currantloom.Long:
@@ -246,7 +246,7 @@
 	case w.expected:
 		return progressLimit
 	default:
-		return max(progressLimit, (w.deadline-now)/2)
+		return max(progressLimit, (w.deadline-now)*3/4)
 	}
 }
 
