Remove old request ids through the carrier of the primary

The rule keep-request-ids was parsed and loomserver could remove ids, but nothing asked for it, so currantloom_requests grew without bound.

The core emits PurgeRequestIDs about once an hour per database (45 to 75 min apart, the first one at a random time within an hour), only on the node that carries the primary. The node runs it in the background, bounded by 30 min, which is less than the least time between two removals.

--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -63,6 +63,11 @@
 		Term    currantloom.Term
 		Primary currantloom.ServerName
 	}
+	// PurgeRequestIDs removes the request ids that are older than the age from the database of a primary.
+	PurgeRequestIDs struct {
+		Server currantloom.ServerName
+		Age    time.Duration
+	}
 )
 
 // Effects at the entry node.
@@ -139,6 +144,7 @@
 func (RaiseTerm) effect()       {}
 func (Lead) effect()            {}
 func (Follow) effect()          {}
+func (PurgeRequestIDs) effect() {}
 func (Forward) effect()         {}
 func (Answer) effect()          {}
 func (CancelForward) effect()   {}
--- a/loomcore/group.go
+++ b/loomcore/group.go
@@ -53,6 +53,8 @@
 	proposal    *proposal
 	change      *plannedChange
 	changeAt    time.Duration
+	// purgeAt is when old request ids are removed next; zero if this node does not carry the primary.
+	purgeAt time.Duration
 }
 
 // serverView is what this node knows of one server.
@@ -205,6 +207,7 @@
 		s.noticeLeaving(g)
 		s.pollGroup(g)
 		s.advance(g)
+		s.purgeRequestIDs(g)
 	}
 }
 
--- /dev/null
+++ b/loomcore/purge.go
@@ -0,0 +1,30 @@
+package loomcore
+
+import "time"
+
+// purgeInterval is the mean time between two removals of old request ids from a database. Ids are kept for days, so
+// an hour more does not matter, and a removal then has little to do.
+const purgeInterval = time.Hour
+
+// purgeRequestIDs removes old request ids if this node carries the primary. The first removal after a change of the
+// carrier comes at a random time, so that a restart of many nodes does not make all databases remove ids at once.
+func (s *State) purgeRequestIDs(g *group) {
+	v := g.view
+	if g.primary == "" || !s.carries(g.primary) {
+		v.purgeAt = 0
+		return
+	}
+	if v.purgeAt == 0 {
+		v.purgeAt = s.now + s.delay(0, purgeInterval)
+		return
+	}
+	if s.now < v.purgeAt {
+		return
+	}
+	v.purgeAt = s.now + s.delay(purgeInterval*3/4, purgeInterval*5/4)
+	age := s.rules.rules.KeepRequestIDs(g.database.Name())
+	s.emit(Decision{
+		Event: "purge", Server: g.primary, Term: g.term, Reason: "remove request ids older than " + age.String(),
+	})
+	s.emit(PurgeRequestIDs{Server: g.primary, Age: age})
+}
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -13,6 +13,9 @@
 // polls take about a second.
 const serverTimeout = 400 * time.Millisecond
 
+// purgeLimit bounds one removal of old request ids. It is less than the least time between two of them.
+const purgeLimit = 30 * time.Minute
+
 // Control executes the effects of the control plane. Its methods are called under the node's lock and must not block.
 type Control interface {
 	// Spread sends the rules in effect to VMs.
@@ -117,7 +120,27 @@
 		})
 	case loomcore.Follow:
 		n.follow(e)
+	case loomcore.PurgeRequestIDs:
+		n.purgeRequestIDs(e)
+	}
+}
+
+// purgeRequestIDs executes PurgeRequestIDs, which has no answer: what is left is removed the next time.
+func (n *Node) purgeRequestIDs(e loomcore.PurgeRequestIDs) {
+	s, ok := n.pools[e.Server]
+	if !ok {
+		return
 	}
+	n.spawn(func() {
+		ctx, cancel := context.WithTimeout(n.background, purgeLimit)
+		defer cancel()
+		removed, err := s.PurgeRequests(ctx, e.Age)
+		if err != nil && n.background.Err() == nil {
+			n.log.Warn("request ids not removed", "server", e.Server, "removed", removed, "error", err)
+			return
+		}
+		n.log.Info("request ids removed", "server", e.Server, "removed", removed)
+	})
 }
 
 // call runs a control call to a server and submits its answer.
--- a/loomnode/effect_test.go
+++ b/loomnode/effect_test.go
@@ -58,6 +58,10 @@
 	return s.record("follow %d %s", term, primary.Address())
 }
 
+func (s *fakeServer) PurgeRequests(_ context.Context, age time.Duration) (int, error) {
+	return 0, s.record("purge %s", age)
+}
+
 func (s *fakeServer) Acquire(context.Context) (currantloom.ServerConn, error) {
 	return nil, currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeTooManyConnections, 0, "no connection")
 }
@@ -115,6 +119,7 @@
 		loomcore.RaiseTerm{Server: "a", Term: 3}, loomcore.SpreadRules{}, loomcore.PullRules{VM: "vm-2"},
 		loomcore.WatchRules{On: true}, loomcore.SetReady{Ready: false}, loomcore.ConfirmMark{Server: "a"},
 		loomcore.Decision{Event: "promote", Term: 3, Reason: "test"}, loomcore.Lead{Server: "absent"},
+		loomcore.PurgeRequestIDs{Server: "a", Age: time.Hour}, loomcore.PurgeRequestIDs{Server: "absent"},
 		loomcore.Forward{}, loomcore.CancelForward{}, loomcore.CancelWork{}, loomcore.Complete{},
 	} {
 		n.execute(e)
@@ -132,7 +137,9 @@
 	if err := n.Close(); err != nil {
 		t.Error(err)
 	}
-	for _, want := range []string{"raise 3 vm-1", "lead 3", "follow 3 192.0.2.1:1", "status context deadline exceeded"} {
+	for _, want := range []string{
+		"purge 1h0m0s", "raise 3 vm-1", "lead 3", "follow 3 192.0.2.1:1", "status context deadline exceeded",
+	} {
 		if got := server.recorded(); !strings.Contains(got, want) {
 			t.Errorf("got calls %q, want %q among them", got, want)
 		}
--- a/server.go
+++ b/server.go
@@ -124,6 +124,8 @@
 	Lead(ctx context.Context, term Term) error
 	// Follow makes the server a replica of the primary of the term.
 	Follow(ctx context.Context, term Term, primary Server) error
+	// PurgeRequests removes the recorded request ids that are older than the age from a primary and returns their number.
+	PurgeRequests(ctx context.Context, age time.Duration) (int, error)
 	// Acquire returns a connection for one request or transaction, idle or new.
 	Acquire(ctx context.Context) (ServerConn, error)
 	// Close closes all connections and waits for those in use.
