Apply require-request-id to every statement of a request

The rule saw the first statement only: BEGIN or any earlier statement of a simple query or a pipeline hid the ones after it, and statements in an open transaction were not checked at all. Empty statements before the first one hid it, too.

Request.Others carries the further texts, and the core checks all of them. Statements inside a transaction do not pass the core of the entry node, so the session asks the gateway; the id of a transaction is that of its BEGIN. The refusal is "not run" and rolls the transaction back like any error. Queries of one statement are not scanned a second time.

--- a/link.go
+++ b/link.go
@@ -30,6 +30,8 @@
 
 // Gateway is what a caller's session needs from its node.
 type Gateway interface {
+	// RequiresRequestID reports whether a rule requires a request id for one of the statements.
+	RequiresRequestID(database DatabaseName, statements []string) bool
 	// NextKey returns the key of a new request.
 	NextKey() RequestKey
 	// Execute routes and runs a request, with retries. The returned link is not nil if the request left a
--- a/loomcore/request.go
+++ b/loomcore/request.go
@@ -1,6 +1,7 @@
 package loomcore
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -75,13 +76,20 @@
 		s.refuse(r, currantloom.CodeInvalidParameter, "unknown database", 0)
 		return
 	}
-	if e.Request.RequestID == "" && s.rules.rules.RequiresRequestID(e.Request.Database, e.Request.Statement) {
+	if e.Request.RequestID == "" && s.RequiresRequestID(e.Request.Database, e.Request.Statement, e.Request.Others...) {
 		s.refuse(r, currantloom.CodeInvalidParameter, "a rule requires a request id for this statement", 0)
 		return
 	}
 	s.route(r)
 }
 
+// RequiresRequestID reports whether a rule requires a request id for one of the statements.
+func (s *State) RequiresRequestID(database currantloom.DatabaseName, first string, others ...string) bool {
+	r := s.rules.rules
+	return r.RequiresRequestID(database, first) ||
+		slices.ContainsFunc(others, func(text string) bool { return r.RequiresRequestID(database, text) })
+}
+
 func (s *State) forwardFinished(e ForwardFinished) {
 	r, ok := s.requests.open[e.Key]
 	if !ok || !r.forward || r.attempt != e.Attempt {
--- a/loomcore/request_test.go
+++ b/loomcore/request_test.go
@@ -42,6 +42,11 @@
 		{name: "a rule requires a request id", rules: "require-request-id wheel \"insert into orders\" # ops\n", script: `
 			request 1 stmt=insert => forward 1 a@vm-1
 			request 2 id=x => forward 2 a@vm-1`},
+		{name: "a rule requires a request id for every statement of a request",
+			rules: "require-request-id wheel \"insert\" # ops\n", script: `
+			request 1 stmt=insert => answer 1 not_run 22023
+			request 2 stmt=begin others=select,insert => answer 2 not_run 22023
+			request 3 stmt=begin others=select,insert id=x => forward 3 a@vm-1`},
 		{name: "after a link failure the next VM is used", script: `
 			request 1 => forward 1 a@vm-1
 			done 1 unsent verdict=not_run code=08006 => forward 1 a@vm-2
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -241,6 +241,9 @@
 		RequestID: o.get("id", ""), Begins: o.has("begins"),
 		MaxAge: duration(o.get("age", "0s")), Deadline: duration(o.get("deadline", "0s")),
 	}
+	if o.has("others") {
+		q.Others = strings.Split(o["others"], ",")
+	}
 	if o.has("read") {
 		q.Kind = currantloom.Read
 	}
--- a/loomentry/fake_test.go
+++ b/loomentry/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -49,6 +50,11 @@
 	return g.cancelled[key]
 }
 
+// RequiresRequestID holds for statements that begin with "insert order".
+func (g *fakeGateway) RequiresRequestID(_ currantloom.DatabaseName, statements []string) bool {
+	return slices.ContainsFunc(statements, func(s string) bool { return strings.HasPrefix(s, "insert order") })
+}
+
 func (g *fakeGateway) Cancel(key currantloom.RequestKey) { close(g.channel(key)) }
 
 func (g *fakeGateway) seen() []currantloom.Request {
--- a/loomentry/pipeline.go
+++ b/loomentry/pipeline.go
@@ -30,8 +30,10 @@
 	unnamed *prepared
 	portals map[string]*prepared
 	// executed holds the classes of the statements that the request executes.
-	executed      []class
-	statement     string
+	executed  []class
+	statement string
+	// others are the texts of the executed statements after the first.
+	others        []string
 	executes      bool
 	local, remote bool
 	simple        bool
@@ -200,13 +202,29 @@
 	p.remote = true
 }
 
+// addTexts notes the texts that rules apply to. A query of several statements is split, so that none hides another.
+func (p *pipeline) addTexts(statement *prepared) {
+	texts := []string{statement.query}
+	s := scanner{text: statement.query}
+	s.skipSpace()
+	if len(statement.classes) > 1 || strings.HasPrefix(s.text[s.at:], ";") {
+		texts = statementTexts(statement.query)
+	} else {
+		texts[0] = s.text[s.at:]
+	}
+	for _, text := range texts {
+		text = strings.ToValidUTF8(text[:min(len(text), maxStatementShown)], "")
+		if p.statement == "" {
+			p.statement = text
+		} else {
+			p.others = append(p.others, text)
+		}
+	}
+}
+
 // execute notes a statement that the request executes.
 func (p *pipeline) execute(statement *prepared) {
-	if !p.executes || p.statement == "" {
-		s := scanner{text: statement.query}
-		s.skipSpace()
-		p.statement = strings.ToValidUTF8(s.text[s.at:min(len(s.text), s.at+maxStatementShown)], "")
-	}
+	p.addTexts(statement)
 	p.executes = true
 	p.checkRefusal(statement)
 	p.executed = append(p.executed, statement.classes...)
--- a/loomentry/run.go
+++ b/loomentry/run.go
@@ -24,6 +24,10 @@
 	if !p.remote {
 		return s.runLocally(p)
 	}
+	if err := s.checkRequestID(p); err != nil {
+		p.fail(err)
+		return s.refuseRequest(ctx, p)
+	}
 	r := s.newRequest(p)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -36,6 +40,19 @@
 	return s.finishRequest(p, r, t, out)
 }
 
+// checkRequestID refuses a statement inside a transaction that needs a request id, if the transaction has none. Other
+// requests are checked by the gateway.
+func (s *Session) checkRequestID(p *pipeline) error {
+	if s.link == nil || s.identified || !p.executes {
+		return nil
+	}
+	if !s.server.Gateway.RequiresRequestID(s.database, append([]string{p.statement}, p.others...)) {
+		return nil
+	}
+	return currantloom.NewRequestError(currantloom.NotRun, currantloom.CodeInvalidParameter, 0,
+		"a rule requires a request id for this statement, which its transaction does not have")
+}
+
 // send runs the request on the transaction's link, or gives it to the gateway.
 func (s *Session) send(
 	ctx context.Context, r currantloom.Request, p *pipeline, out *response,
@@ -45,7 +62,7 @@
 	}
 	t, link := s.server.Gateway.Execute(ctx, r, p.body, out)
 	s.link = link
-	s.kind = r.Kind
+	s.kind, s.identified = r.Kind, r.RequestID != ""
 	return t
 }
 
@@ -60,7 +77,7 @@
 func (s *Session) newRequest(p *pipeline) currantloom.Request {
 	r := currantloom.Request{
 		Key: s.server.Gateway.NextKey(), Caller: s.caller, Database: s.database, Kind: p.kind(),
-		Statement: p.statement, Token: s.parameters.token, MaxAge: s.parameters.maxAge,
+		Statement: p.statement, Others: p.others, Token: s.parameters.token, MaxAge: s.parameters.maxAge,
 		Deadline: s.parameters.limit(), Begins: p.leavesOpen(),
 	}
 	if p.executes && s.status == currantloom.TransactionIdle {
--- a/loomentry/scan.go
+++ b/loomentry/scan.go
@@ -54,6 +54,31 @@
 	return statements
 }
 
+// statementTexts returns the text of each non-empty statement of a query, from its first token on.
+func statementTexts(text string) []string {
+	s := scanner{text: text}
+	var texts []string
+	start, empty := 0, true
+	for {
+		s.skipSpace()
+		at := s.at
+		t, ok := s.next()
+		switch {
+		case ok && !t.isSymbol(";"):
+			if empty {
+				start, empty = at, false
+			}
+			continue
+		case !empty:
+			texts = append(texts, text[start:at])
+			empty = true
+		}
+		if !ok {
+			return texts
+		}
+	}
+}
+
 func (s *scanner) peek() byte {
 	if s.at+1 < len(s.text) {
 		return s.text[s.at+1]
--- a/loomentry/session.go
+++ b/loomentry/session.go
@@ -39,8 +39,9 @@
 	statements statements
 	link       currantloom.Link
 	status     currantloom.TransactionStatus
-	// kind is the kind of the open transaction.
-	kind currantloom.Kind
+	// kind is the kind of the open transaction; identified says that it has a request id.
+	kind       currantloom.Kind
+	identified bool
 
 	mu       sync.Mutex
 	busy     bool
--- a/loomnode/gateway.go
+++ b/loomnode/gateway.go
@@ -27,6 +27,13 @@
 	return currantloom.RequestKey{VM: n.config.Core.Self, Number: n.number.Add(1)}
 }
 
+// RequiresRequestID reports whether a rule requires a request id for one of the statements.
+func (n *Node) RequiresRequestID(database currantloom.DatabaseName, statements []string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state.RequiresRequestID(database, "", statements...)
+}
+
 // Execute routes a request and runs it, with retries, until the core answers it.
 func (n *Node) Execute(
 	ctx context.Context, request currantloom.Request, body []byte, out currantloom.ResponseWriter,
--- a/request.go
+++ b/request.go
@@ -66,7 +66,9 @@
 	Kind     Kind
 	// Statement is the first statement's text, shortened, for rules and history.
 	Statement string
-	Token     Token
+	// Others are the texts of the statements after the first one, shortened. Rules apply to them as well.
+	Others []string
+	Token  Token
 	// MaxAge is the age the session accepts for reads; zero means that none was stated.
 	MaxAge time.Duration
 	// Deadline is the time the caller gives the request; zero means the rule's default.
