Keep the error of a writer that cut a message off

loomwire.Writer accepted messages after one whose body or flush had failed in its middle; the receiver takes them for the rest of that message. The callers asked Broken before some of their writes only. Every write now returns the first such error. Flush still sends what is buffered, then reports it. A short body of a message that fits into the buffer leaves the output at a message boundary, as before, and is not kept.

--- a/loomwire/writer.go
+++ b/loomwire/writer.go
@@ -22,9 +22,10 @@
 // Writer writes messages with a type byte. It implements currantloom.ResponseWriter. It holds a buffer only between
 // the first write and Flush.
 type Writer struct {
-	dst    io.Writer
-	w      *bufio.Writer
-	broken bool
+	dst io.Writer
+	w   *bufio.Writer
+	// err is the error that cut a message off in its middle; nothing may follow it.
+	err error
 }
 
 // NewWriter returns a writer of messages to w.
@@ -39,24 +40,34 @@
 }
 
 // Broken reports whether a message was cut off in its middle, so that nothing may follow it.
-func (w *Writer) Broken() bool { return w.broken }
+func (w *Writer) Broken() bool { return w.err != nil }
 
 // WriteMessage writes one message; a large body is copied in pieces.
 func (w *Writer) WriteMessage(kind byte, length int, body io.Reader) error {
+	if w.err != nil {
+		return w.err
+	}
 	b := w.buffer()
 	if headerSize+length > b.Available() && b.Buffered() > 0 {
 		if err := b.Flush(); err != nil {
-			return err
+			return w.fail(err)
 		}
 	}
 	if length <= maxWhole {
 		return writeWhole(b, kind, length, body)
 	}
 	if _, err := b.Write(appendHeader(nil, kind, length)); err != nil {
-		return err
+		return w.fail(err)
 	}
 	_, err := io.CopyN(b, body, int64(length))
-	w.broken = err != nil
+	return w.fail(err)
+}
+
+// fail keeps the first error after which the output may end in the middle of a message.
+func (w *Writer) fail(err error) error {
+	if w.err == nil {
+		w.err = err
+	}
 	return err
 }
 
@@ -98,19 +109,28 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.buffer().Write(encoded)
+	_, err = w.Write(encoded)
 	return err
 }
 
 // Write writes bytes that already hold encoded messages.
-func (w *Writer) Write(p []byte) (int, error) { return w.buffer().Write(p) }
+func (w *Writer) Write(p []byte) (int, error) {
+	if w.err != nil {
+		return 0, w.err
+	}
+	n, err := w.buffer().Write(p)
+	return n, w.fail(err)
+}
 
-// Flush sends what is buffered.
+// Flush sends what is buffered, also the start of a message that was cut off.
 func (w *Writer) Flush() error {
 	if w.w == nil {
-		return nil
+		return w.err
+	}
+	err := w.fail(w.w.Flush())
+	if err == nil {
+		err = w.err
 	}
-	err := w.w.Flush()
 	w.w.Reset(nil)
 	writeBuffers.Put(w.w)
 	w.w = nil
