Ignore the failure of a poll that a newer one has replaced

StatusFailed did not say which poll failed. A poll without an answer counts as failed after 1 s and the next one is sent; a failure event that came later than that was counted against the newer poll and ended its wait, so one slow poll could make a server count as unreachable. StatusFailed now carries SentAt, and the core ignores it if a newer poll is under way or was answered.

--- a/loomcore/event.go
+++ b/loomcore/event.go
@@ -70,10 +70,12 @@
 		SentAt time.Duration
 		Status currantloom.ServerStatus
 	}
-	// StatusFailed reports a poll without an answer; Refused says that the server refused the connection.
+	// StatusFailed reports a poll without an answer; SentAt is when the poll was sent, Refused says that the server
+	// refused the connection.
 	StatusFailed struct {
 		Stamp
 		Server  currantloom.ServerName
+		SentAt  time.Duration
 		Refused bool
 	}
 	// TermAnswered brings the answer to RaiseTerm; Failed says that there was none.
--- a/loomcore/group.go
+++ b/loomcore/group.go
@@ -184,7 +184,12 @@
 	if !ok || g.view == nil {
 		return
 	}
-	g.member(e.Server).polling = false
+	v := g.member(e.Server)
+	if e.SentAt < v.polledAt || v.known && e.SentAt <= v.sentAt {
+		// A newer poll is under way or was answered; the failure of this one was counted when it expired.
+		return
+	}
+	v.polling = false
 	s.serverFailed(g, e.Server, e.Refused)
 }
 
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -88,7 +88,7 @@
 		switch {
 		case x.silent[server]:
 		case x.down[server]:
-			x.apply(StatusFailed{Stamp: x.stamp(), Server: server})
+			x.apply(StatusFailed{Stamp: x.stamp(), Server: server, SentAt: x.now})
 		default:
 			x.apply(StatusReceived{Stamp: x.stamp(), Server: server, SentAt: x.now, Status: x.status[server]})
 		}
--- a/loomcore/system_test.go
+++ b/loomcore/system_test.go
@@ -302,7 +302,7 @@
 		}
 	}, func(refused bool) {
 		n.submit(func(s loomcore.Stamp) loomcore.Event {
-			return loomcore.StatusFailed{Stamp: s, Server: e.Server, Refused: refused}
+			return loomcore.StatusFailed{Stamp: s, Server: e.Server, SentAt: sent, Refused: refused}
 		})
 	})
 }
--- a/loomcore/world_test.go
+++ b/loomcore/world_test.go
@@ -218,7 +218,7 @@
 	case PollStatus:
 		w.call(n, e.Server, func(m *modelServer) Event {
 			return StatusReceived{Server: e.Server, SentAt: sentAt, Status: m.status(w.now)}
-		}, func(refused bool) Event { return StatusFailed{Server: e.Server, Refused: refused} })
+		}, func(refused bool) Event { return StatusFailed{Server: e.Server, SentAt: sentAt, Refused: refused} })
 	case RaiseTerm:
 		w.call(n, e.Server, func(m *modelServer) Event {
 			return TermAnswered{Server: e.Server, Term: e.Term, Grant: m.raise(e.Term, n.name)}
--- a/loommeasure/node.go
+++ b/loommeasure/node.go
@@ -115,14 +115,14 @@
 		n.back(s, func() { n.deliver(loomcore.StatusReceived{Server: name, SentAt: sentAt, Status: status}) })
 	}, func() {
 		if n.world.servers[name].mute {
-			n.deliver(loomcore.StatusFailed{Server: name})
+			n.deliver(loomcore.StatusFailed{Server: name, SentAt: sentAt})
 			return
 		}
 		if n.world.policy == policyNoSuspicion {
-			n.world.after(pollTimeout, func() { n.deliver(loomcore.StatusFailed{Server: name}) })
+			n.world.after(pollTimeout, func() { n.deliver(loomcore.StatusFailed{Server: name, SentAt: sentAt}) })
 			return
 		}
-		n.deliver(loomcore.StatusFailed{Server: name, Refused: true})
+		n.deliver(loomcore.StatusFailed{Server: name, SentAt: sentAt, Refused: true})
 	})
 }
 
