--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -14,6 +14,11 @@
 // exceed three times their mean, and work that ends after its deadline takes capacity from work that would not.
 const runMargin = 3
 
+// progressLimit is the longest time without a byte from a server that runs short work, after which its connection
+// counts as silent. It exceeds the second for which a server may delay the report of a commit, and leaves half of the
+// default deadline of 10 s for another attempt.
+const progressLimit = 5 * time.Second
+
 // carrier holds the work at the servers that this node carries.
 type carrier struct {
 	works   map[currantloom.RequestKey]*work
@@ -57,7 +62,9 @@
 	running     bool
 	transaction currantloom.RequestKey
 	class       currantloom.Class
-	statement   statementKey
+	// expected says that a rule or the history gave the class.
+	expected  bool
+	statement statementKey
 	// cost is the expected run time.
 	cost      time.Duration
 	startedAt time.Duration
@@ -225,7 +232,20 @@
 	w.confirms = w.confirmsTerm(g)
 	return Run{
 		Key: h.Key, Server: h.Server, ReadOnly: read, ConfirmTerm: w.confirms,
-		WithholdCompletion: !read || w.confirms, Limit: w.deadline - s.now,
+		WithholdCompletion: !read || w.confirms, Limit: w.deadline - s.now, Progress: w.progress(s.now),
+	}
+}
+
+// progress returns the longest time without a byte from the server. Work whose run time is unknown may be long in spite
+// of its class, so it gets three quarters of its time: 7.5 s of the default deadline.
+func (w *work) progress(now time.Duration) time.Duration {
+	switch {
+	case w.class == currantloom.Long:
+		return 0
+	case w.expected:
+		return progressLimit
+	default:
+		return max(progressLimit, (w.deadline-now)*3/4)
 	}
 }
 
--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -63,6 +63,11 @@
 		Term    currantloom.Term
 		Primary currantloom.ServerName
 	}
+	// PurgeRequestIDs removes the request ids that are older than the age from the database of a primary.
+	PurgeRequestIDs struct {
+		Server currantloom.ServerName
+		Age    time.Duration
+	}
 )
 
 // Effects at the entry node.
@@ -96,6 +101,8 @@
 		WithholdCompletion bool
 		// Limit is the time until the request's deadline.
 		Limit time.Duration
+		// Progress is the longest time without a byte from the server; zero means that only Limit applies.
+		Progress time.Duration
 	}
 	// Acknowledge lets the withheld completion pass.
 	Acknowledge struct{ Key currantloom.RequestKey }
@@ -137,6 +144,7 @@
 func (RaiseTerm) effect()       {}
 func (Lead) effect()            {}
 func (Follow) effect()          {}
+func (PurgeRequestIDs) effect() {}
 func (Forward) effect()         {}
 func (Answer) effect()          {}
 func (CancelForward) effect()   {}
--- a/loomcore/group.go
+++ b/loomcore/group.go
@@ -53,6 +53,8 @@
 	proposal    *proposal
 	change      *plannedChange
 	changeAt    time.Duration
+	// purgeAt is when old request ids are removed next; zero if this node does not carry the primary.
+	purgeAt time.Duration
 }
 
 // serverView is what this node knows of one server.
@@ -182,7 +184,12 @@
 	if !ok || g.view == nil {
 		return
 	}
-	g.member(e.Server).polling = false
+	v := g.member(e.Server)
+	if e.SentAt < v.polledAt || v.known && e.SentAt <= v.sentAt {
+		// A newer poll is under way or was answered; the failure of this one was counted when it expired.
+		return
+	}
+	v.polling = false
 	s.serverFailed(g, e.Server, e.Refused)
 }
 
@@ -205,6 +212,7 @@
 		s.noticeLeaving(g)
 		s.pollGroup(g)
 		s.advance(g)
+		s.purgeRequestIDs(g)
 	}
 }
 
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -88,7 +88,7 @@
 		switch {
 		case x.silent[server]:
 		case x.down[server]:
-			x.apply(StatusFailed{Stamp: x.stamp(), Server: server})
+			x.apply(StatusFailed{Stamp: x.stamp(), Server: server, SentAt: x.now})
 		default:
 			x.apply(StatusReceived{Stamp: x.stamp(), Server: server, SentAt: x.now, Status: x.status[server]})
 		}
@@ -241,6 +241,9 @@
 		RequestID: o.get("id", ""), Begins: o.has("begins"),
 		MaxAge: duration(o.get("age", "0s")), Deadline: duration(o.get("deadline", "0s")),
 	}
+	if o.has("others") {
+		q.Others = strings.Split(o["others"], ",")
+	}
 	if o.has("read") {
 		q.Kind = currantloom.Read
 	}
@@ -254,7 +257,7 @@
 	r := currantloom.WorkResult{
 		Verdict: currantloom.ParseVerdict(o.get("verdict", "ran")), Code: currantloom.SQLState(o.get("code", "")),
 		Term: o.term(), Mark: o.mark("mark", "1/101"), Confirmed: int(number(o.get("confirmed", "2"))),
-		Wrote: o.has("wrote"), Transaction: currantloom.TransactionIdle, Started: o.has("started"),
+		Wrote: o.has("wrote"), Refused: o.has("refused"), Transaction: currantloom.TransactionIdle, Started: o.has("started"),
 	}
 	if o.has("open") {
 		r.Transaction = currantloom.TransactionOpen
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -6,12 +6,16 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
+	"currantloom.example/currantloom/loomserver"
 )
 
 // serverTimeout bounds a control call to a database server. It is less than the poll interval, so that two failed
 // polls take about a second.
 const serverTimeout = 400 * time.Millisecond
 
+// purgeLimit bounds one removal of old request ids. It is less than the least time between two of them.
+const purgeLimit = 30 * time.Minute
+
 // Control executes the effects of the control plane. Its methods are called under the node's lock and must not block.
 type Control interface {
 	// Spread sends the rules in effect to VMs.
@@ -116,7 +120,27 @@
 		})
 	case loomcore.Follow:
 		n.follow(e)
+	case loomcore.PurgeRequestIDs:
+		n.purgeRequestIDs(e)
+	}
+}
+
+// purgeRequestIDs executes PurgeRequestIDs, which has no answer: what is left is removed the next time.
+func (n *Node) purgeRequestIDs(e loomcore.PurgeRequestIDs) {
+	s, ok := n.pools[e.Server]
+	if !ok {
+		return
 	}
+	n.spawn(func() {
+		ctx, cancel := context.WithTimeout(n.background, purgeLimit)
+		defer cancel()
+		removed, err := s.PurgeRequests(ctx, e.Age)
+		if err != nil && n.background.Err() == nil {
+			n.log.Warn("request ids not removed", "server", e.Server, "removed", removed, "error", err)
+			return
+		}
+		n.log.Info("request ids removed", "server", e.Server, "removed", removed)
+	})
 }
 
 // call runs a control call to a server and submits its answer.
@@ -155,7 +179,7 @@
 		sentAt := time.Since(n.start)
 		status, err := s.Status(ctx)
 		if err != nil {
-			return loomcore.StatusFailed{Stamp: n.stamp(), Server: server, Refused: isRefused(err)}
+			return loomcore.StatusFailed{Stamp: n.stamp(), Server: server, SentAt: sentAt, Refused: loomserver.Refused(err)}
 		}
 		return loomcore.StatusReceived{Stamp: n.stamp(), Server: server, SentAt: sentAt, Status: status}
 	})
