Pass held messages on without a reader for each

Messages that are held back for a refusal were read back through a reader with a buffer of 2 KiB, twice per request. They were encoded here, so their lengths are known.

--- a/loomserver/relay.go
+++ b/loomserver/relay.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
 
 	"currantloom.example/currantloom"
-	"currantloom.example/currantloom/loomwire"
+)
+
+const (
+	// lengthSize is the size of the length of an encoded message, which counts itself.
+	lengthSize = 4
+	// headerSize is the size of the type and the length.
+	headerSize = 1 + lengthSize
 )
 
 // relayBody passes the response of the caller's messages on, without its ReadyForQuery.
@@ -155,20 +162,16 @@
 	return r.passEncoded(withheld)
 }
 
+// passEncoded writes messages that are in memory. They were encoded here, so their lengths are right.
 func (r *run) passEncoded(messages []byte) error {
-	reader := loomwire.NewReader(bytes.NewReader(messages))
-	for {
-		kind, length, err := reader.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := r.writeOut(kind, length, reader); err != nil {
+	for len(messages) > 0 {
+		length := int(binary.BigEndian.Uint32(messages[1:]))
+		if err := r.writeOut(messages[0], length-lengthSize, bytes.NewReader(messages[headerSize:1+length])); err != nil {
 			return err
 		}
+		messages = messages[1+length:]
 	}
+	return nil
 }
 
 // source remembers an error of the body that is passed on, to tell it from an error of the response writer.
