Show the latency of plain relays beside that of the nodes

A relay that only copies bytes takes two reads, two writes and two wake-ups per hop, which no proxy on this runtime can undercut.

--- a/cmd/currantloom/bench_test.go
+++ b/cmd/currantloom/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"runtime"
 	"sort"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -48,16 +50,58 @@
 	benchWrite = "UPDATE orders SET n = n + 1 WHERE id = 'a'"
 )
 
+// benchRelay starts a process-local relay that only copies bytes between its clients and the address, and returns its
+// own address. Its latency is the least that a hop costs here: two system calls to read, two to write and two wake-ups.
+func benchRelay(b *testing.B, address string) string {
+	b.Helper()
+	l := listen(b, 1)[0]
+	var copies sync.WaitGroup
+	b.Cleanup(copies.Wait)
+	pass := func(to, from net.Conn) {
+		defer func() { _ = to.Close() }()
+		buffer := make([]byte, 16<<10)
+		for {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			client, err := l.Accept()
+			if err != nil {
+				return
+			}
+			server, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = client.Close()
+				return
+			}
+			copies.Go(func() { pass(server, client) })
+			copies.Go(func() { pass(client, server) })
+		}
+	}()
+	return l.Addr().String()
+}
+
 // BenchmarkLatency reports the median and the 99th percentile of one statement at a time. A read that accepts an age
 // runs on a replica and costs one round trip on each path. A session read runs on the primary, which asks a replica to
-// confirm the term; the direct path has no equivalent of that.
+// confirm the term; the direct path has no equivalent of that. The relays show what a hop costs that only copies bytes.
 func BenchmarkLatency(b *testing.B) {
 	direct, local, remote := benchNodes(b)
+	relayed := benchRelay(b, direct)
+	twice := benchRelay(b, relayed)
 	for _, path := range []struct {
 		name, address, sql string
 		aged               bool
 	}{
 		{"read/direct", direct, benchRead, true},
+		{"read/one-relay", relayed, benchRead, false},
+		{"read/two-relays", twice, benchRead, false},
 		{"read/local", local, benchRead, true},
 		{"read/remote", remote, benchRead, true},
 		{"session-read/local", local, benchRead, false},
