Measure what a statement costs the reducer

The latency of a statement did not show whether the reducer's own work matters or grows with the number of databases and VMs.

--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,9 @@
 	$(GO) test ./loomentry -run '^$$' -fuzz FuzzSession -fuzztime $(FUZZTIME)
 	$(GO) test ./loompeer -run '^$$' -fuzz FuzzLinkRequest -fuzztime $(FUZZTIME)
 
+# One package at a time, so that they do not slow each other down.
 bench:
-	$(GO) test ./cmd/currantloom -run '^$$' -bench . -benchtime 2s
+	$(GO) test -p 1 ./cmd/currantloom ./loomcore -run '^$$' -bench . -benchtime 2s
 
 measure:
 	$(GO) run ./cmd/currantloom measure
--- /dev/null
+++ b/loomcore/reduce_bench_test.go
@@ -0,0 +1,110 @@
+package loomcore
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// benchPlace spreads VMs and databases over the 21 failure domains in 6 regions of the design scale.
+func benchPlace(i int) currantloom.Place {
+	domain := i % 21
+	return currantloom.NewPlace(
+		currantloom.Region(fmt.Sprintf("region-%d", domain%6)), currantloom.FailureDomain(fmt.Sprintf("domain-%d", domain)))
+}
+
+// benchState returns node vm-0, which knows the primary of each database and carries a part of the servers.
+func benchState(databases, vms int) (*State, Stamp) {
+	config := Config{Self: "vm-0", Place: benchPlace(0)}
+	for i := range databases {
+		name := fmt.Sprintf("wheel-%d", i)
+		var servers []currantloom.Server
+		for _, suffix := range []string{"-a", "-b", "-c"} {
+			server := currantloom.ServerName(name + suffix)
+			servers = append(servers, currantloom.NewServer(server, currantloom.DatabaseName(name), "", benchPlace(i)))
+		}
+		config.Databases = append(config.Databases,
+			currantloom.NewDatabase(currantloom.DatabaseName(name), 16, 100, servers))
+	}
+	s := New(config)
+	var set currantloom.VMSet
+	for i := range vms {
+		name := currantloom.VMName(fmt.Sprintf("vm-%d", i))
+		set.VMs = append(set.VMs, currantloom.NewVM(name, benchPlace(i), "", "", currantloom.VMLive))
+	}
+	stamp := Stamp{Now: time.Second}
+	s.Reduce(VMsReceived{Stamp: stamp, Set: set})
+	s.use(s.groups["wheel-0"])
+	for _, server := range s.groups["wheel-0"].database.Servers() {
+		role := currantloom.RoleReplica
+		if server.Name() == "wheel-0-a" {
+			role = currantloom.RolePrimary
+		}
+		s.Reduce(StatusReceived{
+			Stamp: stamp, Server: server.Name(), SentAt: stamp.Now, Status: report(role, 1, 1, 100),
+		})
+	}
+	return s, stamp
+}
+
+// reduced returns the first effect of type E that the event causes.
+func reduced[E Effect](b *testing.B, s *State, event Event) (found E) {
+	for _, f := range s.Reduce(event) {
+		if e, ok := f.(E); ok {
+			return e
+		}
+	}
+	b.Errorf("%T caused %v", event, s.effects)
+	return found
+}
+
+// benchSizes are the numbers of databases and VMs: a current deployment and the design scale.
+var benchSizes = []struct{ databases, vms int }{{3, 9}, {1500, 1200}}
+
+// BenchmarkReduceRequest measures a request at its entry node: RequestArrived to Answer.
+func BenchmarkReduceRequest(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d-databases-%d-vms", size.databases, size.vms), func(b *testing.B) {
+			s, stamp := benchState(size.databases, size.vms)
+			b.ReportAllocs()
+			for number := uint64(1); b.Loop(); number++ {
+				key := currantloom.RequestKey{VM: "vm-0", Number: number}
+				forward := reduced[Forward](b, s, RequestArrived{Stamp: stamp, Request: currantloom.Request{
+					Key: key, Caller: "steyr", Database: "wheel-0", Kind: currantloom.Read,
+					Statement: "SELECT n FROM orders WHERE id = 'a'",
+				}})
+				reduced[Answer](b, s, ForwardFinished{
+					Stamp: stamp, Key: key, Attempt: forward.Attempt, Sent: true, Trailer: currantloom.Trailer{
+						Verdict: currantloom.Ran, Answered: true, Started: true,
+						Transaction: currantloom.TransactionIdle, Term: 1, Primary: "wheel-0-a",
+					},
+				})
+			}
+		})
+	}
+}
+
+// BenchmarkReduceWork measures a read at the carrier of the primary: WorkArrived to Complete.
+func BenchmarkReduceWork(b *testing.B) {
+	for _, size := range benchSizes {
+		b.Run(fmt.Sprintf("%d-databases-%d-vms", size.databases, size.vms), func(b *testing.B) {
+			s, stamp := benchState(size.databases, size.vms)
+			result := currantloom.WorkResult{
+				Verdict: currantloom.Ran, Started: true, Transaction: currantloom.TransactionIdle, Term: 1,
+				Mark: currantloom.NewMark(1, 100), Confirmed: 2,
+			}
+			b.ReportAllocs()
+			for number := uint64(1); b.Loop(); number++ {
+				key := currantloom.RequestKey{VM: "vm-0", Number: number}
+				reduced[Run](b, s, WorkArrived{Stamp: stamp, Header: currantloom.RequestHeader{
+					Key: key, Server: "wheel-0-a", Caller: "steyr", Database: "wheel-0", Kind: currantloom.Read,
+					Statement: "SELECT n FROM orders WHERE id = 'a'", Remaining: 10 * time.Second,
+				}})
+				reduced[Acknowledge](b, s, WorkAnswered{Stamp: stamp, Key: key, Result: result})
+				reduced[Complete](b, s, WorkFinished{Stamp: stamp, Key: key, Result: result})
+			}
+		})
+	}
+}
