Measure what a node needs at several sizes of the fleet

Cause: the design page refers to docs/CAPACITY.md for the budget at 1,200 nodes, and no code measured the slopes that such a page needs.

Ruled out: the first read of the VM list as a measure, because the two reads of it race and the bytes differ between runs.

--- a/cmd/currantloom/main.go
+++ b/cmd/currantloom/main.go
@@ -39,6 +39,7 @@
 	afterRestore bool
 	once         bool
 	json         bool
+	capacity     bool
 	seeds        int
 	files        [maxFiles]string
 }
@@ -104,6 +105,8 @@
 		"currantloom measure --seeds 3")
 	c.measure.Int(&o.seeds, "", "seeds", "runs of each measure, with different random numbers; 0 means 5")
 	c.measure.Bool(&o.json, "j", "json", "print JSON")
+	c.measure.Bool(&o.capacity, "c", "capacity",
+		"measure what a node needs at several sizes instead, for docs/CAPACITY.md")
 	c.demo.Bool(&o.once, "", "once", "run a scripted booking through two nodes, print what happened and exit")
 	return c
 }
@@ -148,6 +151,8 @@
 		return runDiff(ctx, o)
 	case c.status.Used:
 		return runStatus(ctx, o)
+	case c.measure.Used && o.capacity:
+		return loommeasure.RunCapacity(os.Stdout, loommeasure.Options{JSON: o.json})
 	case c.measure.Used:
 		return loommeasure.Run(os.Stdout, loommeasure.Options{JSON: o.json, Seeds: o.seeds})
 	case c.demo.Used:
