--- /dev/null
+++ b/loommeasure/capacity_link.go
@@ -0,0 +1,84 @@
+package loommeasure
+
+import (
+	"context"
+	"errors"
+	"io"
+	"runtime"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loompeer"
+)
+
+// idleLink is the local end of links that run no requests.
+type idleLink struct{}
+
+// Run refuses the request.
+func (idleLink) Run(
+	context.Context, currantloom.RequestHeader, []byte, currantloom.ResponseWriter,
+) currantloom.Trailer {
+	return currantloom.Trailer{Verdict: currantloom.NotRun, Code: currantloom.CodeShuttingDown}
+}
+
+// Release does nothing.
+func (idleLink) Release() {}
+
+// discard drops a response.
+type discard struct{}
+
+// WriteMessage drops a message.
+func (discard) WriteMessage(_ byte, _ int, body io.Reader) error {
+	_, err := io.Copy(io.Discard, body)
+	return err
+}
+
+// Flush does nothing.
+func (discard) Flush() error { return nil }
+
+// processBytes returns the bytes in use on the heap and in stacks after a collection.
+func processBytes() float64 {
+	heap := heapBytes()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(heap + m.StackInuse)
+}
+
+// memoryOfLinks opens n links, each of which has run a request, and measures both of their ends.
+func memoryOfLinks(n int) (float64, error) {
+	listener, err := listenLoopback()
+	if err != nil {
+		return 0, err
+	}
+	server := loompeer.Server{Open: func() currantloom.Link { return idleLink{} }}
+	served := make(chan struct{})
+	go func() { _ = server.Serve(listener); close(served) }()
+	defer func() { _ = listener.Close(); <-served; _ = server.Close() }()
+	var dialer loompeer.Dialer
+	defer func() { _ = dialer.Close() }()
+	vm := currantloom.NewVM("loom-vm-0001", place(1), listener.Addr().String(), "", currantloom.VMLive)
+	before := processBytes()
+	links := make([]currantloom.Link, 0, n)
+	defer func() {
+		for _, l := range links {
+			l.Release()
+		}
+	}()
+	for range n {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		l, err := dialer.Link(ctx, vm)
+		if err != nil {
+			cancel()
+			return 0, err
+		}
+		links = append(links, l)
+		t := l.Run(ctx, currantloom.RequestHeader{
+			Key: currantloom.RequestKey{VM: "loom-vm-0002", Number: uint64(len(links))}, Remaining: time.Second,
+		}, []byte("Q\x00\x00\x00\x05\x00"), discard{})
+		cancel()
+		if t.Code != currantloom.CodeShuttingDown {
+			return 0, errors.New("link answered with " + string(t.Code) + ": " + t.Reason)
+		}
+	}
+	return processBytes() - before, nil
+}
--- a/loommeasure/capacity_test.go
+++ b/loommeasure/capacity_test.go
@@ -44,8 +44,9 @@
 		"status polls a second, mean of the nodes":       1, "status polls a second, most of a node": 1,
 		"pushes of a rules change": 1, "most pushes of one node, rules change": 1, "hops of a rules change": 1,
 		"pushes between regions, rules change": 1, "watches on the rules": 1,
-		"status polls of a server, payload": 1, "status polls, processor time with the server": 1,
-		"rules pulls without news, payload": 1, "rules pushes of a changed line, payload": 1,
+		"memory of idle links, both ends": 1, "status polls of a server, payload": 1,
+		"status polls, processor time with the server": 1,
+		"rules pulls without news, payload":            1, "rules pushes of a changed line, payload": 1,
 		"VM list, unchanged for 10 s, payload": 1, "VM list, unchanged for 10 s, calls": 1,
 		"VM list read, processor time with the platform": 1,
 		"SCRAM login, processor time at the node":        1, "SCRAM login as a client of a server": 1,
@@ -77,6 +78,9 @@
 			}
 		})
 	}
+	if _, err := memoryOfLinks(20); err != nil {
+		t.Error(err)
+	}
 	b := newBench(20, 8)
 	if _, err := timeOfWrite(len(b.set.VMs)); err != nil {
 		t.Error(err)
--- a/loommeasure/capacity_wire.go
+++ b/loommeasure/capacity_wire.go
@@ -107,6 +107,7 @@
 		{"rules pulls without news, payload", "bytes", "pull", calls, 0, pullBytes},
 		{"rules pushes of a changed line, payload", "bytes", "push", calls, 0, pushBytes},
 		{"status polls, processor time with the server", "us", "poll", calls, 0, pollTime},
+		{"memory of idle links, both ends", "bytes", "link", []int{250, 500, 1000}, designVMs, memoryOfLinks},
 		{"VM list, unchanged for 10 s, payload", "bytes", "VM in the list", listSizes, designVMs,
 			func(vms int) (float64, error) {
 				uses, err := lists()
