Model the confirmation of a recorded request id as D6 says

The write had a request id and its entry was of term 21. On the retry in term 23 the model waited until a majority held that entry, which is not final by itself: the replica did not yet hold the primary's first entry of term 23, so a later election could drop both.

Assumption D6 and the server code (group_confirm before a recorded outcome) wait for the primary's last entry at its term, so the core is not at fault. The model now does the same, and it reports the mark that was confirmed rather than the end of the log at the time of the report.

--- a/loomcore/system_request_test.go
+++ b/loomcore/system_request_test.go
@@ -188,16 +188,16 @@
 
 func (n *modelNode) serveWrite(m *modelServer, work *modelWork, end func(currantloom.WorkResult)) {
 	w := n.world
-	position := m.find(work.header.RequestID)
-	if position == 0 {
+	if m.find(work.header.RequestID) == 0 {
 		m.log = append(m.log, logEntry{
 			term: m.term, write: w.oracle.writeOf(work.header.Key), requestID: work.header.RequestID, at: w.now,
 		})
-		position = len(m.log)
 	}
-	term := m.term
+	// The entry of a recorded request id may be of an older term, which a majority alone does not make final. As D6
+	// says, the primary's last entry is confirmed, which is one of its own term.
+	position := len(m.log)
+	term, mark := m.term, m.mark()
 	n.awaitMajority(m, term, position, w.now+confirmWait, func(confirmed int) {
-		mark := m.mark()
 		n.withhold(m, work, currantloom.WorkResult{
 			Verdict: currantloom.Ran, Term: m.term, Mark: mark, Confirmed: confirmed, Wrote: true,
 		}, end)
