--- a/cmd/currantloom/script_test.go
+++ b/cmd/currantloom/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -18,10 +19,19 @@
 	"currantloom.example/currantloom/loomstore"
 )
 
-// testMain removes the binaries that tests built.
+// testMain fixes the seed and the length of the fuzz tests, unless the command line gives them, and removes the
+// binaries that tests built.
 type testMain struct{ *testing.M }
 
 func (m testMain) Run() int {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "12", "rapid.steps": "12"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
 	defer func() { _ = os.RemoveAll(builds.dir) }()
 	return m.M.Run()
 }
--- a/loomserver/pool_test.go
+++ b/loomserver/pool_test.go
@@ -220,6 +220,71 @@
 	}
 }
 
+// TestUnreadBytes guards against bytes that a server sent after the end of a response and that the next request on the
+// connection takes for its own response.
+func TestUnreadBytes(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"with the response": 0, "later": 20 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			var group sync.WaitGroup
+			t.Cleanup(func() {
+				_ = l.Close()
+				group.Wait()
+			})
+			for range 2 {
+				group.Go(func() { serveSurplus(l, delay) })
+			}
+			p := newPool(t, l.Addr().String())
+			first, _ := runOnce(t, p, simple("SELECT first"))
+			time.Sleep(2 * delay)
+			second, got := runOnce(t, p, simple("SELECT second"))
+			if first.Err != nil || second.Err != nil || !strings.Contains(got, "[own response]") {
+				t.Errorf("got %q, errors %v and %v, want the response of another connection", got, first.Err, second.Err)
+			}
+		})
+	}
+}
+
+// serveSurplus answers one query and adds the start of another response after it.
+func serveSurplus(l net.Listener, delay time.Duration) {
+	conn, b := acceptSession(l)
+	if conn == nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	row := func(text string) {
+		b.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(text)}})
+		b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	}
+	if _, err := b.Receive(); err != nil {
+		return
+	}
+	row("own response")
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if delay > 0 {
+		_ = b.Flush()
+		time.Sleep(delay)
+	}
+	row("surplus")
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = b.Flush()
+	_, _ = b.Receive()
+}
+
+// acceptSession opens a session for the next client of the listener; the connection is nil after the end of it.
+func acceptSession(l net.Listener) (net.Conn, *pgproto3.Backend) {
+	conn, err := l.Accept()
+	if err != nil {
+		return nil, nil
+	}
+	b := pgproto3.NewBackend(conn, conn)
+	_, _ = b.ReceiveStartupMessage()
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	_ = b.Flush()
+	return conn, b
+}
+
 // TestCancel guards against a cancel that does not arrive, or that hits a later request on the connection.
 func TestCancel(t *testing.T) {
 	server := startGroup(t, loomstandin.Options{})[0]
@@ -323,16 +388,11 @@
 
 // serveLargeRow answers one query with a row that is made up while it is sent.
 func serveLargeRow(l net.Listener, size int) {
-	conn, err := l.Accept()
-	if err != nil {
+	conn, b := acceptSession(l)
+	if conn == nil {
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	b := pgproto3.NewBackend(conn, conn)
-	_, _ = b.ReceiveStartupMessage()
-	b.Send(&pgproto3.AuthenticationOk{})
-	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
-	_ = b.Flush()
 	_, _ = b.Receive()
 	_, _ = fmt.Fprintf(conn, "D%c%c%c%c", (size+4)>>24, (size+4)>>16&255, (size+4)>>8&255, (size+4)&255)
 	chunk := make([]byte, 64<<10)
--- a/loomstandin/relay.go
+++ b/loomstandin/relay.go
@@ -16,6 +16,7 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
 	accepted int
+	cuts     int
 	closed   bool
 	// resumed is closed at the end of a silence; nil without one.
 	resumed chan struct{}
@@ -40,6 +41,13 @@
 	return r.accepted
 }
 
+// Cuts returns the number of connections that were closed after a number of bytes.
+func (r *Relay) Cuts() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cuts
+}
+
 // Silence stops forwarding while the connections stay open; new ones are accepted and stay silent as well.
 func (r *Relay) Silence(on bool) {
 	r.mu.Lock()
@@ -154,5 +162,6 @@
 	}
 	pass = *limit
 	*limit = -1
+	r.cuts++
 	return pass, true
 }
