Give a restarted model node no answers to calls of its earlier life

A real process that starts gets no answers of its predecessor's connections, so the model is mended, not the core. Results of runs at servers are dropped in the same way.

--- a/loomcore/system_request_test.go
+++ b/loomcore/system_request_test.go
@@ -116,9 +116,9 @@
 func (n *modelNode) run(e loomcore.Run) {
 	w, m, work := n.world, n.world.server(e.Server), n.works[e.Key]
 	w.oracle.started(w, n, e)
-	done := false
+	done, life := false, n.life
 	end := func(r currantloom.WorkResult) {
-		if done {
+		if done || n.life != life {
 			return
 		}
 		done = true
--- a/loomcore/system_test.go
+++ b/loomcore/system_test.go
@@ -262,23 +262,31 @@
 	}
 }
 
-// call sends a request to a server and its answer back; without connection it times out, a dead server refuses.
+// call sends a request to a server and its answer back; without connection it times out, a dead server refuses. A node
+// that has restarted meanwhile gets no answer, since its times would be those of the earlier process.
 func (n *modelNode) call(name currantloom.ServerName, serve func(*modelServer) func(), failed func(refused bool)) {
 	w := n.world
 	m := w.server(name)
-	done := false
+	done, life := false, n.life
+	deliver := func(answer func()) {
+		n.deliver(func() {
+			if n.life == life {
+				answer()
+			}
+		})
+	}
 	w.after(w.delay(), func() {
 		switch {
 		case m.side != n.side || m.paused:
 		case m.dead:
 			done = true
-			n.deliver(func() { failed(true) })
+			deliver(func() { failed(true) })
 		default:
 			answer := serve(m)
 			w.after(w.delay(), func() {
 				if m.side == n.side && !done {
 					done = true
-					n.deliver(answer)
+					deliver(answer)
 				}
 			})
 		}
@@ -286,7 +294,7 @@
 	w.after(callTimeout, func() {
 		if !done {
 			done = true
-			n.deliver(func() { failed(false) })
+			deliver(func() { failed(false) })
 		}
 	})
 }
