--- a/cmd/currantloom/silent_test.go
+++ b/cmd/currantloom/silent_test.go
@@ -18,7 +18,7 @@
 	servers, _ := startGroup(t)
 	relay := loomstandin.StartRelay(listen(t, 1)[0], servers[0])
 	t.Cleanup(func() { _ = relay.Close() })
-	_, addresses := startNodes(t, 1, append([]string{relay.Address()}, servers[1:]...))
+	_, addresses := startNodes(t, append([]string{relay.Address()}, servers[1:]...))
 	conn := dial(t, addresses[0])
 	if _, err := conn.Exec(t.Context(), "INSERT INTO orders VALUES ('a', 1)"); err != nil {
 		t.Fatal(err)
