--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,11 @@
 format:
 	$(LINT) fmt ./...
 
-# Prints the seed and a minimal trace on failure.
+# All fuzz tests of the reducer. Prints the seed, the counts of faults, and a trace on failure.
 fuzz:
-	$(GO) test ./loomcore -run 'Fuzz' -count=1 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS) -v
+	@echo "seed $(SEED), $(CHECKS) runs of $(STEPS) steps"
+	$(GO) test ./loomcore -run 'Fuzz' -count=1 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS) \
+		-rapid.nofailfile -v
 
 # Arbitrary bytes from clients and from other nodes.
 fuzz-input:
--- /dev/null
+++ b/loomcore/stop_test.go
@@ -0,0 +1,32 @@
+package loomcore
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// TestStopAwaitsRequests guards against a node that ends while one of its requests is in flight.
+func TestStopAwaitsRequests(t *testing.T) {
+	vm := currantloom.NewVM("vm-1", testGroup().Servers()[0].Place(), "", "", currantloom.VMLive)
+	s := New(Config{Self: vm.Name(), Place: vm.Place(), Databases: []currantloom.Database{testGroup()}})
+	key := currantloom.RequestKey{VM: vm.Name(), Number: 1}
+	stops := func(now time.Duration, events ...Event) bool {
+		for _, e := range events {
+			s.Reduce(e)
+		}
+		return slices.Contains(s.Reduce(Tick{Stamp{Now: now}}), Effect(Stopped{}))
+	}
+	if stops(time.Second, VMsReceived{Set: currantloom.VMSet{VMs: []currantloom.VM{vm}}}, RequestArrived{
+		Request: currantloom.Request{Key: key, Database: testDatabase},
+	}, StopRequested{}) {
+		t.Error("the node stops while a request runs")
+	}
+	if !stops(2*time.Second, ForwardFinished{Key: key, Attempt: 1, Sent: true, Trailer: currantloom.Trailer{
+		Verdict: currantloom.Ran, Answered: true,
+	}}) {
+		t.Error("the node does not stop after its last request")
+	}
+}
