Key the work of a carrier by request and attempt

Attempts shared the key of their request, so a retry at a carrier where an earlier attempt still ran, for example on a silent connection, was refused with "an earlier attempt has not ended" until that attempt ended.

RequestKey has an attempt now, which the entry core sets in headers and cancels and which crosses the link. The entry side drops it again; statements of an open transaction have none. A cancel without an attempt, as the control protocol sends it, is for the latest one. The exact duplicate of an attempt is still refused. The oracle of the system tests looks operations up by request.

--- a/loomcore/carrier.go
+++ b/loomcore/carrier.go
@@ -334,8 +334,22 @@
 	return s.trailer(q.group, t)
 }
 
+// cancelled returns the work that a cancel is for; without an attempt it is the latest one.
+func (s *State) cancelled(key currantloom.RequestKey) (*work, bool) {
+	found, ok := s.carrier.works[key]
+	if ok || key.Attempt != 0 {
+		return found, ok
+	}
+	for k, w := range s.carrier.works {
+		if k.Request() == key && (found == nil || k.Attempt > found.header.Key.Attempt) {
+			found = w
+		}
+	}
+	return found, found != nil
+}
+
 func (s *State) workCancelled(e WorkCancelled) {
-	w, ok := s.carrier.works[e.Key]
+	w, ok := s.cancelled(e.Key)
 	if !ok || w.cancelled {
 		return
 	}
@@ -344,7 +358,7 @@
 		s.reject(w, currantloom.CodeQueryCanceled, "cancelled before it ran", 0)
 	case workRunning:
 		w.cancelled = true
-		s.emit(CancelWork{Key: e.Key})
+		s.emit(CancelWork{Key: w.header.Key})
 	default:
 		// The server has answered; there is nothing left to cancel.
 	}
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -104,6 +104,17 @@
 			arrive 1 => run 1
 			arrive 1 => reject 1 not_run 57P03
 			finish 1 => complete 1 ran`},
+		{name: "a retry runs beside an earlier attempt that has not ended", script: `
+			arrive 1 attempt=1 => run 1
+			arrive 1 attempt=2 => run 1
+			finish 1 attempt=2 => complete 1 ran
+			cancelwork 1 attempt=1 => cancel 1
+			finish 1 attempt=1 => complete 1 ran`},
+		{name: "a cancel that names no attempt is for the latest one", script: `
+			arrive 1 attempt=1 => run 1
+			arrive 1 attempt=2 => run 1
+			finish 1 attempt=1 => complete 1 ran
+			cancelwork 1 => cancel 1`},
 		{name: "invariant 2: a confirmed write is acknowledged", script: `
 			arrive 1 => run 1
 			answer 1 wrote => ack 1
--- a/loomcore/effect.go
+++ b/loomcore/effect.go
@@ -83,7 +83,7 @@
 		Key     currantloom.RequestKey
 		Trailer currantloom.Trailer
 	}
-	// CancelForward asks a carrier to give up a request.
+	// CancelForward asks a carrier to give up an attempt of a request.
 	CancelForward struct {
 		Key currantloom.RequestKey
 		VM  currantloom.VMName
--- a/loomcore/request.go
+++ b/loomcore/request.go
@@ -91,7 +91,7 @@
 }
 
 func (s *State) forwardFinished(e ForwardFinished) {
-	r, ok := s.requests.open[e.Key]
+	r, ok := s.requests.open[e.Key.Request()]
 	if !ok || !r.forward || r.attempt != e.Attempt {
 		return
 	}
@@ -161,7 +161,7 @@
 
 func (s *State) cancelForward(r *request) {
 	r.cancelAt = s.now + cancelInterval
-	s.emit(CancelForward{Key: r.request.Key, VM: r.vm})
+	s.emit(CancelForward{Key: r.attemptKey(), VM: r.vm})
 }
 
 func (s *State) refuse(r *request, code currantloom.SQLState, reason string, retryAfter time.Duration) {
--- a/loomcore/request_test.go
+++ b/loomcore/request_test.go
@@ -1,6 +1,7 @@
 package loomcore
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,27 @@
 		})
 	}
 }
+
+// TestAttemptKey guards against attempts of a request that the carrier cannot tell apart, and against a cancel that
+// reaches another attempt than the current one.
+func TestAttemptKey(t *testing.T) {
+	x := newScript(t, 2, 16, "")
+	var got []int
+	note := func(e Event) {
+		for _, f := range x.state.Reduce(e) {
+			switch f := f.(type) {
+			case Forward:
+				got = append(got, f.Header.Key.Attempt)
+			case CancelForward:
+				got = append(got, f.Key.Attempt)
+			}
+		}
+	}
+	key := scriptKey("1")
+	note(RequestArrived{Stamp: x.stamp(), Request: options([]string{"read"}).request(key)})
+	note(ForwardFinished{Stamp: x.stamp(), Key: key, Attempt: 1, Sent: true})
+	note(RequestCancelled{Stamp: x.stamp(), Key: key})
+	if want := []int{1, 2, 2}; !slices.Equal(got, want) {
+		t.Errorf("got attempts %v in two forwards and a cancel, want %v", got, want)
+	}
+}
--- a/loomcore/route.go
+++ b/loomcore/route.go
@@ -124,10 +124,17 @@
 	return avoid
 }
 
+// attemptKey is the key of the current attempt at its carrier.
+func (r *request) attemptKey() currantloom.RequestKey {
+	key := r.request.Key
+	key.Attempt = r.attempt
+	return key
+}
+
 func (s *State) headerOf(r *request, server currantloom.Server) currantloom.RequestHeader {
 	q := r.request
 	return currantloom.RequestHeader{
-		Key: q.Key, Server: server.Name(), Caller: q.Caller, Database: q.Database, Kind: q.Kind, Class: r.class,
+		Key: r.attemptKey(), Server: server.Name(), Caller: q.Caller, Database: q.Database, Kind: q.Kind, Class: r.class,
 		Statement: q.Statement, Token: q.Token, MaxAge: s.acceptedAge(q), Remaining: r.deadline - s.now,
 		RequestID: q.RequestID, Begins: q.Begins,
 	}
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -120,6 +120,7 @@
 func (x *script) execute(command string, args []string) {
 	o := options(args[1:])
 	key := scriptKey(args[0])
+	key.Attempt, _ = strconv.Atoi(o.get("attempt", "0"))
 	switch command {
 	case "wait":
 		x.wait(duration(args[0]))
--- a/loomcore/system_oracle_test.go
+++ b/loomcore/system_oracle_test.go
@@ -52,19 +52,19 @@
 	}
 }
 
-func (o *oracle) writeOf(key currantloom.RequestKey) int { return o.operations[key].write }
+func (o *oracle) writeOf(key currantloom.RequestKey) int { return o.operations[key.Request()].write }
 
 // started checks that a leaving server gets no new work.
 func (o *oracle) started(w *world, n *modelNode, e loomcore.Run) {
 	w.counts["run"]++
-	o.operations[e.Key].ranAt = w.now
+	o.operations[e.Key.Request()].ranAt = w.now
 	if at, ok := o.leavingAt[e.Server]; ok && w.now > at+leavingGrace {
 		w.fail("%v: node %s starts work %s at server %s, leaving since %v", w.now, n.name, e.Key, e.Server, at)
 	}
 }
 
 func (o *oracle) received(key currantloom.RequestKey, _ currantloom.Trailer, seen []int) {
-	o.operations[key].seen = seen
+	o.operations[key.Request()].seen = seen
 }
 
 // led checks that a term has one primary, and that it holds every acknowledged write.
--- a/loommeasure/node.go
+++ b/loommeasure/node.go
@@ -159,7 +159,7 @@
 
 // forward sends an attempt to its carrier.
 func (n *node) forward(e loomcore.Forward) {
-	q := n.queries[e.Header.Key]
+	q := n.queries[e.Header.Key.Request()]
 	carrier := n.world.node(e.VM)
 	x := &runtimeWork{query: q, attempt: e.Attempt, header: e.Header, server: n.world.servers[e.Header.Server]}
 	arrive := func() {
--- a/loomnode/effect.go
+++ b/loomnode/effect.go
@@ -50,7 +50,7 @@
 	case loomcore.Stopped:
 		n.stoppedOnce.Do(func() { close(n.stopped) })
 	case loomcore.Forward:
-		n.deliverEntry(e.Header.Key, e)
+		n.deliverEntry(e.Header.Key.Request(), e)
 	case loomcore.Answer:
 		n.deliverEntry(e.Key, e)
 	case loomcore.CancelForward:
--- a/loomnode/gateway.go
+++ b/loomnode/gateway.go
@@ -151,7 +151,7 @@
 
 // cancelForward executes the effect of the same name; the node's lock is held.
 func (n *Node) cancelForward(key currantloom.RequestKey) {
-	r, ok := n.entries[key]
+	r, ok := n.entries[key.Request()]
 	if !ok {
 		return
 	}
--- a/loomnode/metrics.go
+++ b/loomnode/metrics.go
@@ -144,7 +144,7 @@
 }
 
 func (m *metrics) forward(e loomcore.Forward) {
-	q, ok := m.entries[e.Header.Key]
+	q, ok := m.entries[e.Header.Key.Request()]
 	if !ok {
 		return
 	}
--- a/loompeer/codec.go
+++ b/loompeer/codec.go
@@ -32,6 +32,7 @@
 	Type      string `json:"type,omitempty"`
 	VM        string `json:"vm"`
 	Number    uint64 `json:"number"`
+	Attempt   int    `json:"attempt,omitempty"`
 	Server    string `json:"server"`
 	Caller    string `json:"caller"`
 	Database  string `json:"database"`
@@ -47,7 +48,8 @@
 
 func encodeHeader(h currantloom.RequestHeader) ([]byte, error) {
 	return json.Marshal(headerMessage{
-		VM: string(h.Key.VM), Number: h.Key.Number, Server: string(h.Server), Caller: string(h.Caller),
+		VM: string(h.Key.VM), Number: h.Key.Number, Attempt: h.Key.Attempt,
+		Server: string(h.Server), Caller: string(h.Caller),
 		Database: string(h.Database), Kind: uint8(h.Kind), Class: uint8(h.Class), Statement: h.Statement,
 		Token: h.Token.String(), MaxAge: h.MaxAge.Microseconds(), Remaining: h.Remaining.Microseconds(),
 		RequestID: h.RequestID, Begins: h.Begins,
@@ -60,7 +62,7 @@
 		return currantloom.RequestHeader{}, err
 	}
 	return currantloom.RequestHeader{
-		Key:    currantloom.RequestKey{VM: currantloom.VMName(m.VM), Number: m.Number},
+		Key:    currantloom.RequestKey{VM: currantloom.VMName(m.VM), Number: m.Number, Attempt: m.Attempt},
 		Server: currantloom.ServerName(m.Server), Caller: currantloom.CallerName(m.Caller),
 		Database: currantloom.DatabaseName(m.Database), Kind: currantloom.Kind(m.Kind),
 		Class: currantloom.Class(m.Class), Statement: m.Statement, Token: token,
--- a/request.go
+++ b/request.go
@@ -5,10 +5,19 @@
 	"time"
 )
 
-// RequestKey identifies a request over all nodes: the entry node and its running number.
+// RequestKey identifies a request over all nodes: the entry node and its running number. With an attempt it identifies
+// the work of that attempt at a carrier, so that a retry does not meet an earlier attempt that still runs there.
 type RequestKey struct {
 	VM     VMName
 	Number uint64
+	// Attempt counts from 1; it is zero at the entry node and in statements of an open transaction.
+	Attempt int
+}
+
+// Request returns the key without the attempt.
+func (k RequestKey) Request() RequestKey {
+	k.Attempt = 0
+	return k
 }
 
 // String returns the key as it stands in logs and error details.
