Subtract the time on the link from the remaining time of a request

The carrier counts the remaining time from the arrival of the request, so over a link of 30 ms each way work could end, and its response arrive, up to 60 ms after the deadline. Forward subtracts 0, 1 or 60 ms by the distance of the VM.

At least half of the time is kept, and the carrier decides.

--- a/loomcore/request_test.go
+++ b/loomcore/request_test.go
@@ -228,3 +228,18 @@
 		t.Errorf("got attempts %v in two forwards and a cancel, want %v", got, want)
 	}
 }
+
+// TestRemainingOverLinks guards against a carrier in another region that runs a request past its deadline, because the
+// time on the link counts for nobody.
+func TestRemainingOverLinks(t *testing.T) {
+	x := newScript(t, 2, 16, "")
+	x.status["c"] = currantloom.ServerStatus{Role: currantloom.RolePrimary, Term: 2, Granted: 2}
+	x.apply(StatusReceived{Stamp: x.stamp(), Server: "c", SentAt: x.now, Status: x.status["c"]})
+	for _, e := range x.state.Reduce(RequestArrived{
+		Stamp: x.stamp(), Request: options([]string{"deadline=1s"}).request(scriptKey("1")),
+	}) {
+		if f, ok := e.(Forward); ok && (f.VM != "vm-3" || f.Header.Remaining != 940*time.Millisecond) {
+			t.Errorf("got %s left at %s, want 940ms at vm-3", f.Header.Remaining, f.VM)
+		}
+	}
+}
--- a/loomcore/route.go
+++ b/loomcore/route.go
@@ -14,6 +14,10 @@
 	passOverTime = 2 * time.Second
 )
 
+// linkMargins are the times for both ways, by distance: one way takes 0.5 ms between failure domains of a region and
+// 30 ms between regions. The carrier counts the remaining time from the arrival of the request.
+var linkMargins = [...]time.Duration{0, time.Millisecond, 60 * time.Millisecond}
+
 // hint is what the entry learned about the primary of a database.
 type hint struct {
 	term    currantloom.Term
@@ -104,7 +108,15 @@
 	s.emit(Decision{
 		Event: "route", Key: r.request.Key, Caller: r.request.Caller, Server: server.Name(), VM: vm, Reason: reason,
 	})
-	s.emit(Forward{Attempt: r.attempt, VM: vm, Header: s.headerOf(r, server)})
+	header := s.headerOf(r, server)
+	// Half of the time is left at least, so that the carrier decides on a request that is nearly late.
+	header.Remaining -= min(s.linkMargin(vm), header.Remaining/2)
+	s.emit(Forward{Attempt: r.attempt, VM: vm, Header: header})
+}
+
+// linkMargin is the time that a request and its response spend between this node and a VM.
+func (s *State) linkMargin(vm currantloom.VMName) time.Duration {
+	return linkMargins[s.place.Distance(s.members.vms[vm].Place())]
 }
 
 // avoided returns the VMs that the request does not use as carriers of the server.
