--- a/loomcore/request_test.go
+++ b/loomcore/request_test.go
@@ -1,6 +1,7 @@
 package loomcore
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -203,3 +204,42 @@
 		})
 	}
 }
+
+// TestAttemptKey guards against attempts of a request that the carrier cannot tell apart, and against a cancel that
+// reaches another attempt than the current one.
+func TestAttemptKey(t *testing.T) {
+	x := newScript(t, 2, 16, "")
+	var got []int
+	note := func(e Event) {
+		for _, f := range x.state.Reduce(e) {
+			switch f := f.(type) {
+			case Forward:
+				got = append(got, f.Header.Key.Attempt)
+			case CancelForward:
+				got = append(got, f.Key.Attempt)
+			}
+		}
+	}
+	key := scriptKey("1")
+	note(RequestArrived{Stamp: x.stamp(), Request: options([]string{"read"}).request(key)})
+	note(ForwardFinished{Stamp: x.stamp(), Key: key, Attempt: 1, Sent: true})
+	note(RequestCancelled{Stamp: x.stamp(), Key: key})
+	if want := []int{1, 2, 2}; !slices.Equal(got, want) {
+		t.Errorf("got attempts %v in two forwards and a cancel, want %v", got, want)
+	}
+}
+
+// TestRemainingOverLinks guards against a carrier in another region that runs a request past its deadline, because the
+// time on the link counts for nobody.
+func TestRemainingOverLinks(t *testing.T) {
+	x := newScript(t, 2, 16, "")
+	x.status["c"] = currantloom.ServerStatus{Role: currantloom.RolePrimary, Term: 2, Granted: 2}
+	x.apply(StatusReceived{Stamp: x.stamp(), Server: "c", SentAt: x.now, Status: x.status["c"]})
+	for _, e := range x.state.Reduce(RequestArrived{
+		Stamp: x.stamp(), Request: options([]string{"deadline=1s"}).request(scriptKey("1")),
+	}) {
+		if f, ok := e.(Forward); ok && (f.VM != "vm-3" || f.Header.Remaining != 940*time.Millisecond) {
+			t.Errorf("got %s left at %s, want 940ms at vm-3", f.Header.Remaining, f.VM)
+		}
+	}
+}
