Hold new work after a pause, and cancel work at a replaced primary

Clients waited for requests at a primary that had been replaced. A carrier now cancels these at once, and a connection that does not react to a cancel within 2 s is closed.

Ruled out: waiting for a fresh VM list after a pause, since an unchanged list may be silent for its whole wait.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 FUZZTIME ?= 30s
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build test race lint format fuzz fuzz-input bench measure
+.PHONY: all build test race lint format fuzz fuzz-found fuzz-input bench measure
 
 all: lint test
 
@@ -31,6 +31,14 @@
 	$(GO) test ./loomcore -run 'Fuzz' -count=1 -rapid.seed=$(SEED) -rapid.steps=$(STEPS) -rapid.checks=$(CHECKS) \
 		-rapid.nofailfile -v
 
+# Seeds of TestFuzzWorld that once failed, with their steps.
+FOUND = 1140/2000 1037505/400 1363878/400 4400028/2000 2407753/400 2801135/2000
+fuzz-found:
+	@for found in $(FOUND); do \
+		$(GO) test ./loomcore -run '^TestFuzzWorld$$' -count=1 -rapid.seed=$${found%/*} -rapid.steps=$${found#*/} \
+			-rapid.checks=1 -rapid.nofailfile || exit 1; \
+	done
+
 # Arbitrary bytes from clients and from other nodes.
 fuzz-input:
 	$(GO) test ./loomentry -run '^$$' -fuzz FuzzSession -fuzztime $(FUZZTIME)
--- a/loomcore/carrier_test.go
+++ b/loomcore/carrier_test.go
@@ -25,6 +25,11 @@
 			finish 3 => complete 3 ran, run 5
 			finish 1 => complete 1 ran
 			finish 4 => complete 4 ran, run 2`},
+		{name: "invariant 7: work that waited for a node to resume does not precede the VM list", script: `
+			pause 5s =>
+			arrive 1 =>
+			wait 100ms =>
+			wait 100ms => run 1`},
 		{name: "the only slot still serves short work beside long work", slots: 1, script: `
 			arrive 1 long => run 1
 			arrive 2 => run 2
@@ -95,7 +100,7 @@
 		{name: "waiting work leaves a server that is no longer primary", script: `
 			arrive 1 long => run 1
 			arrive 2 long =>
-			status b role=primary term=2 => reject 2 not_run 57P03`},
+			status b role=primary term=2 => cancel 1, reject 2 not_run 57P03`},
 		{name: "a second event for finished work is ignored", script: `
 			arrive 1 => run 1
 			finish 1 => complete 1 ran
@@ -123,7 +128,7 @@
 			finish 1 wrote => complete 1 ran`},
 		{name: "invariant 2: a write of an older term is not acknowledged", script: `
 			arrive 1 => run 1
-			status b role=primary term=2 =>
+			status b role=primary term=2 => cancel 1
 			answer 1 wrote => reject 1 may_have_run 08007
 			finish 1 wrote => `},
 		{name: "invariant 2: replicas confirm what the server could not", script: `
--- a/loomcore/confirm.go
+++ b/loomcore/confirm.go
@@ -163,3 +163,20 @@
 		}
 	}
 }
+
+// cancelReplaced cancels the work that runs at a replaced primary. It can no longer be acknowledged, and its callers
+// would otherwise wait for its progress deadline.
+func (s *State) cancelReplaced(g *group) {
+	for _, server := range g.database.Servers() {
+		q := s.carrier.queues[server.Name()]
+		if q == nil || server.Name() == g.primary {
+			continue
+		}
+		for _, w := range q.running {
+			if w.state == workRunning && !w.cancelled && (w.writes() || w.confirms) {
+				w.cancelled = true
+				s.emit(CancelWork{Key: w.header.Key})
+			}
+		}
+	}
+}
--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -131,7 +131,7 @@
 		return true
 	}
 	h := w.header
-	if q.server == g.primary && s.isHeld(g, w) {
+	if s.holdsAfterPause() || q.server == g.primary && s.isHeld(g, w) {
 		return false
 	}
 	if q.held >= q.connectionsAllowed(s.now) {
--- a/loomcore/script_test.go
+++ b/loomcore/script_test.go
@@ -124,6 +124,8 @@
 	switch command {
 	case "wait":
 		x.wait(duration(args[0]))
+	case "pause":
+		x.now += duration(args[0])
 	case "arrive":
 		x.apply(x.arrival(key, o))
 	case "answer":
--- a/loomcore/state.go
+++ b/loomcore/state.go
@@ -14,6 +14,9 @@
 	pauseGap = 450 * time.Millisecond
 	// resumePeriod is how long after a pause events may be late by the length of the pause.
 	resumePeriod = time.Second
+	// resumeHold is how long a node admits no new work after a pause, so that what waited behind the work, such as a
+	// VM list that shows a leaving server, is handled first.
+	resumeHold = 150 * time.Millisecond
 )
 
 // Config is what a node learns from its settings.
@@ -147,5 +150,8 @@
 // started or resumed.
 func (s *State) mayBeLate() bool { return s.now-s.resumedAt < resumePeriod }
 
+// holdsAfterPause reports whether the node has resumed so lately that it admits no new work yet.
+func (s *State) holdsAfterPause() bool { return s.resumedAt > 0 && s.now-s.resumedAt < resumeHold }
+
 // emit appends an effect to those of the current event.
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
--- a/loomcore/suspicion.go
+++ b/loomcore/suspicion.go
@@ -58,6 +58,7 @@
 	if g.primary != "" {
 		s.emit(Decision{Event: "primary", Server: g.primary, Term: g.term, Reason: "newest known term"})
 		s.followPrimary(g)
+		s.cancelReplaced(g)
 	}
 	if v.change != nil && v.proposal == nil {
 		reason := "the term or the primary changed"
--- a/loomcore/system_request_test.go
+++ b/loomcore/system_request_test.go
@@ -128,7 +128,11 @@
 		w.after(w.delay(), func() { end(runFailed(currantloom.NotRun)) })
 		return
 	}
-	w.after(e.Limit, func() { end(runFailed(currantloom.MayHaveRun)) })
+	limit := e.Limit
+	if e.Progress > 0 {
+		limit = min(limit, e.Progress)
+	}
+	w.after(limit, func() { end(runFailed(currantloom.MayHaveRun)) })
 	w.after(w.delay(), func() { n.serve(m, work, e, end, func() bool { return done }) })
 }
 
--- a/loommeasure/capacity_state.go
+++ b/loommeasure/capacity_state.go
@@ -245,7 +245,7 @@
 		}
 	}
 	b.settle(carrier, 40)
-	entry.Reduce(loomcore.ForwardFinished{Stamp: b.stamp(), Key: forward.Header.Key, Attempt: forward.Attempt})
+	entry.Reduce(loomcore.ForwardFinished{Stamp: b.stamp(), Key: forward.Header.Key.Request(), Attempt: forward.Attempt})
 	failed := 0
 	t := leastTime(2000, func() {
 		if !b.write(entry, carrier, b.request(name, 1)) {
@@ -273,12 +273,12 @@
 		Verdict: currantloom.Ran, Term: 1, Mark: currantloom.NewMark(1, currantloom.Position(b.number+1_000_000)),
 		Confirmed: 2, Wrote: true, Transaction: currantloom.TransactionIdle,
 	}
-	effects = carrier.Reduce(loomcore.WorkAnswered{Stamp: b.stamp(), Key: r.Key, Result: result})
+	effects = carrier.Reduce(loomcore.WorkAnswered{Stamp: b.stamp(), Key: forward.Header.Key, Result: result})
 	if _, ok := findEffect[loomcore.Acknowledge](effects); !ok {
 		return false
 	}
 	complete, ok := findEffect[loomcore.Complete](
-		carrier.Reduce(loomcore.WorkFinished{Stamp: b.stamp(), Key: r.Key, Result: result}))
+		carrier.Reduce(loomcore.WorkFinished{Stamp: b.stamp(), Key: forward.Header.Key, Result: result}))
 	if !ok {
 		return false
 	}
--- a/loomnode/work.go
+++ b/loomnode/work.go
@@ -46,6 +46,10 @@
 		w.giveUp()
 		return
 	}
+	// A server that does not answer does not process the cancel either.
+	if w.grace == nil {
+		w.grace = time.AfterFunc(cancelGrace, w.giveUp)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelLimit)
 	defer cancel()
 	_ = w.conn.Cancel(ctx)
