--- a/cmd/currantloom/path_test.go
+++ b/cmd/currantloom/path_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+
+	"currantloom.example/currantloom/loomstandin"
 )
 
 // TestReadYourWritesAcrossProcesses guards against a session that does not see its own write through another node
@@ -79,14 +80,9 @@
 
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+	addresses, err := loomstandin.FreeAddresses(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addresses
 }
--- a/cmd/standin/process_test.go
+++ b/cmd/standin/process_test.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"currantloom.example/currantloom/loomstandin"
 )
 
 // TestKilledServers guards against entries and grants that a group of separate processes loses when a server is killed
@@ -57,14 +58,9 @@
 
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+	addresses, err := loomstandin.FreeAddresses(n)
+	if err != nil {
+		t.Fatal(err)
 	}
 	return addresses
 }
