--- a/cmd/currantloom/fault_cluster_test.go
+++ b/cmd/currantloom/fault_cluster_test.go
@@ -116,10 +116,23 @@
 	c.t.Cleanup(func() {
 		p.kill()
 		_ = log.Close()
+		if c.t.Failed() {
+			c.t.Logf("end of the log of %s:\n%s", name, endOf(log.Name()))
+		}
 	})
 	return p
 }
 
+// endOf returns the end of a log.
+func endOf(path string) string {
+	const most = 4 << 10
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-most):])
+}
+
 func awaitOpen(t *testing.T, address string) {
 	t.Helper()
 	for range 200 {
--- a/cmd/currantloom/fault_test.go
+++ b/cmd/currantloom/fault_test.go
@@ -108,14 +108,14 @@
 func awaitService(t *testing.T, c *faultCluster) {
 	t.Helper()
 	conn := connect(t.Context(), t, c.callers[0], "")
+	var err error
 	for range 100 {
-		_, err := conn.Exec(t.Context(), "INSERT INTO orders (id, value) VALUES ('first', 'booked')")
-		if err == nil {
+		if _, err = conn.Exec(t.Context(), "INSERT INTO orders (id, value) VALUES ('first', 'booked')"); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	t.Fatal("no write is acknowledged at the start")
+	t.Fatalf("no write is acknowledged at the start: %v", err)
 }
 
 // checkFinal compares the rows of the database with what the clients were told.
--- a/loomentry/server.go
+++ b/loomentry/server.go
@@ -2,19 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomwire"
 )
 
 const (
 	defaultIdleInTransaction = 10 * time.Second
 	defaultStartupLimit      = 10 * time.Second
-	// acceptPause separates attempts to accept while the process is out of file descriptors.
-	acceptPause = 10 * time.Millisecond
 )
 
 // Server accepts client connections.
@@ -53,22 +51,14 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
+	return loomwire.Accept(listener, func(conn net.Conn) {
 		session := newSession(s, conn)
 		if !s.add(session) {
 			_ = conn.Close()
-			continue
+			return
 		}
 		go s.serveSession(session)
-	}
+	})
 }
 
 func (s *Server) serveSession(session *Session) {
--- a/loompeer/controlserver.go
+++ b/loompeer/controlserver.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomwire"
 )
 
 // maxControlServed bounds the accepted control connections; 1,200 nodes with 16 connections each open about 16 to one
@@ -29,17 +28,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *ControlServer) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
-		s.add(conn)
-	}
+	return loomwire.Accept(listener, s.add)
 }
 
 func (s *ControlServer) add(conn net.Conn) {
--- a/loompeer/server.go
+++ b/loompeer/server.go
@@ -2,21 +2,17 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomwire"
 )
 
-const (
-	// closeGrace is how long an idle link still takes requests after it was announced as closing: the entry node may
-	// have sent one before it learned of it.
-	closeGrace = 200 * time.Millisecond
-	// acceptPause separates attempts to accept while the process is out of file descriptors.
-	acceptPause = 10 * time.Millisecond
-)
+// closeGrace is how long an idle link still takes requests after it was announced as closing: the entry node may have
+// sent one before it learned of it.
+const closeGrace = 200 * time.Millisecond
 
 // Server accepts links of entry nodes.
 type Server struct {
@@ -33,25 +29,17 @@
 
 // Serve accepts links until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return err
-		}
-		if err != nil {
-			time.Sleep(acceptPause)
-			continue
-		}
+	return loomwire.Accept(listener, func(conn net.Conn) {
 		l := newServerLink(s, conn)
 		if !s.add(l) {
 			_ = conn.Close()
-			continue
+			return
 		}
 		go func() {
 			defer s.remove(l)
 			l.serve(context.Background())
 		}()
-	}
+	})
 }
 
 func (s *Server) add(l *serverLink) bool {
