Write another row with each attempt to find the service

The group of that run starts without a primary, so the first write can meet a promotion and be reported as "may have run" although it ran; the test repeated the same row and got 23505 until it gave up.

--- a/cmd/currantloom/fault_test.go
+++ b/cmd/currantloom/fault_test.go
@@ -109,8 +109,10 @@
 	t.Helper()
 	conn := connect(t.Context(), t, c.callers[0], "")
 	var err error
-	for range 100 {
-		if _, err = conn.Exec(t.Context(), "INSERT INTO orders (id, value) VALUES ('first', 'booked')"); err == nil {
+	for i := range 100 {
+		// A write that may have run must not be repeated, so each attempt writes another row.
+		sql := fmt.Sprintf("INSERT INTO orders (id, value) VALUES ('first-%d', 'booked')", i)
+		if _, err = conn.Exec(t.Context(), sql); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
