Use the relay of the stand-ins in the run with processes

The relay of the stand-ins now also makes open connections silent for good while new ones work.

Tests of loomstandin and cmd/currantloom pass with -race, TestFaults with all its faults among them; no check changed.

--- a/cmd/currantloom/fault_cluster_test.go
+++ b/cmd/currantloom/fault_cluster_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"currantloom.example/currantloom/loomstandin"
 )
 
 const (
@@ -64,9 +66,9 @@
 	servers  []*faultProcess
 	nodes    []*faultProcess
 	// serverRelays stand before the servers, linkRelays before the nodes' links, storeRelay before the platform.
-	serverRelays []*relay
-	linkRelays   []*relay
-	storeRelay   *relay
+	serverRelays []*loomstandin.Relay
+	linkRelays   []*loomstandin.Relay
+	storeRelay   *loomstandin.Relay
 	control      string
 	callers      []string
 }
@@ -85,7 +87,7 @@
 	}
 	for i := range faultServers {
 		c.servers = append(c.servers, c.process(dir, fmt.Sprintf("server-%d", i), filepath.Join(binaries, "standin"),
-			"server", "--listen", ports[1+i], "--bootstrap", c.serverRelays[0].address(), "--connections", "16",
+			"server", "--listen", ports[1+i], "--bootstrap", c.serverRelays[0].Address(), "--connections", "16",
 			"--slots", "4", "--open-delay", "12ms", "--lag", "20ms",
 			"--journal", filepath.Join(dir, fmt.Sprintf("journal-%d", i))))
 	}
@@ -99,12 +101,19 @@
 		if err := os.WriteFile(path, []byte(c.settings(name, own)), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		c.register(name, c.linkRelays[i].address(), own[2])
+		c.register(name, c.linkRelays[i].Address(), own[2])
 		c.nodes = append(c.nodes, c.process(dir, name, filepath.Join(binaries, "currantloom"), "serve", "--settings", path))
 	}
 	return c
 }
 
+func startRelay(t *testing.T, target string) *loomstandin.Relay {
+	t.Helper()
+	r := loomstandin.StartRelay(listen(t, 1)[0], target)
+	t.Cleanup(func() { _ = r.Close() })
+	return r
+}
+
 // process starts a process whose log goes to a file that a failed test prints the end of.
 func (c *faultCluster) process(dir, name string, args ...string) *faultProcess {
 	log, err := os.Create(filepath.Join(dir, name+".log"))
@@ -172,7 +181,7 @@
 	for i, r := range c.serverRelays {
 		domain := []string{"ost-linz", "ost-steyr", "ost-steyr"}[i]
 		fmt.Fprintf(&servers, "      - {name: wheel-core-1-%c, address: %q, region: ost, failure-domain: %s}\n",
-			'a'+i, r.address(), domain)
+			'a'+i, r.Address(), domain)
 	}
 	return fmt.Sprintf(`vm: %s
 region: ost
@@ -185,5 +194,5 @@
     slots: 4
     connections: 16
     servers:
-%s`, name, own[0], own[1], own[2], c.storeRelay.address(), servers.String())
+%s`, name, own[0], own[1], own[2], c.storeRelay.Address(), servers.String())
 }
--- a/loomstandin/relay.go
+++ b/loomstandin/relay.go
@@ -20,13 +20,19 @@
 	closed   bool
 	// resumed is closed at the end of a silence; nil without one.
 	resumed chan struct{}
+	// Connections of an earlier generation are silent until stopped is closed.
+	generation int
+	stopped    chan struct{}
 	// limits are the bytes that still pass towards the server and the client; negative means no limit.
 	toServer, toClient int
 }
 
 // StartRelay forwards connections on the listener to the target address.
 func StartRelay(listener net.Listener, target string) *Relay {
-	r := &Relay{listener: listener, target: target, conns: make(map[net.Conn]struct{}), toServer: -1, toClient: -1}
+	r := &Relay{
+		listener: listener, target: target, conns: make(map[net.Conn]struct{}), stopped: make(chan struct{}),
+		toServer: -1, toClient: -1,
+	}
 	r.goroutines.Go(r.accept)
 	return r
 }
@@ -61,6 +67,13 @@
 	}
 }
 
+// SilenceOpen makes the open connections silent for good, without an end; new ones work.
+func (r *Relay) SilenceOpen() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.generation++
+}
+
 // CutToServer closes the connections after n more bytes were sent towards the server.
 func (r *Relay) CutToServer(n int) {
 	r.mu.Lock()
@@ -87,6 +100,9 @@
 // Close stops the relay and waits for it.
 func (r *Relay) Close() error {
 	r.mu.Lock()
+	if !r.closed {
+		close(r.stopped)
+	}
 	r.closed = true
 	r.mu.Unlock()
 	err := r.listener.Close()
@@ -103,16 +119,21 @@
 			return
 		}
 		server, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", r.target)
-		if err != nil || !r.add(client, server) {
+		if err != nil {
 			_ = client.Close()
 			continue
 		}
-		r.goroutines.Go(func() { r.forward(server, client, &r.toServer) })
-		r.goroutines.Go(func() { r.forward(client, server, &r.toClient) })
+		generation, ok := r.add(client, server)
+		if !ok {
+			continue
+		}
+		r.goroutines.Go(func() { r.forward(server, client, generation, &r.toServer) })
+		r.goroutines.Go(func() { r.forward(client, server, generation, &r.toClient) })
 	}
 }
 
-func (r *Relay) add(conns ...net.Conn) bool {
+// add notes a pair of connections and returns their generation, or closes them if the relay is closed.
+func (r *Relay) add(conns ...net.Conn) (generation int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.accepted++
@@ -123,11 +144,11 @@
 		}
 		r.conns[c] = struct{}{}
 	}
-	return !r.closed
+	return r.generation, !r.closed
 }
 
 // forward copies one direction until it ends or reaches the limit.
-func (r *Relay) forward(to, from net.Conn, limit *int) {
+func (r *Relay) forward(to, from net.Conn, generation int, limit *int) {
 	defer func() {
 		_, _ = to.Close(), from.Close()
 		r.mu.Lock()
@@ -137,7 +158,7 @@
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		pass, cut := r.take(n, limit)
+		pass, cut := r.take(n, generation, limit)
 		if _, writeErr := to.Write(buffer[:pass]); err != nil || writeErr != nil || cut {
 			return
 		}
@@ -145,11 +166,14 @@
 }
 
 // take returns how many of n bytes pass and whether the connection is to be cut after them.
-func (r *Relay) take(n int, limit *int) (pass int, cut bool) {
+func (r *Relay) take(n, generation int, limit *int) (pass int, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for r.resumed != nil && !r.closed {
+	for !r.closed && (r.resumed != nil || generation < r.generation) {
 		resumed := r.resumed
+		if generation < r.generation {
+			resumed = r.stopped
+		}
 		r.mu.Unlock()
 		<-resumed
 		r.mu.Lock()
