--- a/loomcore/carrier_fuzz_test.go
+++ b/loomcore/carrier_fuzz_test.go
@@ -192,6 +192,8 @@
 	o.submit(o.header(t), tx)
 }
 
+// pick draws running work. Skip on a rapid.T, here and in the actions, discards one drawn action that does not apply in
+// the current state; it never skips the test.
 func (o *carrierOracle) pick(t *rapid.T) *oracleWork {
 	if len(o.running) == 0 {
 		t.Skip("nothing runs")
