--- a/cmd/currantloom/main.go
+++ b/cmd/currantloom/main.go
@@ -14,6 +14,7 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loommeasure"
+	"currantloom.example/currantloom/platform"
 )
 
 var version = "0.1.0"
@@ -62,7 +63,7 @@
 type commands struct {
 	parser                                 *flaggy.Parser
 	serve, check, rules, apply, show, diff *flaggy.Subcommand
-	status, demo, measure                  *flaggy.Subcommand
+	status, demo, measure, platform        *flaggy.Subcommand
 	options                                options
 }
 
@@ -74,6 +75,8 @@
 	c.parser.AdditionalHelpAppend = "\n  Example: currantloom demo"
 	c.serve = c.add(nil, "serve", "Run one node.", "currantloom serve --settings node.yaml")
 	c.serve.String(&o.settings, "s", "settings", "path of the settings file")
+	c.platform = c.add(nil, "platform", "Run one node with the settings that the platform gives its process.",
+		"currantloom platform")
 	c.check = c.add(nil, "check", "Check files: settings (.yaml, .yml) or rules (any other name).",
 		"currantloom check node.yaml rules.txt")
 	c.check.String(&o.settings, "s", "settings", "settings whose databases, servers and callers rules may name")
@@ -141,6 +144,8 @@
 	switch {
 	case c.serve.Used:
 		return runServe(ctx, o.settings)
+	case c.platform.Used:
+		return platform.Run(ctx, os.Stdout, version)
 	case c.check.Used:
 		return runCheck(o)
 	case c.apply.Used:
--- /dev/null
+++ b/loomfleet/effect.go
@@ -0,0 +1,138 @@
+package loomfleet
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// Effect is an output of the reducer: what the process has to do.
+type Effect interface{ effect() }
+
+// Effects at the edges of the node.
+type (
+	// AnswerSession writes a reply to a client.
+	AnswerSession struct {
+		Session SessionID
+		Reply   currantloom.Reply
+	}
+	// CloseSession closes a session, after the answer before it was written.
+	CloseSession struct{ Session SessionID }
+	// OpenConn opens a connection to an upstream.
+	OpenConn struct {
+		Conn     ConnID
+		Upstream currantloom.Upstream
+	}
+	// SendCommands writes commands to an upstream.
+	SendCommands struct {
+		Conn     ConnID
+		Commands []currantloom.Command
+	}
+	// CloseConn closes a connection; no more events come from it.
+	CloseConn struct{ Conn ConnID }
+	// Send sends a message to a VM, over the link that this node opened or opens now.
+	Send struct {
+		VM      currantloom.VM
+		Message currantloom.Message
+	}
+	// Respond sends a message back over the link on which a message came.
+	Respond struct {
+		Link    LinkID
+		Message currantloom.Message
+	}
+	// ResetLink closes the link to a VM, because it is silent.
+	ResetLink struct{ VM currantloom.VMName }
+	// SetReady tells the load balancer whether this node takes new connections.
+	SetReady struct{ Ready bool }
+	// RefuseSessions stops accepting connections.
+	RefuseSessions struct{}
+	// Stopped reports that the graceful shutdown has finished.
+	Stopped struct{}
+)
+
+// Effects on the platform. Their answers are StoreAnswered and PromoteAnswered.
+type (
+	// StoreCommit changes keys.
+	StoreCommit struct {
+		Call CallID
+		Txn  StoreTxn
+	}
+	// StoreGrant asks for a lease.
+	StoreGrant struct {
+		Call CallID
+		TTL  time.Duration
+	}
+	// StoreRenew renews a lease.
+	StoreRenew struct {
+		Call  CallID
+		Lease uint64
+	}
+	// StoreRevoke ends a lease; nothing waits for the answer.
+	StoreRevoke struct{ Lease uint64 }
+	// Promote orders a change of primary.
+	Promote struct {
+		Service  currantloom.ServiceName
+		Upstream currantloom.ServerName
+		Fence    uint64
+		Order    uint64
+	}
+)
+
+// RegistrationKind says which of the node's own keys is written.
+type RegistrationKind uint8
+
+// The keys that nodes keep in the store.
+const (
+	// RegisterMember announces the node to the others.
+	RegisterMember RegistrationKind = iota
+	// RegisterDuty claims the duty to change primaries.
+	RegisterDuty
+)
+
+// StoreTxn writes one of the node's own keys.
+type StoreTxn struct {
+	Kind  RegistrationKind
+	Lease uint64
+	// Expected is the revision that the key has to have, 0 for none; without Conditional it is written in any case.
+	Conditional bool
+	Expected    uint64
+	Delete      bool
+}
+
+// Decision is one line of the log: what was decided, from which inputs, of which age or version, and the outcome.
+type Decision struct {
+	Event string
+	// Request is the client's id of the statement.
+	Request  string
+	Session  SessionID
+	Service  currantloom.ServiceName
+	Upstream currantloom.ServerName
+	VM       currantloom.VMName
+	Mark     currantloom.Mark
+	// Version is the revision or the version of the input, Age its age.
+	Version uint64
+	Age     time.Duration
+	Attempt int
+	Reason  string
+	Outcome string
+	// Routine says that the line tells of ordinary work, and may be left out under load.
+	Routine bool
+}
+
+func (AnswerSession) effect()  {}
+func (CloseSession) effect()   {}
+func (OpenConn) effect()       {}
+func (SendCommands) effect()   {}
+func (CloseConn) effect()      {}
+func (Send) effect()           {}
+func (Respond) effect()        {}
+func (ResetLink) effect()      {}
+func (SetReady) effect()       {}
+func (RefuseSessions) effect() {}
+func (Stopped) effect()        {}
+func (StoreCommit) effect()    {}
+func (StoreGrant) effect()     {}
+func (StoreRenew) effect()     {}
+func (StoreRevoke) effect()    {}
+func (Promote) effect()        {}
+func (Decision) effect()       {}
--- /dev/null
+++ b/loomfleet/failover.go
@@ -0,0 +1,596 @@
+package loomfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// leaderQuiet is how long no proof of the primary may come before the holder of the duty asks itself.
+	leaderQuiet = 900 * time.Millisecond
+	// drainTransactions is how long a planned change waits for open transactions, holdCommits how long before its end
+	// it holds their statements.
+	drainTransactions = 1200 * time.Millisecond
+	// holdFor bounds the hold of a change whose holder died.
+	holdFor = 3 * time.Second
+	// controlTimeout bounds a command of a failover at one carrier.
+	controlTimeout = 400 * time.Millisecond
+	// stepTimeout is how long a step waits for the store or for replicas before it starts again.
+	stepTimeout = 1500 * time.Millisecond
+	// promoteTimeout is how long after the order the new primary may take to lead.
+	promoteTimeout = 4 * time.Second
+	// probeInterval is the time between two probes of the new primary.
+	probeInterval = 120 * time.Millisecond
+	// retryPause is the time before a failed change starts again.
+	retryPause = 300 * time.Millisecond
+	// resumeRetries bounds how often a replica is told to go on.
+	resumeRetries = 20
+)
+
+type failoverStep uint8
+
+const (
+	// stepVerify: asks the primary, through several carriers, whether it still leads.
+	stepVerify failoverStep = iota
+	// stepDrain: new writes are held, and open transactions end.
+	stepDrain
+	// stepFence: a new fence is written.
+	stepFence
+	// stepPause: replicas stop receiving and report their logs.
+	stepPause
+	// stepOrder: the platform is asked.
+	stepOrder
+	// stepAwait: the new primary has to lead.
+	stepAwait
+)
+
+func (f failoverStep) String() string {
+	return [...]string{"verify", "drain", "fence", "pause", "order", "await"}[f]
+}
+
+// failover is a change of primary under way.
+type failover struct {
+	group   *group
+	step    failoverStep
+	reason  string
+	planned bool
+	// began is the start of the change, stepAt that of the step.
+	began, stepAt time.Duration
+	// epoch keeps answers of earlier steps apart.
+	epoch uint64
+	// asked counts the verifications under way, leads says that one found the primary leading.
+	asked int
+	leads bool
+	old   currantloom.ServerName
+	term  currantloom.Term
+	// reports are the logs of the servers that stopped receiving, paused those that may have.
+	reports   map[currantloom.ServerName]currantloom.ReplicationStatus
+	paused    map[currantloom.ServerName]bool
+	busy      map[currantloom.ServerName]bool
+	candidate currantloom.ServerName
+	fence     uint64
+	order     uint64
+	probing   bool
+	probedAt  time.Duration
+	retryAt   time.Duration
+}
+
+// tickFailovers starts and continues changes of primary while this node holds the duty.
+func (s *State) tickFailovers() {
+	d := &s.duty
+	if !d.isActing(s) {
+		for _, g := range s.catalog.ordered {
+			if f := d.failovers[g.name]; f != nil {
+				s.endFailover(f, "duty lost")
+			}
+		}
+		return
+	}
+	for _, g := range s.catalog.ordered {
+		if f := d.failovers[g.name]; f != nil {
+			s.tickFailover(f)
+			continue
+		}
+		if reason, planned := s.needsFailover(g); reason != "" {
+			s.startFailover(g, reason, planned)
+		}
+	}
+}
+
+// needsFailover returns why the primary of the group has to be replaced or checked; empty if it need not be.
+func (s *State) needsFailover(g *group) (reason string, planned bool) {
+	if len(g.upstreams) == 0 || s.catalog.configuration == nil || !s.catalog.complete {
+		return "", false
+	}
+	if _, ok := s.catalog.configuration.Services[g.name]; !ok {
+		return "", false
+	}
+	u := g.find(g.leader)
+	switch {
+	case u == nil:
+		return "no primary", false
+	case u.drainingAt > 0:
+		return "primary is draining", true
+	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
+		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
+	case s.isStuck(u):
+		return "commits are not acknowledged", false
+	case s.isReportedDown(u):
+		return "primary is unreachable", false
+	case s.now-g.leaderAt > leaderQuiet:
+		return "primary is quiet", false
+	default:
+		return "", false
+	}
+}
+
+// reportsOn returns what carriers say of an upstream, this node included.
+func (s *State) reportsOn(u *upstream) []currantloom.UpstreamReport {
+	var found []currantloom.UpstreamReport
+	if p, ok := s.carrier.pools[u.Name]; ok {
+		found = append(found, p.report(s))
+	}
+	for _, m := range s.members.ordered {
+		if !m.alive {
+			continue
+		}
+		for _, r := range m.reports {
+			if r.Name == u.Name {
+				found = append(found, r)
+			}
+		}
+	}
+	return found
+}
+
+func (s *State) isStuck(u *upstream) bool {
+	return slices.ContainsFunc(s.reportsOn(u), func(r currantloom.UpstreamReport) bool { return r.Stuck })
+}
+
+// isReportedDown reports whether every carrier that tried failed to reach the upstream.
+func (s *State) isReportedDown(u *upstream) bool {
+	reports := s.reportsOn(u)
+	if len(reports) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(reports, func(r currantloom.UpstreamReport) bool { return !r.Down })
+}
+
+func (s *State) startFailover(g *group, reason string, planned bool) {
+	f := &failover{
+		group: g, reason: reason, planned: planned, began: s.now, old: g.leader,
+		reports: make(map[currantloom.ServerName]currantloom.ReplicationStatus),
+		paused:  make(map[currantloom.ServerName]bool), busy: make(map[currantloom.ServerName]bool),
+	}
+	s.duty.failovers[g.name] = f
+	s.log(Decision{
+		Event: "failover", Service: g.name, Upstream: f.old, Version: s.duty.lead.revision, Reason: reason,
+		Age: s.now - g.leaderAt, Outcome: "started",
+	})
+	switch {
+	case planned:
+		s.enter(f, stepDrain)
+	case reason == "commits are not acknowledged":
+		s.enter(f, stepFence)
+	default:
+		s.enter(f, stepVerify)
+	}
+}
+
+// enter starts a step.
+func (s *State) enter(f *failover, step failoverStep) {
+	f.step, f.stepAt = step, s.now
+	f.epoch++
+	s.log(Decision{
+		Event: "failover", Service: f.group.name, Upstream: f.candidate, Age: s.now - f.began, Version: f.fence,
+		Reason: f.reason, Outcome: step.String(),
+	})
+	switch step {
+	case stepVerify:
+		s.verify(f)
+	case stepDrain:
+		s.broadcastHold(f, false)
+	case stepFence:
+		f.fence = 0
+	case stepPause:
+		s.pauseReplicas(f)
+	case stepOrder:
+		s.sendOrder(f)
+	}
+}
+
+func (s *State) tickFailover(f *failover) {
+	if s.now < f.retryAt {
+		return
+	}
+	switch f.step {
+	case stepVerify:
+		if f.asked == 0 {
+			s.verified(f)
+		}
+	case stepDrain:
+		s.tickDrain(f)
+	case stepFence:
+		s.tickFence(f)
+	case stepPause:
+		s.tickPause(f)
+	case stepOrder:
+		if s.now-f.stepAt > stepTimeout {
+			s.enter(f, stepOrder)
+		}
+	case stepAwait:
+		s.tickAwait(f)
+	}
+}
+
+// verify asks every upstream that may lead, through two carriers each.
+func (s *State) verify(f *failover) {
+	f.leads = false
+	for _, u := range f.group.upstreams {
+		if f.old != "" && u.Name != f.old {
+			continue
+		}
+		for _, vm := range s.witnesses(u) {
+			f.asked++
+			epoch := f.epoch
+			s.control(u, vm, currantloom.CallProbe, currantloom.Command{}, func(a currantloom.CallAnswer) {
+				if f.epoch != epoch {
+					return
+				}
+				f.asked--
+				f.leads = f.leads || a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK
+			})
+		}
+	}
+}
+
+// witnesses returns the VMs through which an upstream is asked: the first choices, and this node.
+func (s *State) witnesses(u *upstream) []currantloom.VMName {
+	const most = 2
+	witnesses := []currantloom.VMName{s.config.Self}
+	for _, vm := range s.carriers(u) {
+		if len(witnesses) > most {
+			break
+		}
+		if vm != s.config.Self && s.isCarrier(vm) {
+			witnesses = append(witnesses, vm)
+		}
+	}
+	return witnesses
+}
+
+// verified ends the change if the primary leads, and goes on otherwise.
+func (s *State) verified(f *failover) {
+	g := f.group
+	switch {
+	case f.leads || g.leader != "" && g.leader != f.old:
+		s.endFailover(f, "a primary leads")
+	default:
+		s.enter(f, stepFence)
+	}
+}
+
+// broadcastHold asks all carriers to hold new writes, and with commits the open transactions as well.
+func (s *State) broadcastHold(f *failover, commits bool) {
+	hold := currantloom.Hold{Service: f.group.name, For: holdFor, Commits: commits}
+	s.held(hold)
+	s.broadcast(hold)
+}
+
+func (s *State) broadcast(m currantloom.Message) {
+	for _, known := range s.members.ordered {
+		if known.alive {
+			s.emit(Send{VM: known.vm, Message: m})
+		}
+	}
+}
+
+// tickDrain waits until no transaction that may write is open at the primary.
+func (s *State) tickDrain(f *failover) {
+	u := f.group.find(f.old)
+	if u == nil || f.group.leader != f.old {
+		s.enter(f, stepFence)
+		return
+	}
+	waited := s.now - f.stepAt
+	open := 0
+	for _, r := range s.reportsOn(u) {
+		open += r.Open
+	}
+	// A report is as old as the interval of the pings.
+	if open == 0 && waited > 2*pingInterval || waited > drainTransactions {
+		s.broadcastHold(f, true)
+		s.enter(f, stepFence)
+	}
+}
+
+// tickFence writes a new fence, so that an order whose outcome is unknown cannot be carried out after the next one. An
+// unreachable store leaves the old one, if no order under it is open.
+func (s *State) tickFence(f *failover) {
+	d := &s.duty
+	switch {
+	case f.fence == 0:
+		if d.newFence(s) {
+			f.fence = d.lead.revision
+		} else if s.now-f.stepAt > stepTimeout {
+			s.keepFence(f)
+		}
+	case d.lead.revision > f.fence:
+		f.fence = d.lead.revision
+		s.enter(f, stepPause)
+	case d.lead.pendingKind == pendingWrite && s.now-f.stepAt <= stepTimeout:
+	default:
+		s.keepFence(f)
+	}
+}
+
+// keepFence goes on under the fence that the node has, if that is safe.
+func (s *State) keepFence(f *failover) {
+	d := &s.duty
+	if _, open := d.unanswered[f.group.name]; open || d.lead.revision == 0 {
+		s.enter(f, stepFence)
+		f.retryAt = s.now + retryPause
+		return
+	}
+	f.fence = d.lead.revision
+	s.enter(f, stepPause)
+}
+
+// pauseReplicas stops the replicas, so that no commit can be acknowledged that their reports lack.
+func (s *State) pauseReplicas(f *failover) {
+	f.term = max(f.term, f.group.term) + 1
+	clear(f.reports)
+	for _, u := range f.group.upstreams {
+		if u.Name != f.old {
+			s.pause(f, u)
+		}
+	}
+}
+
+func (s *State) pause(f *failover, u *upstream) {
+	f.paused[u.Name] = true
+	s.ask(f, u, currantloom.Command{Kind: currantloom.CommandPause, Term: f.term})
+}
+
+// ask sends a command to an upstream, through the next carrier each time.
+func (s *State) ask(f *failover, u *upstream, command currantloom.Command) {
+	if f.busy[u.Name] {
+		return
+	}
+	vm, ok := s.carrierOf(u, nil)
+	if !ok {
+		vm = s.config.Self
+	}
+	f.busy[u.Name] = true
+	epoch := f.epoch
+	s.control(u, vm, currantloom.CallControl, command, func(a currantloom.CallAnswer) {
+		f.busy[u.Name] = false
+		if a.Verdict != currantloom.Ran && a.Reason != currantloom.ReasonRefused {
+			u.avoid[vm] = s.now + avoidFor
+		}
+		if f.epoch == epoch && a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK {
+			s.reported(f, u, a.Reply)
+		}
+	})
+}
+
+// control runs a command of a failover at an upstream.
+func (s *State) control(
+	u *upstream, vm currantloom.VMName, mode currantloom.CallMode, command currantloom.Command,
+	done func(currantloom.CallAnswer),
+) {
+	m := currantloom.Call{
+		Key: s.nextKey(), Service: u.Service, Upstream: u.Name, Mode: mode, Command: command,
+		Timeout: controlTimeout, Wait: controlTimeout,
+	}
+	s.sendCall(u, vm, m).done = done
+}
+
+// reported takes the report of a server that stopped receiving.
+func (s *State) reported(f *failover, u *upstream, reply currantloom.Reply) {
+	if reply.Status == nil {
+		return
+	}
+	status := *reply.Status
+	f.reports[u.Name] = status
+	f.term = max(f.term, status.Term)
+	s.log(Decision{
+		Event: "failover", Service: f.group.name, Upstream: u.Name, Mark: status.Received, Version: uint64(status.Term),
+		Age: s.now - f.began, Outcome: "paused",
+	})
+	if status.Primary && status.Term > f.group.term {
+		f.group.lead(s, u.Name, currantloom.NewMark(status.Term, status.Received.Position()), s.now)
+	}
+}
+
+// tickPause chooses the next primary once the reports show every acknowledged commit.
+func (s *State) tickPause(f *failover) {
+	missing := s.missingReports(f)
+	if len(missing) == 0 {
+		s.chooseNext(f)
+		return
+	}
+	for _, u := range missing {
+		s.pause(f, u)
+	}
+	if old := f.group.find(f.old); old != nil && s.now-f.stepAt > stepTimeout/2 {
+		// The log of the old primary holds every commit, so its report replaces that of an unreachable replica.
+		s.ask(f, old, currantloom.Command{Kind: currantloom.CommandStepDown, Term: f.term})
+	}
+	if _, ok := f.reports[f.old]; ok && f.old != "" {
+		s.chooseNext(f)
+		return
+	}
+	s.retryPause(f)
+}
+
+// retryPause checks now and then whether the old primary leads again, or another one does.
+func (s *State) retryPause(f *failover) {
+	if s.now-f.stepAt < stepTimeout {
+		return
+	}
+	f.stepAt = s.now
+	s.log(Decision{
+		Event: "failover", Service: f.group.name, Age: s.now - f.began, Reason: "a replica does not report",
+		Outcome: "waiting",
+	})
+	if f.group.leader != f.old || s.now-f.group.leaderAt < leaderQuiet && !f.planned {
+		s.endFailover(f, "a primary leads")
+	}
+}
+
+// missingReports returns the replicas whose logs are not known. Those that are gone took theirs with them. With more
+// synchronous replicas, fewer reports are enough.
+func (s *State) missingReports(f *failover) []*upstream {
+	var missing []*upstream
+	for _, u := range f.group.upstreams {
+		if u.Name == f.old || u.goneAt > 0 && s.now-u.goneAt > lapseGrace {
+			continue
+		}
+		if _, ok := f.reports[u.Name]; !ok {
+			missing = append(missing, u)
+		}
+	}
+	if spare := s.service(f.group.name).SyncReplicas - 1; len(missing) <= spare {
+		return nil
+	}
+	return missing
+}
+
+// chooseNext picks the server with the longest log, which holds every acknowledged commit.
+func (s *State) chooseNext(f *failover) {
+	var best *upstream
+	for _, u := range f.group.upstreams {
+		if _, ok := f.reports[u.Name]; ok && (best == nil || s.compareCandidates(f, u, best) < 0) {
+			best = u
+		}
+	}
+	if best == nil {
+		f.retryAt = s.now + retryPause
+		return
+	}
+	f.candidate = best.Name
+	s.enter(f, stepOrder)
+}
+
+// compareCandidates orders candidates: the longest log first, then those that stay, then the nearest to this node.
+func (s *State) compareCandidates(f *failover, a, b *upstream) int {
+	leaving := func(u *upstream) int {
+		if u.isLeaving() {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		f.reports[b.Name].Received.Compare(f.reports[a.Name].Received),
+		cmp.Compare(leaving(a), leaving(b)),
+		cmp.Compare(s.config.Place.Distance(a.Place), s.config.Place.Distance(b.Place)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
+
+// sendOrder asks the platform to promote the candidate.
+func (s *State) sendOrder(f *failover) {
+	d := &s.duty
+	d.orders++
+	f.order = d.orders
+	d.unanswered[f.group.name] = order{fence: f.fence, upstream: f.candidate}
+	s.emit(Promote{Service: f.group.name, Upstream: f.candidate, Fence: f.fence, Order: f.order})
+}
+
+func (s *State) promoteAnswered(e PromoteAnswered) {
+	f := s.duty.failovers[e.Service]
+	s.log(Decision{
+		Event: "order", Service: e.Service, Version: e.Order, Outcome: e.Result.String(),
+	})
+	if f == nil || f.order != e.Order || f.step != stepOrder {
+		return
+	}
+	switch e.Result {
+	case currantloom.PromoteAccepted:
+		delete(s.duty.unanswered, e.Service)
+		s.enter(f, stepAwait)
+	case currantloom.PromoteRefused:
+		s.enter(f, stepFence)
+		f.retryAt = s.now + retryPause
+	case currantloom.PromoteNotDone:
+		f.stepAt = s.now - stepTimeout + retryPause
+	default:
+		s.enter(f, stepOrder)
+	}
+}
+
+// tickAwait probes the candidate until it leads.
+func (s *State) tickAwait(f *failover) {
+	g := f.group
+	u := g.find(f.candidate)
+	switch {
+	case u == nil:
+		s.enter(f, stepFence)
+		return
+	case g.leader == f.candidate && g.leaderAt > f.stepAt:
+		s.endFailover(f, "promoted")
+		return
+	case s.now-f.stepAt > promoteTimeout:
+		s.enter(f, stepFence)
+		return
+	}
+	if f.probing || s.now-f.probedAt < probeInterval {
+		return
+	}
+	vm, ok := s.carrierOf(u, nil)
+	if !ok {
+		return
+	}
+	f.probing, f.probedAt = true, s.now
+	sentAt := s.now
+	s.control(u, vm, currantloom.CallProbe, currantloom.Command{}, func(a currantloom.CallAnswer) {
+		f.probing = false
+		if a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK {
+			g.lead(s, f.candidate, a.Reply.Mark, sentAt)
+		}
+	})
+}
+
+// endFailover lets the replicas go on and announces the primary.
+func (s *State) endFailover(f *failover, reason string) {
+	g := f.group
+	delete(s.duty.failovers, g.name)
+	f.epoch++
+	s.log(Decision{
+		Event: "failover", Service: g.name, Upstream: g.leader, Version: uint64(g.term), Reason: reason,
+		Age: s.now - f.began, Outcome: "ended",
+	})
+	g.heldUntil = 0
+	if g.leader != "" {
+		s.broadcast(currantloom.Promoted{Service: g.name, Upstream: g.leader, Term: g.term})
+	}
+	if _, open := s.duty.unanswered[g.name]; open {
+		return
+	}
+	for _, u := range g.upstreams {
+		if f.paused[u.Name] {
+			s.resumeReplica(u, resumeRetries)
+		}
+	}
+}
+
+// resumeReplica lets a replica receive again. It is repeated until the replica answers.
+func (s *State) resumeReplica(u *upstream, retries int) {
+	vm, ok := s.carrierOf(u, nil)
+	if !ok {
+		vm = s.config.Self
+	}
+	s.control(u, vm, currantloom.CallControl, currantloom.Command{Kind: currantloom.CommandResume},
+		func(a currantloom.CallAnswer) {
+			answered := a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK
+			if answered || retries == 0 || s.catalog.upstreams[u.Name] != u || s.duty.failovers[u.Service] != nil {
+				return
+			}
+			u.avoid[vm] = s.now + avoidFor
+			s.resumeReplica(u, retries-1)
+		})
+}
--- /dev/null
+++ b/loomfleet/request.go
@@ -0,0 +1,536 @@
+package loomfleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// primaryPatience is how long a request waits for a primary: a change of primary takes 2 to 3 s.
+	primaryPatience = 3500 * time.Millisecond
+	// replicaPatience is how long a read waits for any upstream.
+	replicaPatience = 1500 * time.Millisecond
+	// outagePatience is how long after the loss of a primary new requests still wait for the next one.
+	outagePatience = 5 * time.Second
+	// parkInterval is the time between two looks for an upstream, if nothing says that an earlier one helps.
+	parkInterval = 60 * time.Millisecond
+	// fastAttempts is the number of attempts that follow each other without a pause.
+	fastAttempts = 4
+	// defaultTimeout bounds a statement whose route states no timeout.
+	defaultTimeout = 2 * time.Second
+	// callMargin is how much longer than its queue and its run a call may take, 5 round trips between regions.
+	callMargin = 300 * time.Millisecond
+	// hedgeAfter is when a read without an answer is sent to a second upstream.
+	hedgeAfter = 300 * time.Millisecond
+	// hedgeShare is the share of requests that may be hedged, in percent, and maxHedges what may be saved up.
+	hedgeShare, maxHedges = 10, 2000
+)
+
+// purpose says what a request does.
+type purpose uint8
+
+const (
+	purposeRead purpose = iota
+	purposeWrite
+	// purposeOpen is the first statement of a transaction, purposeContinue a later one.
+	purposeOpen
+	purposeContinue
+	purposeCommit
+	// purposeEmptyCommit commits a transaction without statements.
+	purposeEmptyCommit
+)
+
+// request is a statement that needs an upstream.
+type request struct {
+	session   *session
+	statement currantloom.Statement
+	route     currantloom.Route
+	group     *group
+	purpose   purpose
+	arrived   time.Duration
+	attempt   int
+	calls     []*call
+	// tried holds the upstreams that refused, until when they are passed over.
+	tried map[currantloom.ServerName]time.Duration
+	// parked says that the request waits, until retryAt or until another leader than that of epoch is believed.
+	parked  bool
+	epoch   uint64
+	retryAt time.Duration
+	hedged  bool
+	last    currantloom.CallReason
+	after   currantloom.Mark
+	done    bool
+}
+
+// call is an attempt of a request, or a command of a failover, at a carrier.
+type call struct {
+	key       currantloom.RequestKey
+	request   *request
+	upstream  *upstream
+	vm        currantloom.VMName
+	mode      currantloom.CallMode
+	sentAt    time.Duration
+	timeoutAt time.Duration
+	// done takes the answer of a command of a failover.
+	done func(currantloom.CallAnswer)
+}
+
+// requests holds what has no answer yet.
+type requests struct {
+	parked      []*request
+	calls       map[currantloom.RequestKey]*call
+	hedgeCredit int
+}
+
+func (r *requests) init() { r.calls = make(map[currantloom.RequestKey]*call) }
+
+// open makes a request of a statement.
+func (s *State) open(sn *session, st currantloom.Statement, route currantloom.Route, p purpose) {
+	r := &request{
+		session: sn, statement: st, route: route, group: s.groupOf(route.Service), purpose: p, arrived: s.now,
+		tried: make(map[currantloom.ServerName]time.Duration),
+	}
+	if r.route.Timeout <= 0 {
+		r.route.Timeout = defaultTimeout
+	}
+	sn.request = r
+	r.group.usedAt = s.now
+	s.requests.hedgeCredit = min(s.requests.hedgeCredit+hedgeShare, maxHedges)
+	s.place(r)
+}
+
+// place makes the next attempt, or lets the request wait.
+func (s *State) place(r *request) {
+	if r.done {
+		return
+	}
+	if r.purpose == purposeContinue || r.purpose == purposeCommit {
+		t := r.session.transaction
+		s.attempt(r, choice{upstream: t.upstream, vm: t.vm, mode: currantloom.CallContinue})
+		return
+	}
+	if c, ok := s.choose(r); ok && r.attempt < fastAttempts {
+		s.attempt(r, c)
+		return
+	}
+	s.park(r)
+}
+
+// attempt makes a call for the request.
+func (s *State) attempt(r *request, c choice) {
+	r.attempt++
+	r.after = c.after
+	command := r.command(c)
+	timeout := r.route.Timeout
+	wait := max(0, r.giveUpAt()-s.now)
+	m := currantloom.Call{
+		Key: s.nextKey(), Service: r.group.name, Upstream: c.upstream.Name, Mode: c.mode, Command: command,
+		Settings: r.session.settings(), Timeout: timeout, Wait: wait, Priority: r.route.Priority,
+		TransactionIdle: s.transactionIdle(), After: c.after,
+	}
+	if command.Kind == currantloom.CommandExecute {
+		m.Prepared = r.session.prepared[r.statement.Name]
+	}
+	if c.mode == currantloom.CallContinue {
+		m.Transaction = r.session.transaction.key
+	}
+	made := s.sendCall(c.upstream, c.vm, m)
+	made.request = r
+	r.calls = append(r.calls, made)
+}
+
+// command returns what the upstream is asked for.
+func (r *request) command(c choice) currantloom.Command {
+	if r.statement.Kind != currantloom.StatementExecute {
+		return currantloom.Command{
+			Kind: currantloom.CommandStatement, ID: r.statement.ID, Text: r.statement.Text, After: c.readAfter(),
+			Writes:  r.statement.Kind == currantloom.StatementWrite,
+			Commits: r.statement.Kind == currantloom.StatementCommit,
+		}
+	}
+	p := r.session.prepared[r.statement.Name]
+	return currantloom.Command{
+		Kind: currantloom.CommandExecute, ID: r.statement.ID, Name: preparedName(p), Argument: r.statement.Parameters,
+		Writes: p.Writes, After: c.readAfter(),
+	}
+}
+
+// preparedName is the name of a prepared statement at the upstreams. It says what the statement does, so that
+// sessions share it and their own names never meet.
+func preparedName(p currantloom.Prepared) string {
+	if p.Writes {
+		return "w" + p.Shape
+	}
+	return "r" + p.Shape
+}
+
+// sendCall hands a call to its carrier, which may be this node.
+func (s *State) sendCall(u *upstream, vm currantloom.VMName, m currantloom.Call) *call {
+	c := &call{
+		key: m.Key, upstream: u, vm: vm, mode: m.Mode, sentAt: s.now, timeoutAt: s.now + m.Wait + m.Timeout + callMargin,
+	}
+	s.requests.calls[m.Key] = c
+	if vm == s.config.Self {
+		s.later(func() { s.callReceived(0, vm, m) })
+		return c
+	}
+	if known, ok := s.members.byName[vm]; ok {
+		known.usedAt = s.now
+	}
+	s.emit(Send{VM: s.vmOf(vm), Message: m})
+	return c
+}
+
+// giveUpAt is when a request without an attempt under way is refused.
+func (r *request) giveUpAt() time.Duration {
+	if r.needsPrimary() {
+		return r.arrived + primaryPatience
+	}
+	return r.arrived + replicaPatience
+}
+
+// needsPrimary reports whether only the primary may run the request.
+func (r *request) needsPrimary() bool {
+	switch r.purpose {
+	case purposeWrite:
+		return true
+	case purposeRead:
+		return r.route.Policy == currantloom.ReadLatest
+	default:
+		t := r.session.transaction
+		return t == nil || !t.readOnly || r.route.Policy == currantloom.ReadLatest
+	}
+}
+
+// park lets the request wait for an upstream, or refuses it if none is to be expected.
+func (s *State) park(r *request) {
+	g := r.group
+	if s.now >= r.giveUpAt() || r.needsPrimary() && g.leader == "" && s.now-g.lostAt > outagePatience {
+		s.giveUp(r, 0)
+		return
+	}
+	r.parked, r.epoch, r.retryAt = true, g.epoch, s.now+parkInterval
+	s.requests.parked = append(s.requests.parked, r)
+}
+
+// reviewRequests looks again for upstreams for parked requests, where something changed or the time has come.
+func (s *State) reviewRequests() {
+	waiting := s.requests.parked
+	s.requests.parked = nil
+	for _, r := range waiting {
+		switch {
+		case r.done:
+		case r.epoch != r.group.epoch || s.now >= r.retryAt:
+			r.parked = false
+			r.attempt = min(r.attempt, fastAttempts-1)
+			s.place(r)
+		default:
+			s.requests.parked = append(s.requests.parked, r)
+		}
+	}
+}
+
+// giveUp refuses a request of which nothing ran, or nothing is kept, with the time after which a retry makes sense.
+func (s *State) giveUp(r *request, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		retryAfter = time.Second
+	}
+	s.finish(r, currantloom.Reply{
+		Code: currantloom.CodeBusy, Detail: fmt.Sprintf("retry after %d ms", retryAfter.Milliseconds()),
+	}, nil)
+}
+
+// callAnswered brings the answer to a call of this node.
+func (s *State) callAnswered(a currantloom.CallAnswer) {
+	c, ok := s.requests.calls[a.Key]
+	if !ok {
+		return
+	}
+	delete(s.requests.calls, a.Key)
+	s.sampled(a.Sample, c.sentAt)
+	c.upstream.expect(a.Wait, s.now)
+	c.upstream.saw(a.Reply.Mark, c.sentAt)
+	if c.done != nil {
+		c.done(a)
+		return
+	}
+	r := c.request
+	r.calls = slices.DeleteFunc(r.calls, func(other *call) bool { return other == c })
+	r.last = a.Reason
+	switch {
+	case r.done:
+		s.dropAnswer(c, a)
+	case a.Verdict == currantloom.Ran:
+		s.ran(r, c, a)
+	case a.Verdict == currantloom.NotRun:
+		s.notRun(r, c, a)
+	default:
+		s.mayHaveRun(r, c, a)
+	}
+}
+
+// dropAnswer ends a transaction that was opened for a request that was answered otherwise.
+func (s *State) dropAnswer(c *call, a currantloom.CallAnswer) {
+	if opens(c.mode) && a.Verdict != currantloom.NotRun {
+		s.sendEnd(c.vm, c.key)
+	}
+}
+
+func opens(mode currantloom.CallMode) bool {
+	return mode == currantloom.CallOpen || mode == currantloom.CallOpenRead
+}
+
+// ran passes the upstream's answer on.
+func (s *State) ran(r *request, c *call, a currantloom.CallAnswer) {
+	reply, sn := a.Reply, r.session
+	if r.purpose == purposeRead && reply.Code != currantloom.CodeOK && s.readAgain(r, c) {
+		return
+	}
+	if opens(c.mode) && reply.State != currantloom.TransactionIdle {
+		t := sn.transaction
+		t.opened, t.key, t.upstream, t.vm = true, c.key, c.upstream, c.vm
+	}
+	if reply.Code == currantloom.CodeOK && (r.purpose == purposeWrite || r.purpose == purposeCommit) {
+		if reply.Mark.Compare(sn.own) > 0 {
+			sn.own = reply.Mark
+		}
+	}
+	s.finish(r, reply, c)
+}
+
+// readAgain makes another attempt of a read that failed at one upstream.
+func (s *State) readAgain(r *request, c *call) bool {
+	r.tried[c.upstream.Name] = s.now + avoidFor
+	if len(r.calls) > 0 {
+		return true
+	}
+	if r.attempt >= fastAttempts {
+		return false
+	}
+	next, ok := s.choose(r)
+	if !ok || next.upstream == c.upstream {
+		return false
+	}
+	s.attempt(r, next)
+	return true
+}
+
+// notRun looks for another upstream or carrier.
+func (s *State) notRun(r *request, c *call, a currantloom.CallAnswer) {
+	u := c.upstream
+	switch a.Reason {
+	case currantloom.ReasonRefused:
+		s.refusedBy(r, c, a)
+	case currantloom.ReasonQueue:
+		r.tried[u.Name] = s.now + avoidFor
+	case currantloom.ReasonUnreachable:
+		u.avoid[c.vm] = s.now + avoidFor
+		r.tried[u.Name] = s.now + parkInterval
+	case currantloom.ReasonUnknownUpstream, currantloom.ReasonLeaving, currantloom.ReasonLink:
+		u.avoid[c.vm] = s.now + avoidFor/4
+	case currantloom.ReasonHeld:
+		r.tried[u.Name] = s.now + parkInterval
+	}
+	switch {
+	case len(r.calls) > 0:
+	case r.purpose == purposeContinue || r.purpose == purposeCommit:
+		s.lostTransaction(r, a)
+	case a.Reason == currantloom.ReasonQueue && !s.hasOther(r):
+		s.giveUp(r, a.Wait)
+	default:
+		s.place(r)
+	}
+}
+
+// lostTransaction answers a statement of a transaction that is over. Its commit never reached an upstream.
+func (s *State) lostTransaction(r *request, a currantloom.CallAnswer) {
+	code := currantloom.CodeAborted
+	if a.Reason == currantloom.ReasonRefused {
+		code = a.Reply.Code
+	}
+	s.finish(r, currantloom.Reply{Code: code, Detail: a.Reason.String()}, nil)
+}
+
+// refusedBy learns from an upstream that refused.
+func (s *State) refusedBy(r *request, c *call, a currantloom.CallAnswer) {
+	until := s.now + parkInterval
+	switch a.Reply.Code {
+	case currantloom.CodeNotPrimary:
+		r.group.denied(s, c.upstream.Name)
+	case currantloom.CodeMisrouted:
+		until = s.now + avoidFor
+	}
+	r.tried[c.upstream.Name] = until
+}
+
+// hasOther reports whether an upstream is left that has not refused the request.
+func (s *State) hasOther(r *request) bool {
+	c, ok := s.choose(r)
+	return ok && r.tried[c.upstream.Name] <= s.now
+}
+
+// mayHaveRun decides what follows an attempt without an answer. Whatever ran in a transaction that was not committed is
+// rolled back; a write outside one and a commit are in doubt.
+func (s *State) mayHaveRun(r *request, c *call, a currantloom.CallAnswer) {
+	r.tried[c.upstream.Name] = s.now + avoidFor
+	if a.Reason == currantloom.ReasonSilent && r.purpose == purposeRead {
+		c.upstream.slowUntil = s.now + avoidFor
+	}
+	switch r.purpose {
+	case purposeRead:
+		if len(r.calls) == 0 {
+			s.place(r)
+		}
+	case purposeOpen, purposeEmptyCommit:
+		s.sendEnd(c.vm, c.key)
+		s.place(r)
+	case purposeContinue:
+		s.finish(r, currantloom.Reply{Code: currantloom.CodeAborted, Detail: a.Reason.String()}, nil)
+	default:
+		s.finish(r, currantloom.Reply{Code: currantloom.CodeInDoubt, Detail: a.Reason.String()}, nil)
+	}
+}
+
+// finish answers the session.
+func (s *State) finish(r *request, reply currantloom.Reply, c *call) {
+	r.done = true
+	sn := r.session
+	sn.request, sn.lastAt = nil, s.now
+	for _, other := range r.calls {
+		s.cancelCall(other)
+	}
+	r.calls = nil
+	s.settle(r, reply)
+	reply.State = sn.status
+	s.logRequest(r, reply, c)
+	if s.sessions[sn.id] == sn {
+		s.emit(AnswerSession{Session: sn.id, Reply: reply})
+	}
+}
+
+// settle updates the transaction of the session after an answer.
+func (s *State) settle(r *request, reply currantloom.Reply) {
+	sn := r.session
+	switch r.purpose {
+	case purposeRead, purposeWrite:
+	case purposeCommit, purposeEmptyCommit:
+		if sn.transaction != nil && reply.State == currantloom.TransactionIdle && reply.Code == currantloom.CodeOK {
+			sn.transaction.opened = false
+		}
+		s.endTransaction(sn)
+	default:
+		if reply.Code != currantloom.CodeOK {
+			s.failTransaction(sn)
+		}
+	}
+}
+
+func (s *State) logRequest(r *request, reply currantloom.Reply, c *call) {
+	d := Decision{
+		Event: "statement", Request: r.statement.ID, Session: r.session.id, Service: r.group.name, Mark: r.after,
+		Age: s.now - r.arrived, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.version(),
+		Routine: reply.Code == currantloom.CodeOK && r.attempt == 1,
+	}
+	if r.last != currantloom.ReasonReplied {
+		d.Reason = r.last.String()
+	}
+	if c != nil {
+		d.Upstream, d.VM = c.upstream.Name, c.vm
+	}
+	s.log(d)
+}
+
+// abandon ends a request whose client is gone.
+func (s *State) abandon(r *request) {
+	r.done = true
+	for _, c := range r.calls {
+		s.cancelCall(c)
+		if opens(c.mode) {
+			s.sendEnd(c.vm, c.key)
+		}
+	}
+	r.calls = nil
+}
+
+// cancelCall gives up a call if it still waits in a queue.
+func (s *State) cancelCall(c *call) {
+	delete(s.requests.calls, c.key)
+	if c.vm == s.config.Self {
+		s.later(func() { s.callCancelled(c.key) })
+		return
+	}
+	s.emit(Send{VM: s.vmOf(c.vm), Message: currantloom.CallCancel{Key: c.key}})
+}
+
+// failCalls ends the calls to a VM whose link failed.
+func (s *State) failCalls(vm currantloom.VMName, sent bool) {
+	verdict := currantloom.NotRun
+	if sent {
+		verdict = currantloom.MayHaveRun
+	}
+	for _, c := range s.callsTo(vm) {
+		s.callAnswered(currantloom.CallAnswer{Key: c.key, Verdict: verdict, Reason: currantloom.ReasonLink})
+	}
+}
+
+// callsTo returns the calls to a VM in the order in which they were made.
+func (s *State) callsTo(vm currantloom.VMName) []*call {
+	var calls []*call
+	for _, c := range s.requests.calls {
+		if c.vm == vm {
+			calls = append(calls, c)
+		}
+	}
+	slices.SortFunc(calls, func(a, b *call) int { return int(a.key.Number) - int(b.key.Number) })
+	return calls
+}
+
+// tickRequests ends calls whose time is over and hedges late reads.
+func (s *State) tickRequests() {
+	var late []*call
+	for _, c := range s.requests.calls {
+		switch {
+		case s.now >= c.timeoutAt:
+			late = append(late, c)
+		case c.request != nil && s.now-c.sentAt >= hedgeAfter:
+			s.hedge(c)
+		}
+	}
+	slices.SortFunc(late, func(a, b *call) int { return int(a.key.Number) - int(b.key.Number) })
+	for _, c := range late {
+		s.callAnswered(currantloom.CallAnswer{Key: c.key, Reason: currantloom.ReasonSilent})
+	}
+	s.reviewRequests()
+}
+
+// hedgeCalls hedges the reads that a suspected VM has not answered.
+func (s *State) hedgeCalls(vm currantloom.VMName) {
+	for _, c := range s.callsTo(vm) {
+		if c.request != nil {
+			s.hedge(c)
+		}
+	}
+}
+
+// hedge makes a second attempt of a read at another upstream; the first answer counts.
+func (s *State) hedge(c *call) {
+	r := c.request
+	if r.purpose != purposeRead || r.hedged || s.requests.hedgeCredit < 100 {
+		return
+	}
+	r.tried[c.upstream.Name] = s.now + avoidFor
+	next, ok := s.choose(r)
+	if !ok || next.upstream == c.upstream {
+		return
+	}
+	r.hedged = true
+	s.requests.hedgeCredit -= 100
+	s.later(func() {
+		if !r.done {
+			s.attempt(r, next)
+		}
+	})
+}
--- /dev/null
+++ b/loomfleet/route.go
@@ -0,0 +1,122 @@
+package loomfleet
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// ageMargin is kept of the accepted age.
+	ageMargin = 30 * time.Millisecond
+	// domainCost and regionCost are what a read may wait longer at home rather than leave its failure domain or region.
+	domainCost = 25 * time.Millisecond
+	regionCost = 120 * time.Millisecond
+	// primaryCost keeps reads off the primary, where only it can do the other work.
+	primaryCost = 15 * time.Millisecond
+	// lagCost is that of a replica that is known to lack the mark, slowCost that of one that let a read time out.
+	lagCost  = 60 * time.Millisecond
+	slowCost = 400 * time.Millisecond
+	// leavingCost makes a leaving upstream the last choice.
+	leavingCost = 10 * time.Second
+	// reportFresh is how long a report on an upstream's queue or log counts.
+	reportFresh = time.Second
+	markFresh   = 150 * time.Millisecond
+)
+
+// choice is where and how a request runs.
+type choice struct {
+	upstream *upstream
+	vm       currantloom.VMName
+	mode     currantloom.CallMode
+	after    currantloom.Mark
+}
+
+// readAfter is the mark that the command itself asks for; a transaction asks for it when it opens.
+func (c choice) readAfter() currantloom.Mark {
+	if c.mode == currantloom.CallPlain {
+		return c.after
+	}
+	return currantloom.Mark{}
+}
+
+// choose picks the upstream, its carrier and the proof that a read is fresh enough. It reports false if there is none.
+func (s *State) choose(r *request) (choice, bool) {
+	if !r.needsPrimary() {
+		if after, ok := s.coverOf(r); ok {
+			return s.chooseReplica(r, after)
+		}
+	}
+	return s.choosePrimary(r)
+}
+
+// coverOf returns the mark that makes a read fresh enough. A read that arrives now accepts what was acknowledged
+// within its age before now.
+func (s *State) coverOf(r *request) (currantloom.Mark, bool) {
+	after, ok := r.group.cover(r.arrived - r.route.MaxAge + ageMargin)
+	if !ok {
+		return currantloom.Mark{}, false
+	}
+	if r.route.Policy == currantloom.ReadSession && r.session.own.Compare(after) > 0 {
+		after = r.session.own
+	}
+	return after, true
+}
+
+func (s *State) choosePrimary(r *request) (choice, bool) {
+	u := r.group.find(r.group.leader)
+	if u == nil || !u.isUsable(s) || r.tried[u.Name] > s.now {
+		return choice{}, false
+	}
+	vm, ok := s.carrierOf(u, nil)
+	if !ok {
+		return choice{}, false
+	}
+	mode := currantloom.CallOpen
+	switch {
+	case r.purpose == purposeWrite:
+		mode = currantloom.CallPlain
+	case r.purpose == purposeRead:
+		mode = currantloom.CallGuarded
+	}
+	return choice{upstream: u, vm: vm, mode: mode}, true
+}
+
+// chooseReplica picks the cheapest upstream, the primary among them.
+func (s *State) chooseReplica(r *request, after currantloom.Mark) (choice, bool) {
+	best, found := choice{mode: currantloom.CallPlain, after: after}, false
+	if r.purpose != purposeRead {
+		best.mode = currantloom.CallOpenRead
+	}
+	var bestCost time.Duration
+	for _, u := range r.group.upstreams {
+		if !u.isUsable(s) || r.tried[u.Name] > s.now {
+			continue
+		}
+		vm, ok := s.carrierOf(u, nil)
+		if cost := s.readCost(u, after); ok && (!found || cost < bestCost) {
+			best.upstream, best.vm, bestCost, found = u, vm, cost, true
+		}
+	}
+	return best, found
+}
+
+// readCost is the expected time of a read at the upstream, with what the way there costs.
+func (s *State) readCost(u *upstream, after currantloom.Mark) time.Duration {
+	cost := [...]time.Duration{0, domainCost, regionCost}[s.config.Place.Distance(u.Place)]
+	if s.now-u.waitAt < reportFresh {
+		cost += u.wait
+	}
+	if u.Name == u.group.leader {
+		cost += primaryCost
+	} else if s.now-u.markAt < markFresh && !u.mark.Covers(after) {
+		cost += lagCost
+	}
+	if u.slowUntil > s.now {
+		cost += slowCost
+	}
+	if u.isLeaving() {
+		cost += leavingCost
+	}
+	return cost
+}
--- /dev/null
+++ b/loomfleet/session.go
@@ -0,0 +1,243 @@
+package loomfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// session is a client's connection to this node.
+type session struct {
+	id       SessionID
+	database currantloom.DatabaseName
+	status   currantloom.TransactionStatus
+	values   map[string]string
+	prepared map[string]currantloom.Prepared
+	// own is the newest commit of the session.
+	own         currantloom.Mark
+	transaction *transaction
+	// request is the statement that has no answer yet.
+	request *request
+	lastAt  time.Duration
+}
+
+// transaction is what the entry node knows of an open transaction. It opens at an upstream with its first statement.
+type transaction struct {
+	route    currantloom.Route
+	readOnly bool
+	opened   bool
+	key      currantloom.RequestKey
+	upstream *upstream
+	vm       currantloom.VMName
+}
+
+func (s *State) sessionOpened(e SessionOpened) {
+	if _, ok := s.route(e.Database); !ok {
+		s.log(Decision{
+			Event: "session", Session: e.Session, Version: s.version(), Reason: string(e.Database), Outcome: "no_route",
+		})
+		s.emit(AnswerSession{Session: e.Session, Reply: currantloom.Reply{
+			Code: currantloom.CodeNoDatabase, Detail: string(e.Database), State: currantloom.TransactionIdle,
+		}})
+		s.emit(CloseSession{Session: e.Session})
+		return
+	}
+	s.sessions[e.Session] = &session{
+		id: e.Session, database: e.Database, status: currantloom.TransactionIdle, lastAt: s.now,
+		values: make(map[string]string), prepared: make(map[string]currantloom.Prepared),
+	}
+	s.emit(AnswerSession{Session: e.Session, Reply: currantloom.Reply{State: currantloom.TransactionIdle}})
+}
+
+func (s *State) version() uint64 {
+	if c := s.catalog.configuration; c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+func (s *State) sessionClosed(id SessionID) {
+	sn, ok := s.sessions[id]
+	if !ok {
+		return
+	}
+	delete(s.sessions, id)
+	if sn.request != nil {
+		s.abandon(sn.request)
+	}
+	s.endTransaction(sn)
+}
+
+// statementReceived answers what needs no upstream, and makes a request of everything else.
+func (s *State) statementReceived(e StatementReceived) {
+	sn, ok := s.sessions[e.Session]
+	if !ok || sn.request != nil {
+		return
+	}
+	sn.lastAt = s.now
+	st := e.Statement
+	if sn.status == currantloom.TransactionFailed && !endsTransaction(st.Kind) {
+		s.refuse(sn, st, currantloom.CodeMalformed, "the transaction has failed")
+		return
+	}
+	switch st.Kind {
+	case currantloom.StatementSet:
+		sn.values[st.Name] = st.Argument
+		s.complete(sn)
+	case currantloom.StatementPrepare:
+		sn.prepared[st.Name] = currantloom.Prepared{Writes: st.Writes, Shape: st.Argument}
+		s.complete(sn)
+	case currantloom.StatementDeallocate:
+		delete(sn.prepared, st.Name)
+		s.complete(sn)
+	case currantloom.StatementBegin, currantloom.StatementBeginRead:
+		s.begin(sn, st)
+	case currantloom.StatementRollback:
+		s.endTransaction(sn)
+		s.complete(sn)
+	case currantloom.StatementCommit:
+		s.commit(sn, st)
+	case currantloom.StatementRead, currantloom.StatementWrite, currantloom.StatementExecute:
+		s.execute(sn, st)
+	default:
+		s.refuse(sn, st, currantloom.CodeMalformed, "unknown statement")
+	}
+}
+
+func endsTransaction(kind currantloom.StatementKind) bool {
+	return kind == currantloom.StatementRollback || kind == currantloom.StatementCommit
+}
+
+// complete answers a statement that currantloom runs itself.
+func (s *State) complete(sn *session) {
+	s.emit(AnswerSession{Session: sn.id, Reply: currantloom.Reply{State: sn.status}})
+}
+
+// refuse answers a statement that does not run at all. It fails an open transaction, unless it is one that the
+// transaction does not depend on.
+func (s *State) refuse(sn *session, st currantloom.Statement, code currantloom.Code, detail string) {
+	s.log(Decision{Event: "statement", Request: st.ID, Session: sn.id, Reason: detail, Outcome: code.String()})
+	if sn.status == currantloom.TransactionOpen {
+		s.failTransaction(sn)
+	}
+	s.emit(AnswerSession{Session: sn.id, Reply: currantloom.Reply{Code: code, Detail: detail, State: sn.status}})
+}
+
+func (s *State) begin(sn *session, st currantloom.Statement) {
+	if sn.status != currantloom.TransactionIdle {
+		s.refuse(sn, st, currantloom.CodeMalformed, "a transaction is open")
+		return
+	}
+	route, ok := s.route(sn.database)
+	if !ok {
+		s.refuse(sn, st, currantloom.CodeNoDatabase, string(sn.database))
+		return
+	}
+	sn.status = currantloom.TransactionOpen
+	sn.transaction = &transaction{route: route, readOnly: st.Kind == currantloom.StatementBeginRead}
+	s.groupOf(route.Service).usedAt = s.now
+	s.complete(sn)
+}
+
+func (s *State) commit(sn *session, st currantloom.Statement) {
+	switch {
+	case sn.status == currantloom.TransactionFailed:
+		s.endTransaction(sn)
+		s.refuse(sn, st, currantloom.CodeAborted, "the transaction had failed and is rolled back")
+	case sn.transaction == nil:
+		s.refuse(sn, st, currantloom.CodeMalformed, "no transaction is open")
+	case sn.transaction.opened:
+		s.open(sn, st, sn.transaction.route, purposeCommit)
+	default:
+		s.open(sn, st, sn.transaction.route, purposeEmptyCommit)
+	}
+}
+
+// execute makes a request of a read or a write.
+func (s *State) execute(sn *session, st currantloom.Statement) {
+	writes := st.Kind == currantloom.StatementWrite
+	if st.Kind == currantloom.StatementExecute {
+		p, ok := sn.prepared[st.Name]
+		if !ok {
+			s.refuse(sn, st, currantloom.CodeNoStatement, st.Name)
+			return
+		}
+		writes = p.Writes
+	}
+	if t := sn.transaction; t != nil {
+		switch {
+		case t.readOnly && writes:
+			s.refuse(sn, st, currantloom.CodeNotPrimary, "the transaction only reads")
+		case t.opened:
+			s.open(sn, st, t.route, purposeContinue)
+		default:
+			s.open(sn, st, t.route, purposeOpen)
+		}
+		return
+	}
+	route, ok := s.route(sn.database)
+	switch {
+	case !ok:
+		s.refuse(sn, st, currantloom.CodeNoDatabase, string(sn.database))
+	case writes:
+		s.open(sn, st, route, purposeWrite)
+	default:
+		s.open(sn, st, route, purposeRead)
+	}
+}
+
+// failTransaction rolls the transaction back at its upstream; the client has to end it.
+func (s *State) failTransaction(sn *session) {
+	t := sn.transaction
+	s.endTransaction(sn)
+	sn.transaction, sn.status = t, currantloom.TransactionFailed
+	if t != nil {
+		t.opened = false
+	}
+}
+
+// endTransaction ends the transaction of the session; if it is still open at an upstream it is rolled back there.
+func (s *State) endTransaction(sn *session) {
+	t := sn.transaction
+	sn.transaction, sn.status = nil, currantloom.TransactionIdle
+	if t != nil && t.opened {
+		s.sendEnd(t.vm, t.key)
+	}
+}
+
+// sendEnd tells a carrier to roll a transaction back.
+func (s *State) sendEnd(vm currantloom.VMName, key currantloom.RequestKey) {
+	if vm == s.config.Self {
+		s.later(func() { s.transactionEnded(key) })
+		return
+	}
+	s.emit(Send{VM: s.vmOf(vm), Message: currantloom.TransactionEnd{Transaction: key}})
+}
+
+// tickSessions ends transactions that are idle for too long, so that their connections serve others.
+func (s *State) tickSessions() {
+	limit := s.transactionIdle()
+	for _, sn := range s.sessions {
+		t := sn.transaction
+		if t == nil || !t.opened || sn.request != nil || s.now-sn.lastAt < limit {
+			continue
+		}
+		s.log(Decision{
+			Event: "transaction", Session: sn.id, Service: t.route.Service, Upstream: t.upstream.Name,
+			Age: s.now - sn.lastAt, Reason: "idle", Outcome: "rolled_back",
+		})
+		s.failTransaction(sn)
+	}
+}
+
+// settings returns the values of the session by name.
+func (sn *session) settings() []currantloom.Setting {
+	settings := make([]currantloom.Setting, 0, len(sn.values))
+	for name, value := range sn.values {
+		settings = append(settings, currantloom.Setting{Name: name, Value: value})
+	}
+	slices.SortFunc(settings, func(a, b currantloom.Setting) int { return cmp.Compare(a.Name, b.Name) })
+	return settings
+}
--- /dev/null
+++ b/loomfleet/state.go
@@ -0,0 +1,186 @@
+package loomfleet
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// TickInterval is the time between two Tick events.
+const TickInterval = 20 * time.Millisecond
+
+// pauseGap is a time without events that only a pause of the process explains.
+const pauseGap = 400 * time.Millisecond
+
+// Config is what a node learns from its settings.
+type Config struct {
+	Self  currantloom.VMName
+	Place currantloom.Place
+	// Address is the "IP:port" at which the node accepts links.
+	Address string
+	// Incarnation tells the runs of the process apart.
+	Incarnation uint64
+	// DrainTimeout is how long a draining upstream may get new work; zero means 5 s.
+	DrainTimeout time.Duration
+	// GracePeriod is the time from the request to stop to the end of the process; zero means 6 s.
+	GracePeriod time.Duration
+	// MinLease is the shortest lease that the store grants; zero means 1 s.
+	MinLease time.Duration
+}
+
+// State is the state of a node's decisions. The zero value is a node without a name.
+type State struct {
+	config    Config
+	now       time.Duration
+	random    uint64
+	resumedAt time.Duration
+	effects   []Effect
+	// deferred holds calls between the parts of this node, so that none runs inside another.
+	deferred []func()
+	number   uint64
+
+	catalog  catalog
+	members  members
+	sessions map[SessionID]*session
+	requests requests
+	carrier  carrier
+	duty     duty
+	stop     stopping
+}
+
+// New returns the state of a node at its start.
+func New(c Config) *State {
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = 5 * time.Second
+	}
+	if c.GracePeriod == 0 {
+		c.GracePeriod = 6 * time.Second
+	}
+	if c.MinLease == 0 {
+		c.MinLease = time.Second
+	}
+	s := &State{config: c, sessions: make(map[SessionID]*session)}
+	s.catalog.init()
+	s.members.init()
+	s.requests.init()
+	s.carrier.init()
+	s.duty.init(s)
+	return s
+}
+
+// Reduce applies an event and returns its effects in order. The slice is valid until the next call.
+func (s *State) Reduce(e Event) []Effect {
+	stamp := e.stamp()
+	if stamp.Now-s.now > pauseGap {
+		s.resume(stamp.Now)
+	}
+	s.now = max(s.now, stamp.Now)
+	s.random = stamp.Random
+	s.effects = s.effects[:0]
+	s.apply(e)
+	for len(s.deferred) > 0 {
+		next := s.deferred[0]
+		s.deferred = s.deferred[1:]
+		next()
+	}
+	return s.effects
+}
+
+// resume notes that the process was paused: whatever it believes may be out of date.
+func (s *State) resume(now time.Duration) {
+	if s.now > 0 {
+		s.log(Decision{Event: "resumed", Age: now - s.now})
+		s.resumedAt = now
+	}
+}
+
+func (s *State) apply(e Event) {
+	switch e := e.(type) {
+	case Tick:
+		s.tick()
+	case CatalogChanged:
+		s.catalogChanged(e)
+	case StoreReached:
+		s.storeReached()
+	case StoreLost:
+		s.storeLost(e)
+	case StoreAnswered:
+		s.duty.answered(s, e)
+	case PromoteAnswered:
+		s.promoteAnswered(e)
+	case SessionOpened:
+		s.sessionOpened(e)
+	case StatementReceived:
+		s.statementReceived(e)
+	case SessionClosed:
+		s.sessionClosed(e.Session)
+	case ConnOpened:
+		s.connOpened(e)
+	case ReplyReceived:
+		s.replyReceived(e)
+	case ConnLost:
+		s.connLost(e)
+	case MessageReceived:
+		s.messageReceived(e)
+	case LinkDown:
+		s.linkDown(e)
+	case LinkClosed:
+		s.linkClosed(e.Link)
+	case StopRequested:
+		s.stopRequested()
+	}
+}
+
+func (s *State) messageReceived(e MessageReceived) {
+	switch m := e.Message.(type) {
+	case currantloom.Call:
+		s.callReceived(e.Link, e.From, m)
+	case currantloom.CallAnswer:
+		s.members.heard(e.From, s.now)
+		s.callAnswered(m)
+	case currantloom.CallCancel:
+		s.callCancelled(m.Key)
+	case currantloom.TransactionEnd:
+		s.transactionEnded(m.Transaction)
+	case currantloom.Ping:
+		s.emit(Respond{Link: e.Link, Message: s.pong(m)})
+	case currantloom.Pong:
+		s.pongReceived(e.From, m)
+	case currantloom.Leaving:
+		s.memberLeaving(e.From)
+	case currantloom.Hold:
+		s.held(m)
+	case currantloom.Promoted:
+		s.promoted(m)
+	}
+}
+
+func (s *State) tick() {
+	s.tickCatalog()
+	s.tickMembers()
+	s.tickCarrier()
+	s.tickRequests()
+	s.tickSessions()
+	s.duty.tick(s)
+	s.tickFailovers()
+	s.tickStop()
+}
+
+// later runs the function after the current one has returned, within the same event.
+func (s *State) later(f func()) { s.deferred = append(s.deferred, f) }
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) log(d Decision) { s.emit(d) }
+
+// nextNumber returns a number that this process has not used yet.
+func (s *State) nextNumber() uint64 {
+	s.number++
+	return s.number
+}
+
+// nextKey returns the key of a new request or call of this node. The incarnation keeps it apart from those of earlier
+// runs of the process.
+func (s *State) nextKey() currantloom.RequestKey {
+	return currantloom.RequestKey{VM: s.config.Self, Number: s.config.Incarnation<<32 | s.nextNumber()}
+}
--- /dev/null
+++ b/loomfleet/stop.go
@@ -0,0 +1,73 @@
+package loomfleet
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// balancerDelay is how long the load balancer may still send connections to a node that is not ready.
+	balancerDelay = 2300 * time.Millisecond
+	// stopMargin is kept before the end of the grace period.
+	stopMargin = 500 * time.Millisecond
+)
+
+// stopping is the graceful shutdown.
+type stopping struct {
+	requested bool
+	at        time.Duration
+	refusing  bool
+	stopped   bool
+}
+
+func (s *State) stopRequested() {
+	if s.stop.requested {
+		return
+	}
+	s.stop.requested, s.stop.at = true, s.now
+	s.members.epoch++
+	s.log(Decision{Event: "stop", Outcome: "requested"})
+	s.emit(SetReady{Ready: false})
+	s.broadcast(currantloom.Leaving{})
+	for _, g := range s.catalog.ordered {
+		if f := s.duty.failovers[g.name]; f != nil {
+			s.endFailover(f, "shutdown")
+		}
+	}
+	s.duty.lead.release(s)
+	s.duty.member.release(s)
+}
+
+// tickStop closes sessions between their transactions, then ends what is left.
+func (s *State) tickStop() {
+	if !s.stop.requested || s.stop.stopped {
+		return
+	}
+	since := s.now - s.stop.at
+	if since >= balancerDelay && !s.stop.refusing {
+		s.stop.refusing = true
+		s.emit(RefuseSessions{})
+	}
+	if since >= balancerDelay {
+		s.closeIdleSessions(since >= s.config.GracePeriod/2)
+	}
+	busy := len(s.sessions) > 0 || len(s.carrier.works) > 0 || len(s.carrier.pinned) > 0
+	if s.stop.refusing && !busy || since >= s.config.GracePeriod-stopMargin {
+		s.stop.stopped = true
+		s.log(Decision{Event: "stop", Age: since, Outcome: "stopped"})
+		s.emit(Stopped{})
+	}
+}
+
+// closeIdleSessions closes sessions that wait for nothing. Open transactions have half of the grace period.
+func (s *State) closeIdleSessions(transactions bool) {
+	for id, sn := range s.sessions {
+		if sn.request != nil || sn.status != currantloom.TransactionIdle && !transactions {
+			continue
+		}
+		s.endTransaction(sn)
+		delete(s.sessions, id)
+		s.emit(CloseSession{Session: id})
+	}
+}
--- /dev/null
+++ b/loomhost/effect.go
@@ -0,0 +1,129 @@
+package loomhost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomlog"
+)
+
+// perform carries one effect out. The node's lock is held.
+func (n *Node) perform(e loomfleet.Effect) {
+	switch e := e.(type) {
+	case loomfleet.AnswerSession:
+		if sn, ok := n.sessions[e.Session]; ok {
+			sn.answer(e.Reply)
+		}
+	case loomfleet.CloseSession:
+		if sn, ok := n.sessions[e.Session]; ok {
+			sn.finish()
+		}
+	case loomfleet.OpenConn:
+		n.openConn(e)
+	case loomfleet.SendCommands:
+		if c, ok := n.conns[e.Conn]; ok {
+			c.send(e.Commands)
+		}
+	case loomfleet.CloseConn:
+		if c, ok := n.conns[e.Conn]; ok {
+			delete(n.conns, e.Conn)
+			c.close()
+		}
+	case loomfleet.Send:
+		n.mesh.Send(e.VM, e.Message)
+	case loomfleet.Respond:
+		n.mesh.Respond(uint64(e.Link), e.Message)
+	case loomfleet.ResetLink:
+		n.mesh.Reset(e.VM)
+	case loomfleet.SetReady:
+		n.ready.Store(e.Ready)
+	case loomfleet.RefuseSessions:
+		n.tasks.Go(func() { _ = n.config.Sessions.Close() })
+	case loomfleet.Stopped:
+		close(n.stopped)
+	case loomfleet.Decision:
+		n.metrics.decision(e)
+		n.log.Put(lineOf(e))
+	default:
+		n.performPlatform(e)
+	}
+}
+
+// performPlatform carries out the effects on the platform, each in a goroutine that reports back.
+func (n *Node) performPlatform(e loomfleet.Effect) {
+	switch e := e.(type) {
+	case loomfleet.StoreCommit:
+		n.callStore(e.Call, func(ctx context.Context) (uint64, error) {
+			return n.config.Store.Commit(ctx, n.registry.transaction(e.Txn))
+		})
+	case loomfleet.StoreGrant:
+		n.callStore(e.Call, func(ctx context.Context) (uint64, error) { return n.config.Store.Grant(ctx, e.TTL) })
+	case loomfleet.StoreRenew:
+		n.callStore(e.Call, func(ctx context.Context) (uint64, error) {
+			return e.Lease, n.config.Store.Renew(ctx, e.Lease)
+		})
+	case loomfleet.StoreRevoke:
+		n.tasks.Go(func() {
+			// A lease that is not ended ends by itself.
+			if err := n.config.Store.Revoke(n.background, e.Lease); err != nil {
+				n.log.Put(loomlog.Line{Event: "lease", Fields: []any{"lease", e.Lease, "outcome", "left", "reason", err}})
+			}
+		})
+	case loomfleet.Promote:
+		n.tasks.Go(func() {
+			result := n.config.Promoter.Promote(n.background, e.Service, e.Upstream, n.config.Core.Self, e.Fence)
+			n.post(loomfleet.PromoteAnswered{Stamp: n.stamp(), Service: e.Service, Order: e.Order, Result: result})
+		})
+	}
+}
+
+// callStore makes a call to the store and reports its outcome.
+func (n *Node) callStore(id loomfleet.CallID, call func(context.Context) (uint64, error)) {
+	n.tasks.Go(func() {
+		value, err := call(n.background)
+		if err != nil {
+			n.log.Put(loomlog.Line{Event: "store_call", Warn: true, Fields: []any{"call", uint64(id), "reason", err}})
+		}
+		n.post(loomfleet.StoreAnswered{Stamp: n.stamp(), Call: id, Result: resultOf(err), Value: value})
+	})
+}
+
+func resultOf(err error) loomfleet.StoreResult {
+	switch {
+	case err == nil:
+		return loomfleet.StoreDone
+	case currantloom.IsConflict(err):
+		return loomfleet.StoreConflict
+	case currantloom.IsInput(err):
+		return loomfleet.StoreNoLease
+	case errors.Is(err, context.DeadlineExceeded):
+		return loomfleet.StoreUnknown
+	default:
+		return loomfleet.StoreUnavailable
+	}
+}
+
+// lineOf returns the line of a decision, with every field that is not empty.
+func lineOf(d loomfleet.Decision) loomlog.Line {
+	fields := make([]any, 0, 24)
+	add := func(name string, empty bool, value any) {
+		if !empty {
+			fields = append(fields, name, value)
+		}
+	}
+	add("request", d.Request == "", d.Request)
+	add("session", d.Session == 0, uint64(d.Session))
+	add("service", d.Service == "", string(d.Service))
+	add("upstream", d.Upstream == "", string(d.Upstream))
+	add("vm", d.VM == "", string(d.VM))
+	add("mark", d.Mark.IsZero(), d.Mark.String())
+	add("version", d.Version == 0, d.Version)
+	add("age", d.Age == 0, d.Age.Round(10*time.Microsecond))
+	add("attempt", d.Attempt == 0, d.Attempt)
+	add("reason", d.Reason == "", d.Reason)
+	add("outcome", d.Outcome == "", d.Outcome)
+	return loomlog.Line{Event: d.Event, Fields: fields, Routine: d.Routine}
+}
--- /dev/null
+++ b/loomhost/registry.go
@@ -0,0 +1,268 @@
+package loomhost
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomlog"
+	"currantloom.example/currantloom/loommesh"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. A connection that has gone silent is noticed after it and the
+	// timeout of the call.
+	watchWait = 4 * time.Second
+	// retryPauseMin and retryPauseMax bound the pause after a failed call.
+	retryPauseMin = 150 * time.Millisecond
+	retryPauseMax = time.Second
+	// seedTimeout bounds the question to another node.
+	seedTimeout = time.Second
+)
+
+// Keys of the nodes in the store.
+const (
+	memberPrefix = "nodes/"
+	dutyKey      = "duty"
+)
+
+// registry keeps a copy of the store and tells the reducer what changed.
+type registry struct {
+	node *Node
+
+	mu    sync.Mutex
+	items map[string]currantloom.StoreItem
+}
+
+func newRegistry(n *Node) *registry {
+	return &registry{node: n, items: make(map[string]currantloom.StoreItem)}
+}
+
+// memberRecord is what a node writes under its name; dutyRecord what the holder of the duty writes.
+type memberRecord struct {
+	Address     string `json:"address"`
+	Domain      string `json:"domain"`
+	Region      string `json:"region"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+type dutyRecord struct {
+	Holder      string `json:"holder"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// transaction returns the change that writes one of the node's keys.
+func (r *registry) transaction(t loomfleet.StoreTxn) currantloom.StoreTxn {
+	c := r.node.config.Core
+	key, record := memberPrefix+string(c.Self), any(memberRecord{
+		Address: c.Address, Domain: string(c.Place.FailureDomain()), Region: string(c.Place.Region()),
+		Incarnation: c.Incarnation,
+	})
+	if t.Kind == loomfleet.RegisterDuty {
+		key, record = dutyKey, dutyRecord{Holder: string(c.Self), Incarnation: c.Incarnation}
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		r.node.log.Put(loomlog.Line{Event: "record", Warn: true, Fields: []any{"key", key, "reason", err}})
+	}
+	txn := currantloom.StoreTxn{Set: []currantloom.StoreItem{{Key: key, Value: value, Lease: t.Lease}}}
+	if t.Conditional {
+		txn.Expected = map[string]uint64{key: t.Expected}
+	}
+	return txn
+}
+
+// run watches the store until the context ends.
+func (r *registry) run(ctx context.Context) error {
+	var revision uint64
+	pause := retryPauseMin
+	for ctx.Err() == nil {
+		next, err := r.step(ctx, revision)
+		if err == nil {
+			revision, pause = next, retryPauseMin
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if currantloom.IsInput(err) {
+			// The store no longer has the history after the revision.
+			revision = 0
+			continue
+		}
+		r.node.post(loomfleet.StoreLost{Stamp: r.node.stamp(), Reason: err.Error()})
+		if revision == 0 {
+			r.askSeeds()
+		}
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, retryPauseMax)
+	}
+	return nil
+}
+
+// step reads everything, or waits for the next changes.
+func (r *registry) step(ctx context.Context, revision uint64) (uint64, error) {
+	store := r.node.config.Store
+	if revision == 0 {
+		items, next, err := store.Range(ctx, "")
+		if err != nil {
+			return 0, err
+		}
+		r.replace(items)
+		r.node.post(r.changes(items, true, next))
+		r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
+		return next, nil
+	}
+	items, next, err := store.Watch(ctx, "", revision, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	r.merge(items)
+	if len(items) > 0 {
+		r.node.post(r.changes(items, false, next))
+	}
+	r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
+	return next, nil
+}
+
+// askSeeds takes what other nodes know, so that a node that starts while the store is away can serve.
+func (r *registry) askSeeds() {
+	for _, seed := range r.node.config.Seeds {
+		if seed == r.node.config.Core.Address {
+			continue
+		}
+		items, err := loommesh.AskItems(r.node.config.Core.Self, seed, seedTimeout)
+		if err != nil {
+			r.node.log.Put(loomlog.Line{Event: "seed", Fields: []any{"address", seed, "reason", err}})
+			continue
+		}
+		items = r.merge(items)
+		r.node.log.Put(loomlog.Line{Event: "seed", Fields: []any{"address", seed, "items", len(items)}})
+		r.node.post(r.changes(items, false, 0))
+	}
+}
+
+// known returns a copy of all items.
+func (r *registry) known() []currantloom.StoreItem {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	items := make([]currantloom.StoreItem, 0, len(r.items))
+	for _, item := range r.items {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b currantloom.StoreItem) int { return strings.Compare(a.Key, b.Key) })
+	return items
+}
+
+func (r *registry) replace(items []currantloom.StoreItem) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.items)
+	for _, item := range items {
+		r.items[item.Key] = item
+	}
+}
+
+// merge takes over items that are newer than the known ones, and returns these.
+func (r *registry) merge(items []currantloom.StoreItem) []currantloom.StoreItem {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var newer []currantloom.StoreItem
+	for _, item := range items {
+		if known, ok := r.items[item.Key]; ok && known.Revision >= item.Revision {
+			continue
+		}
+		if item.Deleted {
+			delete(r.items, item.Key)
+		} else {
+			r.items[item.Key] = item
+		}
+		newer = append(newer, item)
+	}
+	return newer
+}
+
+// changes decodes items. What cannot be decoded names nothing to use.
+func (r *registry) changes(items []currantloom.StoreItem, full bool, revision uint64) loomfleet.CatalogChanged {
+	e := loomfleet.CatalogChanged{Stamp: r.node.stamp(), Full: full, Revision: revision}
+	for _, item := range items {
+		switch name, isMember := strings.CutPrefix(item.Key, memberPrefix); {
+		case isMember:
+			r.addMember(&e, item, currantloom.VMName(name))
+		case item.Key == dutyKey:
+			r.addDuty(&e, item)
+		default:
+			r.addCatalog(&e, item)
+		}
+	}
+	return e
+}
+
+func (r *registry) addMember(e *loomfleet.CatalogChanged, item currantloom.StoreItem, name currantloom.VMName) {
+	change := loomfleet.MemberChange{
+		VM:       currantloom.NewVM(name, currantloom.Place{}, "", "", currantloom.VMLive),
+		Revision: item.Revision, Gone: item.Deleted,
+	}
+	if !item.Deleted {
+		var m memberRecord
+		if err := json.Unmarshal(item.Value, &m); err != nil {
+			r.ignored(item, err)
+			return
+		}
+		place := currantloom.NewPlace(currantloom.Region(m.Region), currantloom.FailureDomain(m.Domain))
+		change.VM = currantloom.NewVM(name, place, m.Address, "", currantloom.VMLive)
+		change.Incarnation = m.Incarnation
+	}
+	e.Members = append(e.Members, change)
+}
+
+func (r *registry) addDuty(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
+	change := loomfleet.DutyChange{Revision: item.Revision, Gone: item.Deleted}
+	if !item.Deleted {
+		var d dutyRecord
+		if err := json.Unmarshal(item.Value, &d); err != nil {
+			r.ignored(item, err)
+			return
+		}
+		change.Holder, change.Incarnation = currantloom.VMName(d.Holder), d.Incarnation
+	}
+	e.Duty = &change
+}
+
+func (r *registry) addCatalog(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
+	if c, ok, err := r.node.config.Catalog.Configuration(item); err != nil {
+		r.ignored(item, err)
+		return
+	} else if ok {
+		e.Configuration = &c
+		return
+	}
+	u, ok, err := r.node.config.Catalog.Upstream(item)
+	if err != nil {
+		r.ignored(item, err)
+	}
+	if ok {
+		e.Upstreams = append(e.Upstreams, loomfleet.UpstreamChange{
+			Upstream: u, Revision: item.Revision, Gone: item.Deleted || err != nil,
+		})
+	}
+}
+
+func (r *registry) ignored(item currantloom.StoreItem, err error) {
+	r.node.log.Put(loomlog.Line{Event: "item", Warn: true, Fields: []any{
+		"key", item.Key, "version", item.Revision, "reason", err, "outcome", "ignored",
+	}})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/loommesh/encode.go
@@ -0,0 +1,225 @@
+package loommesh
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"currantloom.example/currantloom"
+)
+
+// kind tells messages apart on the wire.
+type kind uint8
+
+const (
+	kindCall kind = iota + 1
+	kindAnswer
+	kindCancel
+	kindEnd
+	kindPing
+	kindPong
+	kindLeaving
+	kindHold
+	kindPromoted
+	kindItemsRequest
+	kindItems
+)
+
+// maxMessage bounds a message in bytes.
+const maxMessage = 8 << 20
+
+// lengthSize is the size of the length before a message, in bytes.
+const lengthSize = 4
+
+// encoder writes the fields of a message in a fixed order. The first error ends it.
+type encoder struct {
+	buffer bytes.Buffer
+	out    *msgpack.Encoder
+	err    error
+}
+
+// encode returns the message with its length.
+func encode(m currantloom.Message) ([]byte, error) {
+	e := &encoder{}
+	e.buffer.Write(make([]byte, lengthSize))
+	e.out = msgpack.NewEncoder(&e.buffer)
+	e.out.UseCompactInts(true)
+	e.message(m)
+	if e.err != nil {
+		return nil, e.err
+	}
+	data := e.buffer.Bytes()
+	size := len(data) - lengthSize
+	if size > maxMessage {
+		return nil, currantloom.ErrInput.New("message of %d bytes", size)
+	}
+	binary.BigEndian.PutUint32(data, uint32(size))
+	return data, nil
+}
+
+func (e *encoder) do(err error) {
+	if e.err == nil {
+		e.err = err
+	}
+}
+
+func (e *encoder) number(v uint64)          { e.do(e.out.EncodeUint(v)) }
+func (e *encoder) text(v string)            { e.do(e.out.EncodeString(v)) }
+func (e *encoder) flag(v bool)              { e.do(e.out.EncodeBool(v)) }
+func (e *encoder) bytes(v []byte)           { e.do(e.out.EncodeBytes(v)) }
+func (e *encoder) duration(v time.Duration) { e.do(e.out.EncodeInt(v.Microseconds())) }
+func (e *encoder) length(n int)             { e.do(e.out.EncodeArrayLen(n)) }
+
+func (e *encoder) key(k currantloom.RequestKey) {
+	e.text(string(k.VM))
+	e.number(k.Number)
+	e.number(uint64(k.Attempt))
+}
+
+func (e *encoder) mark(m currantloom.Mark) {
+	e.number(uint64(m.Term()))
+	e.number(uint64(m.Position()))
+}
+
+func (e *encoder) message(m currantloom.Message) {
+	switch m := m.(type) {
+	case currantloom.Call:
+		e.number(uint64(kindCall))
+		e.call(m)
+	case currantloom.CallAnswer:
+		e.number(uint64(kindAnswer))
+		e.answer(m)
+	case currantloom.CallCancel:
+		e.number(uint64(kindCancel))
+		e.key(m.Key)
+	case currantloom.TransactionEnd:
+		e.number(uint64(kindEnd))
+		e.key(m.Transaction)
+	case currantloom.Ping:
+		e.number(uint64(kindPing))
+		e.number(m.Number)
+	case currantloom.Pong:
+		e.number(uint64(kindPong))
+		e.pong(m)
+	case currantloom.Leaving:
+		e.number(uint64(kindLeaving))
+	case currantloom.Hold:
+		e.number(uint64(kindHold))
+		e.text(string(m.Service))
+		e.duration(m.For)
+		e.flag(m.Commits)
+	case currantloom.Promoted:
+		e.number(uint64(kindPromoted))
+		e.text(string(m.Service))
+		e.text(string(m.Upstream))
+		e.number(uint64(m.Term))
+	case currantloom.ItemsRequest:
+		e.number(uint64(kindItemsRequest))
+	case currantloom.Items:
+		e.number(uint64(kindItems))
+		e.items(m.Items)
+	}
+}
+
+func (e *encoder) call(m currantloom.Call) {
+	e.key(m.Key)
+	e.text(string(m.Service))
+	e.text(string(m.Upstream))
+	e.number(uint64(m.Mode))
+	e.key(m.Transaction)
+	e.command(m.Command)
+	e.mark(m.After)
+	e.length(len(m.Settings))
+	for _, s := range m.Settings {
+		e.text(s.Name)
+		e.text(s.Value)
+	}
+	e.flag(m.Prepared.Writes)
+	e.text(m.Prepared.Shape)
+	e.duration(m.Timeout)
+	e.duration(m.Wait)
+	e.number(uint64(m.Priority))
+	e.duration(m.TransactionIdle)
+}
+
+func (e *encoder) command(c currantloom.Command) {
+	e.number(uint64(c.Kind))
+	e.text(c.ID)
+	e.text(c.Text)
+	e.mark(c.After)
+	e.text(c.Name)
+	e.text(c.Argument)
+	e.flag(c.Writes)
+	e.flag(c.Commits)
+	e.number(uint64(c.Term))
+}
+
+func (e *encoder) answer(m currantloom.CallAnswer) {
+	e.key(m.Key)
+	e.number(uint64(m.Verdict))
+	e.reply(m.Reply)
+	e.number(uint64(m.Reason))
+	e.duration(m.Wait)
+	e.sample(m.Sample)
+}
+
+func (e *encoder) reply(r currantloom.Reply) {
+	e.length(len(r.Rows))
+	for _, row := range r.Rows {
+		e.text(row)
+	}
+	e.text(r.Signature)
+	e.number(uint64(r.Code))
+	e.text(r.Detail)
+	e.number(uint64(r.State))
+	e.mark(r.Mark)
+	e.flag(r.Status != nil)
+	if r.Status != nil {
+		e.flag(r.Status.Primary)
+		e.number(uint64(r.Status.Term))
+		e.mark(r.Status.Received)
+	}
+}
+
+func (e *encoder) sample(s currantloom.Sample) {
+	e.text(string(s.Upstream))
+	if s.Upstream == "" {
+		return
+	}
+	e.text(string(s.Service))
+	e.mark(s.Mark)
+	e.duration(s.Age)
+}
+
+func (e *encoder) pong(m currantloom.Pong) {
+	e.number(m.Number)
+	e.flag(m.Leaving)
+	e.flag(m.StoreReachable)
+	e.number(m.Version)
+	e.length(len(m.Upstreams))
+	for _, u := range m.Upstreams {
+		e.text(string(u.Name))
+		e.text(string(u.Service))
+		e.flag(u.Up)
+		e.flag(u.Down)
+		e.flag(u.Stuck)
+		e.number(uint64(u.Open))
+		e.duration(u.Wait)
+		e.mark(u.Mark)
+	}
+	e.length(len(m.Samples))
+	for _, s := range m.Samples {
+		e.sample(s)
+	}
+}
+
+func (e *encoder) items(items []currantloom.StoreItem) {
+	e.length(len(items))
+	for _, item := range items {
+		e.text(item.Key)
+		e.bytes(item.Value)
+		e.number(item.Revision)
+	}
+}
--- a/verdict.go
+++ b/verdict.go
@@ -134,3 +134,9 @@
 	}
 	return err.Error()
 }
+
+// IsInput reports whether an error is of type ErrInput.
+func IsInput(err error) bool { return errorx.IsOfType(err, ErrInput) }
+
+// IsConflict reports whether an error is of type ErrConflict.
+func IsConflict(err error) bool { return errorx.IsOfType(err, ErrConflict) }
