Take only a commit that wrote as a sign of the primary

Cause: the COMMIT of a read-only transaction on a replica counted as proof that the replica is the primary, with its position as a fresh mark.

Ruled out: the clock, the age of relayed samples.

--- a/loomfleet/carrier.go
+++ b/loomfleet/carrier.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// commits reports whether an answer tells that the primary can commit.
+// commits reports whether an answer tells that the upstream is the primary and can commit. A transaction that wrote
+// nothing ends anywhere, on a replica too.
 func (w *work) commits() bool {
-	c := w.call.Command
-	return c.Commits || w.isSingleWrite()
+	return w.isSingleWrite() || w.call.Command.Commits && w.conn != nil && w.conn.wrote
 }
 
 func (s *State) callReceived(link LinkID, from currantloom.VMName, m currantloom.Call) {
@@ -226,7 +226,7 @@
 	delete(s.carrier.pinned, cn.transaction)
 	cn.pool.pinned--
 	cn.transaction = currantloom.RequestKey{}
-	cn.writes = false
+	cn.writes, cn.wrote = false, false
 }
 
 // linkClosed gives up the work of a node that is gone, and rolls its transactions back.
--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -44,9 +44,11 @@
 	prepared map[string]bool
 	dirty    bool
 	work     *work
-	// transaction is the key of the open transaction, writes says that it may write; link is where its node is.
+	// transaction is the key of the open transaction, link is where its node is. Writes says that it may write, wrote
+	// that it did.
 	transaction currantloom.RequestKey
 	writes      bool
+	wrote       bool
 	link        LinkID
 	idleLimit   time.Duration
 	// steps are what the next replies answer, sentAt is when the last commands were sent.
@@ -294,12 +296,14 @@
 	open := reply.State != currantloom.TransactionIdle
 	switch {
 	case w.call.Mode == currantloom.CallContinue:
+		cn.wrote = cn.wrote || w.call.Command.Writes
 		if !open {
 			s.unpin(cn)
 		}
 	case opens(w.call.Mode) && open && reply.Code == currantloom.CodeOK && !w.orphaned:
 		cn.transaction, cn.link, cn.writes = w.call.Key, w.link, w.call.Mode == currantloom.CallOpen
 		cn.idleLimit = w.call.TransactionIdle + abandonedIdle
+		cn.wrote = w.call.Command.Writes
 		s.carrier.pinned[w.call.Key] = cn
 		cn.pool.pinned++
 	case open && len(cn.steps) == 0:
--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -108,7 +108,9 @@
 	Service  currantloom.ServiceName
 	Upstream currantloom.ServerName
 	VM       currantloom.VMName
-	Mark     currantloom.Mark
+	// Mark is what a log has to cover, Fresh is how long before the request the mark was taken.
+	Mark  currantloom.Mark
+	Fresh time.Duration
 	// Version is the revision or the version of the input, Age its age.
 	Version uint64
 	Age     time.Duration
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -174,18 +174,18 @@
 
 // cover returns the oldest mark of the newest term that covers every commit acknowledged before the given time. The
 // oldest one is what most replicas already hold.
-func (g *group) cover(since time.Duration) (currantloom.Mark, bool) {
+func (g *group) cover(since time.Duration) (sample, bool) {
 	newest, ok := g.newestSample()
 	if !ok || newest.takenAt < since {
-		return currantloom.Mark{}, false
+		return sample{}, false
 	}
-	best := newest.mark
+	best := newest
 	for i := len(g.samples) - 2; i >= 0; i-- {
 		older := g.samples[i]
 		if older.takenAt < since || older.mark.Term() != newest.mark.Term() {
 			break
 		}
-		best = older.mark
+		best = older
 	}
 	return best, true
 }
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -62,6 +62,7 @@
 	hedged  bool
 	last    currantloom.CallReason
 	after   currantloom.Mark
+	takenAt time.Duration
 	done    bool
 }
 
@@ -122,7 +123,7 @@
 // attempt makes a call for the request.
 func (s *State) attempt(r *request, c choice) {
 	r.attempt++
-	r.after = c.after
+	r.after, r.takenAt = c.after, c.takenAt
 	command := r.command(c)
 	timeout := r.route.Timeout
 	wait := max(0, r.giveUpAt()-s.now)
@@ -434,6 +435,9 @@
 		Age: s.now - r.arrived, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.version(),
 		Routine: reply.Code == currantloom.CodeOK && r.attempt == 1,
 	}
+	if r.takenAt > 0 {
+		d.Fresh = r.arrived - r.takenAt
+	}
 	if r.last != currantloom.ReasonReplied {
 		d.Reason = r.last.String()
 	}
--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -30,6 +30,8 @@
 	vm       currantloom.VMName
 	mode     currantloom.CallMode
 	after    currantloom.Mark
+	// takenAt is when the mark was taken that the session's age asks for.
+	takenAt time.Duration
 }
 
 // readAfter is the mark that the command itself asks for; a transaction asks for it when it opens.
@@ -43,8 +45,8 @@
 // choose picks the upstream, its carrier and the proof that a read is fresh enough. It reports false if there is none.
 func (s *State) choose(r *request) (choice, bool) {
 	if !r.needsPrimary() {
-		if after, ok := s.coverOf(r); ok {
-			return s.chooseReplica(r, after)
+		if taken, ok := s.coverOf(r); ok {
+			return s.chooseReplica(r, taken)
 		}
 	}
 	return s.choosePrimary(r)
@@ -52,15 +54,12 @@
 
 // coverOf returns the mark that makes a read fresh enough. A read that arrives now accepts what was acknowledged
 // within its age before now.
-func (s *State) coverOf(r *request) (currantloom.Mark, bool) {
-	after, ok := r.group.cover(r.arrived - r.route.MaxAge + ageMargin)
-	if !ok {
-		return currantloom.Mark{}, false
-	}
-	if r.route.Policy == currantloom.ReadSession && r.session.own.Compare(after) > 0 {
-		after = r.session.own
+func (s *State) coverOf(r *request) (sample, bool) {
+	taken, ok := r.group.cover(r.arrived - r.route.MaxAge + ageMargin)
+	if ok && r.route.Policy == currantloom.ReadSession && r.session.own.Compare(taken.mark) > 0 {
+		taken.mark = r.session.own
 	}
-	return after, true
+	return taken, ok
 }
 
 func (s *State) choosePrimary(r *request) (choice, bool) {
@@ -83,8 +82,8 @@
 }
 
 // chooseReplica picks the cheapest upstream, the primary among them.
-func (s *State) chooseReplica(r *request, after currantloom.Mark) (choice, bool) {
-	best, found := choice{mode: currantloom.CallPlain, after: after}, false
+func (s *State) chooseReplica(r *request, taken sample) (choice, bool) {
+	best, found := choice{mode: currantloom.CallPlain, after: taken.mark, takenAt: taken.takenAt}, false
 	if r.purpose != purposeRead {
 		best.mode = currantloom.CallOpenRead
 	}
@@ -94,7 +93,7 @@
 			continue
 		}
 		vm, ok := s.carrierOf(u, nil)
-		if cost := s.readCost(u, after); ok && (!found || cost < bestCost) {
+		if cost := s.readCost(u, taken.mark); ok && (!found || cost < bestCost) {
 			best.upstream, best.vm, bestCost, found = u, vm, cost, true
 		}
 	}
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -120,6 +120,7 @@
 	add("upstream", d.Upstream == "", string(d.Upstream))
 	add("vm", d.VM == "", string(d.VM))
 	add("mark", d.Mark.IsZero(), d.Mark.String())
+	add("mark_age", d.Fresh == 0, d.Fresh.Round(10*time.Microsecond))
 	add("version", d.Version == 0, d.Version)
 	add("age", d.Age == 0, d.Age.Round(10*time.Microsecond))
 	add("attempt", d.Attempt == 0, d.Attempt)
