Write the answers that are due before the process ends

Cause: the reducer stopped the node as soon as the last session was gone from its state, before the goroutines of the sessions had written their answers; and a statement that was read while its session was being closed got none.

--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -73,7 +73,11 @@
 // statementReceived answers what needs no upstream, and makes a request of everything else.
 func (s *State) statementReceived(e StatementReceived) {
 	sn, ok := s.sessions[e.Session]
-	if !ok || sn.request != nil {
+	if !ok {
+		s.refuseClosed(e)
+		return
+	}
+	if sn.request != nil {
 		return
 	}
 	sn.lastAt = s.now
@@ -106,6 +110,17 @@
 	}
 }
 
+// refuseClosed answers a statement that was read while its session was being closed.
+func (s *State) refuseClosed(e StatementReceived) {
+	s.log(Decision{
+		Event: "statement", Request: e.Statement.ID, Session: e.Session, Reason: "session is closed", Outcome: "busy",
+	})
+	s.emit(AnswerSession{Session: e.Session, Reply: currantloom.Reply{
+		Code: currantloom.CodeBusy, Detail: "retry after 0 ms", State: currantloom.TransactionIdle,
+	}})
+	s.emit(CloseSession{Session: e.Session})
+}
+
 func endsTransaction(kind currantloom.StatementKind) bool {
 	return kind == currantloom.StatementRollback || kind == currantloom.StatementCommit
 }
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -144,6 +144,7 @@
 	case <-n.stopped:
 	case <-background.Done():
 	}
+	n.drainSessions()
 	return nil
 }
 
--- a/loomhost/session.go
+++ b/loomhost/session.go
@@ -13,6 +13,9 @@
 	startupTimeout = 5 * time.Second
 	// answerTimeout bounds the write of an answer to a client that takes no bytes.
 	answerTimeout = 10 * time.Second
+	// lastAnswers bounds the wait for answers at the end of the process, drainPoll is the time between two looks.
+	lastAnswers = 300 * time.Millisecond
+	drainPoll   = 5 * time.Millisecond
 )
 
 // session is the runtime side of a client's session. Its goroutine reads a statement, waits for the answer, and writes
@@ -49,7 +52,7 @@
 }
 
 func (n *Node) runSession(id loomfleet.SessionID, sn *session) {
-	_ = sn.client.SetDeadline(time.Now().Add(startupTimeout))
+	_ = sn.client.SetReadDeadline(time.Now().Add(startupTimeout))
 	database, err := sn.client.Startup()
 	if err != nil {
 		return
@@ -68,7 +71,7 @@
 func (sn *session) writeAnswer(n *Node) bool {
 	select {
 	case reply := <-sn.answers:
-		_ = sn.client.SetDeadline(time.Now().Add(answerTimeout))
+		_ = sn.client.SetWriteDeadline(time.Now().Add(answerTimeout))
 		return sn.client.Answer(reply) == nil
 	case <-n.background.Done():
 		return false
@@ -82,7 +85,7 @@
 	if sn.closing {
 		return false
 	}
-	_ = sn.client.SetDeadline(time.Time{})
+	_ = sn.client.SetReadDeadline(time.Time{})
 	return true
 }
 
@@ -100,7 +103,24 @@
 	sn.mu.Lock()
 	defer sn.mu.Unlock()
 	sn.closing = true
-	_ = sn.client.SetDeadline(time.Now())
+	_ = sn.client.SetReadDeadline(time.Now())
+}
+
+// drainSessions ends all sessions and waits until the answers that are due are written.
+func (n *Node) drainSessions() {
+	n.mu.Lock()
+	for _, sn := range n.sessions {
+		sn.finish()
+	}
+	n.mu.Unlock()
+	for limit := time.Now().Add(lastAnswers); time.Now().Before(limit); time.Sleep(drainPoll) {
+		n.mu.Lock()
+		left := len(n.sessions)
+		n.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
 }
 
 func (sn *session) close() { _ = sn.client.Close() }
--- a/upstream.go
+++ b/upstream.go
@@ -1,9 +1,6 @@
 package currantloom
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // ServiceName identifies a group of upstreams that replicate one database.
 type ServiceName string
@@ -125,16 +122,3 @@
 func (r PromoteResult) String() string {
 	return [...]string{"unknown", "accepted", "refused", "not_done"}[r&3]
 }
-
-// Session is the client's side of one session.
-type Session interface {
-	// Startup returns the database that the client asks for.
-	Startup() (DatabaseName, error)
-	// Next returns the client's next statement.
-	Next() (Statement, error)
-	// Answer writes the reply to the startup or to the last statement.
-	Answer(Reply) error
-	// SetDeadline bounds the next read and the writes.
-	SetDeadline(at time.Time) error
-	Close() error
-}
