--- a/cmd/currantloom/main.go
+++ b/cmd/currantloom/main.go
@@ -42,6 +42,7 @@
 	json         bool
 	capacity     bool
 	seeds        int
+	logRate      int
 	files        [maxFiles]string
 }
 
@@ -77,6 +78,7 @@
 	c.serve.String(&o.settings, "s", "settings", "path of the settings file")
 	c.platform = c.add(nil, "platform", "Run one node with the settings that the platform gives its process.",
 		"currantloom platform")
+	c.platform.Int(&o.logRate, "l", "log-rate", "log lines on ordinary work per second; 0 means 50")
 	c.check = c.add(nil, "check", "Check files: settings (.yaml, .yml) or rules (any other name).",
 		"currantloom check node.yaml rules.txt")
 	c.check.String(&o.settings, "s", "settings", "settings whose databases, servers and callers rules may name")
@@ -145,7 +147,7 @@
 	case c.serve.Used:
 		return runServe(ctx, o.settings)
 	case c.platform.Used:
-		return platform.Run(ctx, os.Stdout, version)
+		return platform.Run(ctx, platform.Options{Log: os.Stdout, RoutineLines: o.logRate, Version: version})
 	case c.check.Used:
 		return runCheck(o)
 	case c.apply.Used:
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -261,6 +261,9 @@
 	r := c.request
 	r.calls = slices.DeleteFunc(r.calls, func(other *call) bool { return other == c })
 	r.last = a.Reason
+	if a.Verdict != currantloom.Ran {
+		s.logAttempt(r, c, a)
+	}
 	switch {
 	case r.done:
 		s.dropAnswer(c, a)
@@ -429,6 +432,19 @@
 	}
 }
 
+// logAttempt writes why an attempt did not answer its request.
+func (s *State) logAttempt(r *request, c *call, a currantloom.CallAnswer) {
+	reason := a.Reason.String()
+	if a.Reason == currantloom.ReasonRefused {
+		reason = a.Reply.Code.String()
+	}
+	s.log(Decision{
+		Event: "attempt", Request: r.statement.ID, Service: r.group.name, Upstream: c.upstream.Name, VM: c.vm,
+		Mark: a.Reply.Mark, Age: s.now - c.sentAt, Attempt: r.attempt, Reason: reason, Outcome: a.Verdict.String(),
+		Routine: true,
+	})
+}
+
 func (s *State) logRequest(r *request, reply currantloom.Reply, c *call) {
 	d := Decision{
 		Event: "statement", Request: r.statement.ID, Session: r.session.id, Service: r.group.name, Mark: r.after,
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -20,8 +20,8 @@
 	"currantloom.example/currantloom/loommesh"
 )
 
-// routineLines is the number of log lines on ordinary work per second.
-const routineLines = 50
+// defaultRoutineLines is the number of log lines on ordinary work per second.
+const defaultRoutineLines = 50
 
 // Config is what a node needs to start.
 type Config struct {
@@ -36,6 +36,8 @@
 	// Seeds are addresses of nodes that are asked when the store cannot be reached at the start.
 	Seeds []string
 	Log   io.Writer
+	// RoutineLines bounds the log lines on ordinary work per second; zero means 50.
+	RoutineLines int
 	// Version stands in the log.
 	Version string
 }
@@ -71,8 +73,11 @@
 	if c.Log == nil {
 		c.Log = io.Discard
 	}
+	if c.RoutineLines == 0 {
+		c.RoutineLines = defaultRoutineLines
+	}
 	n := &Node{
-		config: c, log: loomlog.New(c.Log, log.InfoLevel, routineLines), metrics: newMetrics(), clock: newClock(),
+		config: c, log: loomlog.New(c.Log, log.InfoLevel, c.RoutineLines), metrics: newMetrics(), clock: newClock(),
 		state: loomfleet.New(c.Core), sessions: make(map[loomfleet.SessionID]*session),
 		conns: make(map[loomfleet.ConnID]*conn), stopped: make(chan struct{}), stopping: make(chan struct{}),
 		finished: make(chan struct{}),
