--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -14,14 +14,18 @@
 	regionCost = 120 * time.Millisecond
 	// primaryCost keeps reads off the primary, where only it can do the other work.
 	primaryCost = 15 * time.Millisecond
-	// lagCost is that of a replica that is known to lack the mark, slowCost that of one that let a read time out.
-	lagCost  = 60 * time.Millisecond
+	// lagCost is that of a replica that lacked the mark when it was last heard, farBehindCost that of one that then
+	// lacked it although it was taken longer than farBehind before. Such a replica applies its log too slowly.
+	lagCost       = 60 * time.Millisecond
+	farBehindCost = 2 * time.Second
+	farBehind     = 250 * time.Millisecond
+	// slowCost is that of an upstream that let a read time out.
 	slowCost = 400 * time.Millisecond
 	// leavingCost makes a leaving upstream the last choice.
 	leavingCost = 10 * time.Second
 	// reportFresh is how long a report on an upstream's queue or log counts.
 	reportFresh = time.Second
-	markFresh   = 150 * time.Millisecond
+	markFresh   = 700 * time.Millisecond
 )
 
 // choice is where and how a request runs.
@@ -93,7 +97,7 @@
 			continue
 		}
 		vm, ok := s.carrierOf(u, nil)
-		if cost := s.readCost(u, taken.mark); ok && (!found || cost < bestCost) {
+		if cost := s.readCost(u, taken); ok && (!found || cost < bestCost) {
 			best.upstream, best.vm, bestCost, found = u, vm, cost, true
 		}
 	}
@@ -101,15 +105,15 @@
 }
 
 // readCost is the expected time of a read at the upstream, with what the way there costs.
-func (s *State) readCost(u *upstream, after currantloom.Mark) time.Duration {
+func (s *State) readCost(u *upstream, taken sample) time.Duration {
 	cost := [...]time.Duration{0, domainCost, regionCost}[s.config.Place.Distance(u.Place)]
 	if s.now-u.waitAt < reportFresh {
 		cost += u.wait
 	}
 	if u.Name == u.group.leader {
 		cost += primaryCost
-	} else if s.now-u.markAt < markFresh && !u.mark.Covers(after) {
-		cost += lagCost
+	} else {
+		cost += s.lagCostOf(u, taken)
 	}
 	if u.slowUntil > s.now {
 		cost += slowCost
@@ -119,3 +123,15 @@
 	}
 	return cost
 }
+
+// lagCostOf is the cost of the time that a replica needs to reach the mark, from what was last heard of its log.
+func (s *State) lagCostOf(u *upstream, taken sample) time.Duration {
+	switch {
+	case s.now-u.markAt > markFresh || u.mark.Covers(taken.mark):
+		return 0
+	case u.markAt-taken.takenAt > farBehind:
+		return farBehindCost
+	default:
+		return lagCost
+	}
+}
