--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -103,6 +103,7 @@
 		s.duty.changed(s, DutyChange{Gone: true, Revision: e.Revision})
 	}
 	s.reviewReady()
+	s.reviewStartups()
 	s.reviewRequests()
 }
 
--- /dev/null
+++ b/loomfleet/fixture_test.go
@@ -0,0 +1,99 @@
+package loomfleet
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// fixture drives the reducer of one node by hand.
+type fixture struct {
+	*testing.T
+	state   *State
+	now     time.Duration
+	effects []Effect
+}
+
+const (
+	testService  = currantloom.ServiceName("orders")
+	testDatabase = currantloom.DatabaseName("castor")
+	testSelf     = currantloom.VMName("vm-1")
+)
+
+var testPlace = currantloom.NewPlace("ost", "linz")
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	return &fixture{T: t, state: New(Config{Self: testSelf, Place: testPlace, Address: "10.0.0.1:1", Incarnation: 1})}
+}
+
+func (f *fixture) stamp() Stamp { return Stamp{Now: f.now, Random: 7} }
+
+// reduce applies an event and keeps its effects.
+func (f *fixture) reduce(e Event) []Effect {
+	f.effects = append([]Effect(nil), f.state.Reduce(e)...)
+	return f.effects
+}
+
+// wait passes time in ticks and returns all effects.
+func (f *fixture) wait(d time.Duration) []Effect {
+	var all []Effect
+	for end := f.now + d; f.now < end; {
+		f.now += TickInterval
+		all = append(all, f.reduce(Tick{Stamp: f.stamp()})...)
+	}
+	f.effects = all
+	return all
+}
+
+// configure brings a configuration with one route of the policy, and three upstreams of which the first is primary.
+func (f *fixture) configure(policy currantloom.ReadPolicy) {
+	f.reduce(CatalogChanged{
+		Stamp: f.stamp(), Full: true, Revision: 10, Configuration: testConfiguration(1, policy),
+		Upstreams: []UpstreamChange{testUpstream("a", true), testUpstream("b", false), testUpstream("c", false)},
+	})
+}
+
+func testConfiguration(version uint64, policy currantloom.ReadPolicy) *currantloom.Configuration {
+	return &currantloom.Configuration{
+		Version: version, TransactionIdle: 3 * time.Second,
+		Routes: map[currantloom.DatabaseName]currantloom.Route{testDatabase: {
+			Database: testDatabase, Service: testService, Policy: policy, MaxAge: 1500 * time.Millisecond,
+			Timeout: 800 * time.Millisecond, Target: time.Second, Priority: 1,
+		}},
+		Services: map[currantloom.ServiceName]currantloom.Service{testService: {
+			Name: testService, Connections: 16, SyncReplicas: 1,
+		}},
+	}
+}
+
+func testUpstream(name currantloom.ServerName, primary bool) UpstreamChange {
+	return UpstreamChange{Revision: 5, Upstream: currantloom.Upstream{
+		Name: name, Service: testService, Address: "10.0.1.1:1", Place: testPlace, Slots: 2, Primary: primary, Born: 1,
+	}}
+}
+
+func (f *fixture) openSession(id SessionID) {
+	f.reduce(SessionOpened{Stamp: f.stamp(), Session: id, Database: testDatabase})
+}
+
+// answersTo returns the replies to a session among the last effects.
+func (f *fixture) answersTo(id SessionID) []currantloom.Reply {
+	var replies []currantloom.Reply
+	for _, e := range f.effects {
+		if a, ok := e.(AnswerSession); ok && a.Session == id {
+			replies = append(replies, a.Reply)
+		}
+	}
+	return replies
+}
+
+// assertAnswer checks that the session got exactly one answer with the code.
+func (f *fixture) assertAnswer(id SessionID, code currantloom.Code) {
+	f.Helper()
+	replies := f.answersTo(id)
+	if len(replies) != 1 || replies[0].Code != code {
+		f.Errorf("answers to session %d: %+v, want one with code %s", id, replies, code)
+	}
+}
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -33,7 +33,48 @@
 	vm       currantloom.VMName
 }
 
+// startupPatience is how long a session waits for the first configuration; clients wait 2 s.
+const startupPatience = 1500 * time.Millisecond
+
+// startup is a session that waits for the configuration.
+type startup struct {
+	event   SessionOpened
+	arrived time.Duration
+}
+
+// sessionOpened answers a startup. Without a configuration nothing is known about routes, so the client waits.
 func (s *State) sessionOpened(e SessionOpened) {
+	if s.catalog.configuration == nil {
+		s.startups = append(s.startups, startup{event: e, arrived: s.now})
+		return
+	}
+	s.startSession(e)
+}
+
+// reviewStartups answers the sessions that wait once there is a configuration, and closes those that waited too long.
+func (s *State) reviewStartups() {
+	waiting := s.startups
+	s.startups = nil
+	for _, st := range waiting {
+		switch {
+		case s.catalog.configuration != nil:
+			s.startSession(st.event)
+		case s.now-st.arrived > startupPatience:
+			s.log(Decision{
+				Event: "session", Session: st.event.Session, Age: s.now - st.arrived, Reason: "no configuration",
+				Outcome: "busy",
+			})
+			s.emit(AnswerSession{Session: st.event.Session, Reply: currantloom.Reply{
+				Code: currantloom.CodeBusy, Detail: "retry after 1000 ms", State: currantloom.TransactionIdle,
+			}})
+			s.emit(CloseSession{Session: st.event.Session})
+		default:
+			s.startups = append(s.startups, st)
+		}
+	}
+}
+
+func (s *State) startSession(e SessionOpened) {
 	if _, ok := s.route(e.Database); !ok {
 		s.log(Decision{
 			Event: "session", Session: e.Session, Version: s.version(), Reason: string(e.Database), Outcome: "no_route",
@@ -59,6 +100,7 @@
 }
 
 func (s *State) sessionClosed(id SessionID) {
+	s.startups = slices.DeleteFunc(s.startups, func(st startup) bool { return st.event.Session == id })
 	sn, ok := s.sessions[id]
 	if !ok {
 		return
@@ -233,6 +275,7 @@
 
 // tickSessions ends transactions that are idle for too long, so that their connections serve others.
 func (s *State) tickSessions() {
+	s.reviewStartups()
 	limit := s.transactionIdle()
 	for _, sn := range s.sessions {
 		t := sn.transaction
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -42,6 +42,8 @@
 	catalog  catalog
 	members  members
 	sessions map[SessionID]*session
+	// startups are the sessions that wait for the first configuration.
+	startups []startup
 	requests requests
 	carrier  carrier
 	duty     duty
