Close surplus idle connections after 2 s

Cause: after a power loss an upstream counts the dead VM's connections for 3 s; with 42 of 46 in use the nodes that came back got none.

--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -18,6 +18,9 @@
 	fullAfter = 500 * time.Millisecond
 	// warmConnections are opened before there is work.
 	warmConnections = 2
+	// surplusAfter is how long a connection may be idle while others are too. Few connections leave room for the node
+	// that takes over: an upstream counts those of a VM without power for some seconds.
+	surplusAfter = 2 * time.Second
 	// busyRetries is how often a statement of a transaction that the upstream has no slot for is sent again, busyPause
 	// the time between.
 	busyRetries = 6
@@ -276,6 +279,7 @@
 	}
 	if p.isInUse(s) {
 		p.probeQuiet(s)
+		p.trim(s)
 	} else {
 		p.handOver(s)
 	}
@@ -323,6 +327,24 @@
 	}
 }
 
+// trim closes the connection that was idle for longest, if the others are enough.
+func (p *pool) trim(s *State) {
+	var oldest *conn
+	idle := 0
+	for _, cn := range p.conns {
+		if !cn.isIdle() {
+			continue
+		}
+		idle++
+		if oldest == nil || cn.idleSince < oldest.idleSince {
+			oldest = cn
+		}
+	}
+	if idle > warmConnections && s.now-oldest.idleSince > surplusAfter {
+		s.closeConn(oldest, currantloom.ReasonLost)
+	}
+}
+
 // handOver closes idle connections of an upstream that another node carries.
 func (p *pool) handOver(s *State) {
 	for _, cn := range slices.Clone(p.conns) {
