Promote only a server that holds every commit known to be acknowledged

Cause: after a change of primary the new one had a single replica that received nothing, so its commits hung; the holder of the duty took that for a primary cut off from its replicas. When the dead old primary counted as gone, the reports were complete, and the replica that lacked acknowledged commits was promoted.

Ruled out: wrong positions in the reports; a late order.

Now nodes tell each other the newest acknowledged commit, the candidate has to cover it, and a primary that works is left in place if no replica does.

--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -284,6 +284,7 @@
 	}
 	if reply.Code == currantloom.CodeOK && w.commits() {
 		p.commitAnswered()
+		p.upstream.group.acknowledged(reply.Mark)
 		p.upstream.group.lead(s, p.upstream.Name, reply.Mark, cn.sentAt)
 	}
 	s.endWork(cn)
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -26,10 +26,15 @@
 	probeInterval = 120 * time.Millisecond
 	// retryPause is the time before a failed change starts again.
 	retryPause = 300 * time.Millisecond
+	// stuckPause is the time before commits without an answer start another change, if the last one was in vain.
+	stuckPause = 3 * time.Second
 	// resumeRetries bounds how often a replica is told to go on.
 	resumeRetries = 20
 )
 
+// reasonStuck is the reason of a change whose primary answers but cannot commit.
+const reasonStuck = "commits are not acknowledged"
+
 type failoverStep uint8
 
 const (
@@ -116,8 +121,8 @@
 		return "primary is draining", true
 	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
 		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
-	case s.isStuck(u):
-		return "commits are not acknowledged", false
+	case s.now >= g.stuckUntil && s.isStuck(u):
+		return reasonStuck, false
 	case s.isReportedDown(u):
 		return "primary is unreachable", false
 	case s.now-g.leaderAt > leaderQuiet:
@@ -173,7 +178,7 @@
 	switch {
 	case planned:
 		s.enter(f, stepDrain)
-	case reason == "commits are not acknowledged":
+	case reason == reasonStuck:
 		s.enter(f, stepFence)
 	default:
 		s.enter(f, stepVerify)
@@ -416,7 +421,7 @@
 	for _, u := range missing {
 		s.pause(f, u)
 	}
-	if old := f.group.find(f.old); old != nil && s.now-f.stepAt > stepTimeout/2 {
+	if old := f.group.find(f.old); old != nil && f.reason != reasonStuck && s.now-f.stepAt > stepTimeout/2 {
 		// The log of the old primary holds every commit, so its report replaces that of an unreachable replica.
 		s.ask(f, old, currantloom.Command{Kind: currantloom.CommandStepDown, Term: f.term})
 	}
@@ -437,6 +442,11 @@
 		Event: "failover", Service: f.group.name, Age: s.now - f.began, Reason: "a replica does not report",
 		Outcome: "waiting",
 	})
+	if f.reason == reasonStuck {
+		f.group.stuckUntil = s.now + stuckPause
+		s.endFailover(f, "a replica does not report")
+		return
+	}
 	if f.group.leader != f.old || s.now-f.group.leaderAt < leaderQuiet && !f.planned {
 		s.endFailover(f, "a primary leads")
 	}
@@ -468,14 +478,39 @@
 			best = u
 		}
 	}
-	if best == nil {
+	switch {
+	case best == nil:
 		f.retryAt = s.now + retryPause
 		return
+	case !f.reports[best.Name].Received.Covers(f.group.acked) || best.Name == f.old:
+		s.noCandidate(f, best)
+		return
 	}
 	f.candidate = best.Name
 	s.enter(f, stepOrder)
 }
 
+// noCandidate leaves the primary in place if it still works, and otherwise waits for a server that holds every
+// acknowledged commit.
+func (s *State) noCandidate(f *failover, best *upstream) {
+	s.log(Decision{
+		Event: "failover", Service: f.group.name, Upstream: best.Name, Mark: f.group.acked,
+		Age: s.now - f.began, Reason: "no replica holds every acknowledged commit", Outcome: "waiting",
+	})
+	if _, steppedDown := f.reports[f.old]; steppedDown {
+		f.candidate = f.old
+		s.enter(f, stepOrder)
+		return
+	}
+	if f.reason == reasonStuck || f.planned {
+		f.group.stuckUntil = s.now + stuckPause
+		s.endFailover(f, "no candidate")
+		return
+	}
+	f.retryAt = s.now + retryPause
+	clear(f.reports)
+}
+
 // compareCandidates orders candidates: the longest log first, then those that stay, then the nearest to this node.
 func (s *State) compareCandidates(f *failover, a, b *upstream) int {
 	leaving := func(u *upstream) int {
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -37,6 +37,11 @@
 	// heldUntil is until when a change of primary holds new writes, holdsCommits says that it holds open transactions.
 	heldUntil    time.Duration
 	holdsCommits bool
+	// acked is the newest commit that this node knows to be acknowledged. The next primary has to hold it.
+	acked currantloom.Mark
+	// stuckUntil is until when commits without an answer start no change of primary, because the last one found no
+	// replica to promote.
+	stuckUntil time.Duration
 	// usedAt is when a session last used the service.
 	usedAt time.Duration
 }
@@ -149,6 +154,13 @@
 	}
 }
 
+// acknowledged notes a commit that a client was told of, or will be.
+func (g *group) acknowledged(mark currantloom.Mark) {
+	if mark.Compare(g.acked) > 0 {
+		g.acked = mark
+	}
+}
+
 // addSample keeps the sample in the order of time.
 func (g *group) addSample(added sample) {
 	n := len(g.samples)
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -191,6 +191,11 @@
 	if c := s.catalog.configuration; c != nil {
 		answer.Version = c.Version
 	}
+	for _, g := range s.catalog.ordered {
+		if !g.acked.IsZero() {
+			answer.Acked = append(answer.Acked, currantloom.AckedMark{Service: g.name, Mark: g.acked})
+		}
+	}
 	return answer
 }
 
@@ -218,6 +223,9 @@
 	for _, taken := range p.Samples {
 		s.sampled(taken, m.pingSentAt)
 	}
+	for _, a := range p.Acked {
+		s.groupOf(a.Service).acknowledged(a.Mark)
+	}
 }
 
 // sampled takes over a sample of another node. It was taken no earlier than its age before the question was asked.
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -298,6 +298,7 @@
 		t.opened, t.key, t.upstream, t.vm = true, c.key, c.upstream, c.vm
 	}
 	if reply.Code == currantloom.CodeOK && (r.purpose == purposeWrite || r.purpose == purposeCommit) {
+		r.group.acknowledged(reply.Mark)
 		if reply.Mark.Compare(sn.own) > 0 {
 			sn.own = reply.Mark
 		}
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -189,6 +189,9 @@
 	for range d.length() {
 		m.Samples = append(m.Samples, d.sample())
 	}
+	for range d.length() {
+		m.Acked = append(m.Acked, currantloom.AckedMark{Service: currantloom.ServiceName(d.text()), Mark: d.mark()})
+	}
 	return m
 }
 
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -213,6 +213,11 @@
 	for _, s := range m.Samples {
 		e.sample(s)
 	}
+	e.length(len(m.Acked))
+	for _, a := range m.Acked {
+		e.text(string(a.Service))
+		e.mark(a.Mark)
+	}
 }
 
 func (e *encoder) items(items []currantloom.StoreItem) {
--- a/message.go
+++ b/message.go
@@ -136,6 +136,12 @@
 	Mark Mark
 }
 
+// AckedMark is the newest commit of a service that a node has seen acknowledged.
+type AckedMark struct {
+	Service ServiceName
+	Mark    Mark
+}
+
 // Pong answers a Ping with what the node knows first-hand.
 type Pong struct {
 	Number  uint64
@@ -146,6 +152,7 @@
 	Version   uint64
 	Upstreams []UpstreamReport
 	Samples   []Sample
+	Acked     []AckedMark
 }
 
 // Leaving says that the sender is shutting down and takes no new work.
