--- /dev/null
+++ b/loommodel/server.go
@@ -0,0 +1,600 @@
+package loommodel
+
+import (
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfleet"
+)
+
+const (
+	// connectTime is what the opening of a connection takes at a server.
+	connectTime = 10 * time.Millisecond
+	// unreachableLinger is how long a server keeps the connections of a node that it cannot reach.
+	unreachableLinger = 3 * time.Second
+	// pushInterval is how often a primary sends its log again.
+	pushInterval = 100 * time.Millisecond
+	// maxQueue is the work that waits for a slot at a server.
+	maxQueue = 16
+)
+
+// entry is one commit in the log of a database.
+type entry struct {
+	term, number uint64
+	// writes are the ids of the statements that wrote.
+	writes []string
+	// waiting is called once a replica has the entry.
+	waiting func()
+}
+
+// group is a replicated database.
+type group struct {
+	index   int
+	name    currantloom.ServiceName
+	term    uint64
+	servers []*server
+}
+
+// connKey names a connection by its node, the run of that node, and its id there.
+type connKey struct {
+	node string
+	run  int
+	id   loomfleet.ConnID
+}
+
+// serverTx is an open transaction at a server.
+type serverTx struct {
+	plain, failed bool
+	term          uint64
+	writes        []string
+	owner         *client
+}
+
+// serverConn is a connection at its server.
+type serverConn struct {
+	key      connKey
+	values   map[string]string
+	prepared map[string]currantloom.Command
+	tx       *serverTx
+	queue    []currantloom.Command
+	busy     bool
+	// silent says that no answer comes any more.
+	silent bool
+}
+
+// server is one process of a replicated database.
+type server struct {
+	world    *World
+	name     string
+	place    currantloom.Place
+	group    *group
+	alive    bool
+	dark     bool
+	draining bool
+	born     int64
+	slots    int
+	limit    int
+	running  int
+	waiting  []func()
+
+	primary bool
+	term    uint64
+	// paused says that it receives nothing until it is told to go on; deaf that nothing reaches it.
+	paused, deaf bool
+	log          []*entry
+	applied      int
+	lagFactor    int
+	conns        map[connKey]*serverConn
+	// loseAnswers and late are shares in percent: of runs whose answer is lost, and of writes that run seconds later
+	// and without an answer.
+	loseAnswers, late int
+	run               int
+}
+
+func (s *server) serves() bool { return s.alive && !s.dark }
+
+// position is the end of the log that reads see.
+func (s *server) position() currantloom.Mark {
+	last := s.log[s.applied-1]
+	return currantloom.NewMark(currantloom.Term(last.term), currantloom.Position(last.number))
+}
+
+func (s *server) received() currantloom.Mark {
+	last := s.log[len(s.log)-1]
+	return currantloom.NewMark(currantloom.Term(last.term), currantloom.Position(last.number))
+}
+
+func (n *node) openConn(e loomfleet.OpenConn) {
+	w := n.world
+	s := w.server(e.Upstream.Address)
+	key := connKey{node: n.name, run: n.run, id: e.Conn}
+	if s == nil || !w.reaches(n.name, s.name) || s.dark {
+		return
+	}
+	w.after(w.delay(n.name, s.name)+connectTime, func() {
+		opened := loomfleet.ConnOpened{Conn: e.Conn}
+		switch {
+		case !s.alive:
+			opened.Failed, opened.Refused = true, true
+		case len(s.conns) >= s.limit:
+			opened.Reply.Code = currantloom.CodeNoConnections
+		default:
+			s.conns[key] = &serverConn{
+				key: key, values: make(map[string]string), prepared: make(map[string]currantloom.Command),
+			}
+			opened.Reply = currantloom.Reply{State: currantloom.TransactionIdle, Mark: s.position()}
+		}
+		s.reply(key, opened.Reply, func() loomfleet.Event {
+			opened.Stamp = n.stamp()
+			return opened
+		})
+	})
+}
+
+// reply sends something to the node of a connection.
+func (s *server) reply(key connKey, _ currantloom.Reply, make func() loomfleet.Event) {
+	n := s.world.node(key.node)
+	if n == nil || n.run != key.run || s.dark || !s.world.reaches(s.name, n.name) {
+		return
+	}
+	n.post(s.world.delay(s.name, n.name), make)
+}
+
+func (n *node) sendCommands(e loomfleet.SendCommands) {
+	w := n.world
+	key := connKey{node: n.name, run: n.run, id: e.Conn}
+	for _, s := range w.servers {
+		cn, ok := s.conns[key]
+		if !ok || !w.reaches(n.name, s.name) {
+			continue
+		}
+		commands := slices.Clone(e.Commands)
+		w.after(w.delay(n.name, s.name), func() {
+			if s.serves() && s.conns[key] == cn {
+				cn.queue = append(cn.queue, commands...)
+				s.next(cn)
+			}
+		})
+	}
+}
+
+func (n *node) closeConn(id loomfleet.ConnID) {
+	key := connKey{node: n.name, run: n.run, id: id}
+	for _, s := range n.world.servers {
+		if _, ok := s.conns[key]; !ok {
+			continue
+		}
+		d := n.world.delay(n.name, s.name)
+		if !n.world.reaches(n.name, s.name) {
+			d = unreachableLinger
+		}
+		n.world.after(d, func() { delete(s.conns, key) })
+	}
+}
+
+// dropNode ends the connections of a node that is gone.
+func (s *server) dropNode(name string) {
+	for key := range s.conns {
+		if key.node == name {
+			delete(s.conns, key)
+		}
+	}
+}
+
+// next runs the next command of a connection.
+func (s *server) next(cn *serverConn) {
+	if cn.busy || cn.silent || len(cn.queue) == 0 {
+		return
+	}
+	c := cn.queue[0]
+	cn.queue = cn.queue[1:]
+	cn.busy = true
+	s.execute(cn, c, func(r currantloom.Reply) {
+		cn.busy = false
+		if s.conns[cn.key] != cn || !s.alive {
+			return
+		}
+		if r.Mark.IsZero() {
+			r.Mark = s.position()
+		}
+		r.State = cn.state()
+		s.reply(cn.key, r, func() loomfleet.Event {
+			n := s.world.node(cn.key.node)
+			return loomfleet.ReplyReceived{Stamp: n.stamp(), Conn: cn.key.id, Reply: r}
+		})
+		s.next(cn)
+	})
+}
+
+func (cn *serverConn) state() currantloom.TransactionStatus {
+	switch {
+	case cn.tx == nil:
+		return currantloom.TransactionIdle
+	case cn.tx.failed:
+		return currantloom.TransactionFailed
+	default:
+		return currantloom.TransactionOpen
+	}
+}
+
+func refused(code currantloom.Code) currantloom.Reply { return currantloom.Reply{Code: code} }
+
+// execute runs a command and calls done with its answer.
+func (s *server) execute(cn *serverConn, c currantloom.Command, done func(currantloom.Reply)) {
+	switch c.Kind {
+	case currantloom.CommandSet:
+		cn.values[c.Name] = c.Argument
+		done(currantloom.Reply{})
+	case currantloom.CommandReset:
+		clear(cn.values)
+		clear(cn.prepared)
+		done(currantloom.Reply{})
+	case currantloom.CommandPrepare:
+		cn.prepared[c.Name] = c
+		done(currantloom.Reply{})
+	case currantloom.CommandBegin, currantloom.CommandBeginRead:
+		done(s.begin(cn, c))
+	case currantloom.CommandRollback:
+		cn.tx = nil
+		done(currantloom.Reply{})
+	case currantloom.CommandStatus, currantloom.CommandPause, currantloom.CommandResume, currantloom.CommandStepDown:
+		done(s.control(c))
+	default:
+		s.statement(cn, c, done)
+	}
+}
+
+func (s *server) begin(cn *serverConn, c currantloom.Command) currantloom.Reply {
+	plain := c.Kind == currantloom.CommandBegin
+	switch {
+	case cn.tx != nil:
+		return refused(currantloom.CodeMalformed)
+	case plain && !s.primary:
+		return refused(currantloom.CodeNotPrimary)
+	case !s.position().Covers(c.After):
+		return refused(currantloom.CodeLagging)
+	}
+	cn.tx = &serverTx{plain: plain, term: s.term}
+	return currantloom.Reply{}
+}
+
+func (s *server) control(c currantloom.Command) currantloom.Reply {
+	switch c.Kind {
+	case currantloom.CommandPause:
+		if uint64(c.Term) > s.group.term {
+			s.paused = !s.primary
+		}
+	case currantloom.CommandResume:
+		s.paused = false
+	case currantloom.CommandStepDown:
+		if s.primary && uint64(c.Term) > s.term {
+			s.primary = false
+			s.world.store.report(s)
+		}
+	}
+	return currantloom.Reply{Status: &currantloom.ReplicationStatus{
+		Primary: s.primary, Term: currantloom.Term(s.term), Received: s.received(),
+	}}
+}
+
+// lostLead reports whether a transaction that may write belongs to a lead that the server has lost.
+func (s *server) lostLead(tx *serverTx) bool { return tx.plain && (!s.primary || tx.term != s.term) }
+
+// statement runs a client's statement once a slot is free.
+func (s *server) statement(cn *serverConn, c currantloom.Command, done func(currantloom.Reply)) {
+	info := s.world.oracle.statements[c.ID]
+	if info == nil {
+		s.world.oracle.fail("server %s runs statement %q that no client sent", s.name, c.ID)
+		done(refused(currantloom.CodeMalformed))
+		return
+	}
+	if code := s.refuses(cn, c, info); code != currantloom.CodeOK {
+		if cn.tx != nil {
+			cn.tx.failed = cn.tx.failed || code != currantloom.CodeBusy
+		}
+		done(refused(code))
+		return
+	}
+	if s.running >= s.slots && len(s.waiting) >= maxQueue {
+		done(refused(currantloom.CodeBusy))
+		return
+	}
+	run := s.run
+	s.withSlot(func(free func()) {
+		s.world.oracle.runs(s, cn, c, info)
+		s.world.after(s.runTime(), func() {
+			free()
+			if s.run == run {
+				s.finish(cn, c, info, done)
+			}
+		})
+	})
+}
+
+// refuses returns the code with which the server refuses a statement without running it.
+func (s *server) refuses(cn *serverConn, c currantloom.Command, info *statement) currantloom.Code {
+	switch {
+	case cn.tx != nil && cn.tx.failed:
+		return currantloom.CodeMalformed
+	case c.Kind == currantloom.CommandExecute && cn.prepared[c.Name].Argument != info.shape:
+		return currantloom.CodeNoStatement
+	case cn.tx != nil && s.lostLead(cn.tx) && (!c.Commits || len(cn.tx.writes) > 0):
+		return currantloom.CodeNotPrimary
+	case cn.tx != nil:
+		if c.Writes && !cn.tx.plain {
+			return currantloom.CodeNotPrimary
+		}
+		return currantloom.CodeOK
+	case c.Writes && !s.primary:
+		return currantloom.CodeNotPrimary
+	case !s.position().Covers(c.After):
+		return currantloom.CodeLagging
+	default:
+		return currantloom.CodeOK
+	}
+}
+
+func (s *server) withSlot(run func(free func())) {
+	start := func() {
+		s.running++
+		run(func() {
+			s.running--
+			if len(s.waiting) > 0 {
+				next := s.waiting[0]
+				s.waiting = s.waiting[1:]
+				next()
+			}
+		})
+	}
+	if s.running >= s.slots {
+		s.waiting = append(s.waiting, start)
+		return
+	}
+	start()
+}
+
+func (s *server) runTime() time.Duration {
+	return 3*time.Millisecond + time.Duration(s.world.random.Int64N(int64(10*time.Millisecond)))
+}
+
+// finish ends the run of a statement: what it wrote is kept, and its answer sent or lost.
+func (s *server) finish(cn *serverConn, c currantloom.Command, info *statement, done func(currantloom.Reply)) {
+	w := s.world
+	single := cn.tx == nil
+	if single && c.Writes && w.random.IntN(100) < s.late {
+		cn.silent = true
+		w.after(2*time.Second+time.Duration(w.random.Int64N(int64(8*time.Second))), func() {
+			if s.alive && s.primary {
+				s.append(&entry{writes: []string{c.ID}})
+			}
+		})
+		return
+	}
+	if w.random.IntN(100) < s.loseAnswers {
+		cn.silent = true
+		done = func(currantloom.Reply) {}
+	}
+	answer := func() { done(currantloom.Reply{Rows: []string{"row"}, Signature: "run-" + c.ID}) }
+	var writes []string
+	switch {
+	case single && c.Writes:
+		writes = []string{c.ID}
+	case c.Commits:
+		tx := cn.tx
+		cn.tx = nil
+		if tx == nil {
+			w.oracle.fail("server %s commits for %s outside a transaction", s.name, c.ID)
+			return
+		}
+		if len(tx.writes) > 0 && s.lostLead(tx) {
+			done(refused(currantloom.CodeNotPrimary))
+			return
+		}
+		writes = tx.writes
+	case c.Writes:
+		cn.tx.writes = append(cn.tx.writes, c.ID)
+	}
+	if len(writes) == 0 {
+		answer()
+		return
+	}
+	if !s.primary {
+		done(refused(currantloom.CodeNotPrimary))
+		return
+	}
+	w.oracle.commits(writes, info)
+	s.append(&entry{writes: writes, waiting: answer})
+}
+
+// append adds an entry to the primary's log and sends it to the replicas.
+func (s *server) append(e *entry) {
+	e.term, e.number = s.term, s.log[len(s.log)-1].number+1
+	s.world.oracle.appended(s, e)
+	s.log = append(s.log, e)
+	s.applied = len(s.log)
+	s.push()
+	s.pushLater(s.run, len(s.log))
+}
+
+// pushLater repeats the log until a replica has it.
+func (s *server) pushLater(run, length int) {
+	s.world.after(pushInterval, func() {
+		if s.run != run || !s.primary || !s.alive || len(s.log) < length || s.log[length-1].waiting == nil {
+			return
+		}
+		s.push()
+		s.pushLater(run, length)
+	})
+}
+
+// push sends the log to every replica that it reaches.
+func (s *server) push() {
+	length := len(s.log)
+	for _, r := range s.group.servers {
+		if r == s || !s.world.reaches(s.name, r.name) || !s.serves() {
+			continue
+		}
+		term := s.term
+		s.world.after(s.world.delay(s.name, r.name), func() {
+			if !r.receive(s, term, length) || !s.world.reaches(r.name, s.name) {
+				return
+			}
+			s.world.after(s.world.delay(r.name, s.name), func() { s.confirmed(term, length) })
+		})
+	}
+}
+
+// receive takes over the primary's log up to the length, as far as this replica receives.
+func (s *server) receive(from *server, term uint64, length int) bool {
+	if !s.serves() || s.paused || s.deaf || s.primary || term < s.group.term || from.term != term || length > len(from.log) {
+		return false
+	}
+	s.term = term
+	common := 0
+	for common < min(len(s.log), length) && s.log[common] == from.log[common] {
+		common++
+	}
+	if common < len(s.log) && len(s.log) > length && common == length {
+		return true
+	}
+	s.log = append(s.log[:common:common], from.log[common:length]...)
+	s.applied = min(s.applied, max(common, 1))
+	s.applyLater(length)
+	return true
+}
+
+func (s *server) applyLater(length int) {
+	lag := s.world.options.Lag
+	if s.lagFactor > 0 {
+		lag *= time.Duration(s.lagFactor)
+	}
+	d := lag/2 + time.Duration(s.world.random.Int64N(int64(lag)))
+	s.world.after(d, func() {
+		if !s.primary {
+			s.applied = max(s.applied, min(length, len(s.log)))
+		}
+	})
+}
+
+// confirmed acknowledges the entries up to the length.
+func (s *server) confirmed(term uint64, length int) {
+	if !s.primary || s.term != term || !s.alive {
+		return
+	}
+	for _, e := range s.log[:min(length, len(s.log))] {
+		if e.waiting != nil {
+			answer := e.waiting
+			e.waiting = nil
+			answer()
+		}
+	}
+}
+
+// lead makes the server the primary of the next term, with what it has received and nothing more.
+func (s *server) lead() {
+	if !s.alive || s.primary {
+		return
+	}
+	for _, other := range s.group.servers {
+		if other.primary {
+			other.primary = false
+			s.world.store.report(other)
+		}
+	}
+	s.group.term++
+	s.world.oracle.promoted(s)
+	s.term, s.primary, s.paused, s.applied = s.group.term, true, false, len(s.log)
+	for _, e := range s.log {
+		e.waiting = nil
+	}
+	s.world.store.report(s)
+	s.push()
+}
+
+// Crash ends a server's process, or with dark leaves it without any answer. It comes back with its log.
+func (w *World) Crash(name string, dark bool, down time.Duration) {
+	s := w.server(name)
+	if s == nil || !s.serves() {
+		return
+	}
+	s.run++
+	s.running, s.waiting = 0, nil
+	if dark {
+		s.dark = true
+	} else {
+		s.alive = false
+		s.resetConns()
+	}
+	run := s.run
+	w.after(entryLapse, func() {
+		if s.run == run && !s.serves() {
+			w.store.remove(s)
+		}
+	})
+	w.after(down, func() { s.restart() })
+}
+
+func (s *server) resetConns() {
+	for _, n := range s.world.nodes {
+		for key := range s.conns {
+			if key.node != n.name || key.run != n.run {
+				continue
+			}
+			n.post(linkLoss, func() loomfleet.Event {
+				return loomfleet.ConnLost{Stamp: n.stamp(), Conn: key.id}
+			})
+		}
+	}
+	clear(s.conns)
+}
+
+func (s *server) restart() {
+	s.run++
+	s.alive, s.dark, s.paused = true, false, false
+	s.running, s.waiting = 0, nil
+	s.resetConns()
+	if s.primary && s.term < s.group.term {
+		s.primary = false
+	}
+	s.world.store.report(s)
+	if s.primary {
+		s.push()
+		return
+	}
+	for _, other := range s.group.servers {
+		if other.primary {
+			other.push()
+		}
+	}
+}
+
+// Lag makes a replica apply slower by the factor, and deaf lets it receive nothing, both for a time.
+func (w *World) Lag(name string, factor int, deaf bool, d time.Duration) {
+	s := w.server(name)
+	s.lagFactor, s.deaf = factor, deaf
+	w.after(d, func() { s.lagFactor, s.deaf = 0, false })
+}
+
+// LoseAnswers lets a share of a server's answers get lost, and a share of its writes run late, in percent, for a time.
+func (w *World) LoseAnswers(name string, lost, late int, d time.Duration) {
+	s := w.server(name)
+	s.loseAnswers, s.late = lost, late
+	w.after(d, func() { s.loseAnswers, s.late = 0, 0 })
+}
+
+// Drain announces that a server is about to end. Once it is no longer the primary it ends, and a new one takes its
+// place with its log.
+func (w *World) Drain(name string, after time.Duration) {
+	s := w.server(name)
+	if !s.serves() || s.draining {
+		return
+	}
+	s.draining = true
+	w.store.report(s)
+	w.after(after, func() {
+		s.draining = false
+		s.born++
+		w.Crash(name, false, time.Second)
+	})
+}
