--- a/loomfleet/carrier.go
+++ b/loomfleet/carrier.go
@@ -47,7 +47,9 @@
 	conn *conn
 	// startBy is when it leaves the queue unserved, deadline when a run without an answer ends.
 	startBy, deadline time.Duration
-	startedAt         time.Duration
+	// goalAt is when the latency that the operators want is over.
+	goalAt    time.Duration
+	startedAt time.Duration
 	// sent says that the command was sent to the upstream.
 	sent bool
 	// occupies says that it counts among the running work of the pool.
@@ -79,7 +81,7 @@
 }
 
 func (s *State) callReceived(link LinkID, from currantloom.VMName, m currantloom.Call) {
-	w := &work{call: m, link: link, startBy: s.now + m.Wait}
+	w := &work{call: m, link: link, startBy: s.now + m.Wait, goalAt: s.now + m.Goal}
 	if s.carrier.works[m.Key] != nil {
 		return
 	}
@@ -122,7 +124,7 @@
 	}
 	a.Key = w.call.Key
 	if w.pool != nil {
-		a.Wait = w.pool.expectedWait()
+		a.Wait = w.pool.expectedWait(s.now)
 		a.Sample = s.sampleOf(w.pool.upstream.group)
 	}
 	if w.link == 0 {
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -80,8 +80,8 @@
 func (p *pool) slots() int { return max(1, p.upstream.Slots) }
 
 // expectedWait is the time that new work would spend in the queue.
-func (p *pool) expectedWait() time.Duration {
-	ahead := p.queue.len() + p.running - p.slots() + 1
+func (p *pool) expectedWait(now time.Duration) time.Duration {
+	ahead := p.queue.inTime(now, p.run) + p.running - p.slots() + 1
 	if ahead <= 0 {
 		return 0
 	}
@@ -109,7 +109,7 @@
 	}
 	return currantloom.UpstreamReport{
 		Name: p.upstream.Name, Service: p.upstream.Service, Up: p.isUp(s), Down: p.down, Stuck: p.isStuck(s),
-		Open: open, Wait: p.expectedWait(), Mark: p.upstream.mark,
+		Open: open, Wait: p.expectedWait(s.now), Mark: p.upstream.mark,
 	}
 }
 
@@ -120,7 +120,7 @@
 	case p.down && s.now-p.failedAt < redialAfter:
 		s.answerNotRun(w, currantloom.ReasonUnreachable)
 		return
-	case w.call.Mode < currantloom.CallProbe && p.expectedWait() > w.call.Wait:
+	case w.call.Mode < currantloom.CallProbe && p.expectedWait(s.now) > w.call.Wait:
 		s.answerNotRun(w, currantloom.ReasonQueue)
 		return
 	}
@@ -155,7 +155,7 @@
 // admit starts waiting work while slots and connections are free.
 func (p *pool) admit(s *State) {
 	for {
-		w := p.queue.next(func(w *work) bool { return p.canStart(s, w) })
+		w := p.queue.next(s.now, p.run, func(w *work) bool { return p.canStart(s, w) })
 		if w == nil {
 			break
 		}
--- a/loomfleet/queue.go
+++ b/loomfleet/queue.go
@@ -2,12 +2,17 @@
 
 import (
 	"slices"
+	"time"
 
 	"currantloom.example/currantloom"
 )
 
 // queue holds the work that waits at a pool. Statements of open transactions come first, because they hold a
 // connection, then the work with the lower priority number, then what came first.
+//
+// The load that it answers is a crest: for seconds more work arrives than the upstream can run. First come, first
+// served would then let everybody wait until just after the latency that the operators want. Instead, work that can no
+// longer meet it steps behind the work that can, and runs when there is time for it.
 type queue struct{ waiting []*work }
 
 func (q *queue) len() int { return len(q.waiting) }
@@ -36,17 +41,46 @@
 	}
 }
 
-// next takes the first work out of the queue that can start.
-func (q *queue) next(canStart func(*work) bool) *work {
+// isLate reports whether the work cannot end within the wanted latency any more, with the expected time of a run.
+func (w *work) isLate(now, run time.Duration) bool { return rank(w) >= 0 && now+run > w.goalAt }
+
+// next takes the first work out of the queue that can start, late work only if nothing else can.
+func (q *queue) next(now, run time.Duration, canStart func(*work) bool) *work {
+	late := -1
 	for i, w := range q.waiting {
+		if w.isLate(now, run) {
+			if late < 0 && canStart(w) {
+				late = i
+			}
+			continue
+		}
 		if canStart(w) {
-			q.waiting = slices.Delete(q.waiting, i, i+1)
-			return w
+			return q.take(i)
 		}
 	}
+	if late >= 0 {
+		return q.take(late)
+	}
 	return nil
 }
 
+func (q *queue) take(i int) *work {
+	w := q.waiting[i]
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return w
+}
+
+// inTime counts the work that is not late.
+func (q *queue) inTime(now, run time.Duration) int {
+	count := 0
+	for _, w := range q.waiting {
+		if !w.isLate(now, run) {
+			count++
+		}
+	}
+	return count
+}
+
 func (q *queue) remove(w *work) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *work) bool { return other == w })
 }
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// primaryPatience is how long a request waits for a primary: a change of primary takes 2 to 3 s.
-	primaryPatience = 3500 * time.Millisecond
-	// replicaPatience is how long a read waits for any upstream.
-	replicaPatience = 1500 * time.Millisecond
+	// patience is how long a request waits for an upstream, in the queue or without one: a change of primary takes 2 to
+	// 3 s.
+	patience = 3500 * time.Millisecond
 	// outagePatience is how long after the loss of a primary new requests still wait for the next one.
 	outagePatience = 5 * time.Second
 	// parkInterval is the time between two looks for an upstream, if nothing says that an earlier one helps.
@@ -129,7 +128,8 @@
 	wait := max(0, r.giveUpAt()-s.now)
 	m := currantloom.Call{
 		Key: s.nextKey(), Service: r.group.name, Upstream: c.upstream.Name, Mode: c.mode, Command: command,
-		Settings: r.session.settings(), Timeout: timeout, Wait: wait, Priority: r.route.Priority,
+		Settings: r.session.settings(), Timeout: timeout, Wait: wait, Goal: max(0, r.arrived+r.route.Target-s.now),
+		Priority:        r.route.Priority,
 		TransactionIdle: s.transactionIdle(), After: c.after,
 	}
 	if command.Kind == currantloom.CommandExecute {
@@ -186,12 +186,7 @@
 }
 
 // giveUpAt is when a request without an attempt under way is refused.
-func (r *request) giveUpAt() time.Duration {
-	if r.needsPrimary() {
-		return r.arrived + primaryPatience
-	}
-	return r.arrived + replicaPatience
-}
+func (r *request) giveUpAt() time.Duration { return r.arrived + patience }
 
 // needsPrimary reports whether only the primary may run the request.
 func (r *request) needsPrimary() bool {
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -137,7 +137,8 @@
 		m.Settings = append(m.Settings, currantloom.Setting{Name: d.text(), Value: d.text()})
 	}
 	m.Prepared = currantloom.Prepared{Writes: d.flag(), Shape: d.text()}
-	m.Timeout, m.Wait, m.Priority, m.TransactionIdle = d.duration(), d.duration(), int(d.number()), d.duration()
+	m.Timeout, m.Wait, m.Goal = d.duration(), d.duration(), d.duration()
+	m.Priority, m.TransactionIdle = int(d.number()), d.duration()
 	return m
 }
 
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -140,6 +140,7 @@
 	e.text(m.Prepared.Shape)
 	e.duration(m.Timeout)
 	e.duration(m.Wait)
+	e.duration(m.Goal)
 	e.number(uint64(m.Priority))
 	e.duration(m.TransactionIdle)
 }
--- a/message.go
+++ b/message.go
@@ -43,6 +43,8 @@
 	// Timeout bounds the run, Wait the time in the queue before it.
 	Timeout time.Duration
 	Wait    time.Duration
+	// Goal is the time that is left for the latency that the operators want; zero if it has passed or there is none.
+	Goal time.Duration
 	// Priority is 0 for the most urgent work.
 	Priority int
 	// TransactionIdle is how long the transaction may be idle.
