Notice a silent primary sooner, and ask for open transactions while draining

Cause: from a dark primary to the next one took 2.1 s, of which 1.3 s were the detection; a planned change waited 680 ms for reports that were on their way.

--- a/loomfleet/carrier.go
+++ b/loomfleet/carrier.go
@@ -12,8 +12,10 @@
 	reservedConnections = 3
 	// probeAfter is how long a carried upstream may be unheard before it is probed.
 	probeAfter = 250 * time.Millisecond
-	// silentAfter is how long a probe or the opening of a connection may be without an answer.
+	// silentAfter is how long the opening of a connection, which waits for a slot, may be without an answer.
 	silentAfter = 600 * time.Millisecond
+	// probeSilentAfter is how long a probe may be without an answer. It needs no slot, and the carrier is near.
+	probeSilentAfter = 350 * time.Millisecond
 	// stuckAfter is how long commits may be without an answer, none of them answered, before the primary counts as cut
 	// off from its replicas.
 	stuckAfter = 900 * time.Millisecond
--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -447,9 +447,9 @@
 		}
 	case cn.work != nil && len(cn.steps) > 0:
 		cn.tickWork(s)
-	case len(cn.steps) > 0 && s.now-cn.sentAt > silentAfter:
+	case len(cn.steps) > 0 && s.sinceAwake(cn.sentAt) > probeSilentAfter:
 		s.closeConn(cn, currantloom.ReasonLost)
-		if s.now-p.heardAt > silentAfter {
+		if s.now-p.heardAt > probeSilentAfter {
 			p.failed(s, "no answer to a probe")
 		}
 	case cn.transaction != (currantloom.RequestKey{}) && cn.work == nil && s.now-cn.idleSince > cn.idleLimit:
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -10,14 +10,16 @@
 
 const (
 	// leaderQuiet is how long no proof of the primary may come before the holder of the duty asks itself.
-	leaderQuiet = 900 * time.Millisecond
+	leaderQuiet = 800 * time.Millisecond
 	// drainTransactions is how long a planned change waits for open transactions, holdCommits how long before its end
 	// it holds their statements.
-	drainTransactions = 1200 * time.Millisecond
+	drainTransactions = time.Second
+	// drainReports is when the reports on open transactions are newer than the hold, between regions too.
+	drainReports = 250 * time.Millisecond
 	// holdFor bounds the hold of a change whose holder died.
 	holdFor = 3 * time.Second
 	// controlTimeout bounds a command of a failover at one carrier.
-	controlTimeout = 400 * time.Millisecond
+	controlTimeout = 300 * time.Millisecond
 	// stepTimeout is how long a step waits for the store or for replicas before it starts again.
 	stepTimeout = 1500 * time.Millisecond
 	// promoteTimeout is how long after the order the new primary may take to lead.
@@ -300,18 +302,28 @@
 		s.enter(f, stepFence)
 		return
 	}
+	s.pingCarriers(u)
 	waited := s.now - f.stepAt
 	open := 0
 	for _, r := range s.reportsOn(u) {
 		open += r.Open
 	}
-	// A report is as old as the interval of the pings.
-	if open == 0 && waited > 2*pingInterval || waited > drainTransactions {
+	if open == 0 && waited > drainReports || waited > drainTransactions {
 		s.broadcastHold(f, true)
 		s.enter(f, stepFence)
 	}
 }
 
+// pingCarriers asks the VMs that reported on the upstream again.
+func (s *State) pingCarriers(u *upstream) {
+	for _, m := range s.members.ordered {
+		reports := slices.ContainsFunc(m.reports, func(r currantloom.UpstreamReport) bool { return r.Name == u.Name })
+		if m.alive && !m.waiting && reports {
+			s.sendPing(m)
+		}
+	}
+}
+
 // tickFence writes a new fence, so that an order whose outcome is unknown cannot be carried out after the next one. An
 // unreachable store leaves the old one, if no order under it is open.
 func (s *State) tickFence(f *failover) {
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -142,10 +142,7 @@
 
 // awaitPong suspects a VM whose answer is late, and gives up its link once it counts as silent.
 func (s *State) awaitPong(m *member) {
-	late := s.now - m.pingSentAt
-	if s.resumedAt > m.pingSentAt {
-		late = s.now - s.resumedAt
-	}
+	late := s.sinceAwake(m.pingSentAt)
 	if late > suspectAfter && m.alive {
 		s.suspect(m, "no answer to ping")
 	}
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// sinceAwake returns the time since then, without the time in which the process was paused.
+func (s *State) sinceAwake(then time.Duration) time.Duration { return s.now - max(then, s.resumedAt) }
+
 func (s *State) apply(e Event) {
 	switch e := e.(type) {
 	case Tick:
