Follow the size of the fleet with pings and watches

Cause: on 76 VMs each node took itself for the carrier of every server until it had pinged the others (47,154 refused connections), pinged all carriers three times a second, and returned from its watch for each single change of the store.

--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -9,8 +9,11 @@
 )
 
 const (
-	// pingInterval is the time between two pings to a VM in use.
-	pingInterval = 300 * time.Millisecond
+	// pingInterval is the time between two pings to a VM in a small fleet, largeInterval to one in use in a large one.
+	pingInterval  = 300 * time.Millisecond
+	largeInterval = time.Second
+	// doubtAfter is how long a call may be without an answer before its VM is pinged at once.
+	doubtAfter = 200 * time.Millisecond
 	// suspectAfter is how long a ping may be without an answer before the VM gets no new work: ten round trips between
 	// regions.
 	suspectAfter = 700 * time.Millisecond
@@ -31,8 +34,9 @@
 	revision    uint64
 	goneAt      time.Duration
 	leaving     bool
-	// alive says that it answered a ping and is not suspected.
-	alive bool
+	// alive says that it answered a ping and is not suspected, suspected that it does not answer. A VM that was not
+	// needed yet is neither.
+	alive, suspected bool
 	// heardAt is when it was last heard, usedAt when a call last needed it.
 	heardAt, usedAt time.Duration
 	ping            uint64
@@ -83,7 +87,7 @@
 		s.log(Decision{Event: "vm", VM: name, Version: e.Revision, Outcome: "registered"})
 	}
 	if known.incarnation != e.Incarnation {
-		known.leaving, known.waiting, known.alive = false, false, false
+		known.leaving, known.waiting, known.alive, known.suspected = false, false, false, false
 	}
 	known.vm, known.incarnation, known.revision, known.goneAt = e.VM, e.Incarnation, e.Revision, 0
 	m.epoch++
@@ -124,12 +128,26 @@
 			s.forgetMember(known)
 		case known.waiting:
 			s.awaitPong(known)
-		case s.isPinged(known) && s.now-known.pingSentAt >= pingInterval:
+		case s.isPinged(known) && s.now-known.pingSentAt >= s.pingInterval():
 			s.sendPing(known)
 		}
 	}
 }
 
+func (s *State) pingInterval() time.Duration {
+	if len(s.members.ordered) <= smallFleet {
+		return pingInterval
+	}
+	return largeInterval
+}
+
+// doubt pings a VM that has not answered a call for a while.
+func (s *State) doubt(vm currantloom.VMName) {
+	if m, ok := s.members.byName[vm]; ok && !m.waiting && s.now-m.pingSentAt >= pingInterval {
+		s.sendPing(m)
+	}
+}
+
 func (s *State) isPinged(m *member) bool {
 	return len(s.members.ordered) <= smallFleet || m.usedAt > 0 && s.now-m.usedAt < memberIdle
 }
@@ -143,7 +161,7 @@
 // awaitPong suspects a VM whose answer is late, and gives up its link once it counts as silent.
 func (s *State) awaitPong(m *member) {
 	late := s.sinceAwake(m.pingSentAt)
-	if late > suspectAfter && m.alive {
+	if late > suspectAfter {
 		s.suspect(m, "no answer to ping")
 	}
 	if late > resetAfter {
@@ -154,10 +172,10 @@
 }
 
 func (s *State) suspect(m *member, reason string) {
-	if !m.alive {
+	if m.suspected {
 		return
 	}
-	m.alive, m.reports = false, nil
+	m.alive, m.suspected, m.reports = false, true, nil
 	s.log(Decision{Event: "vm", VM: m.vm.Name(), Reason: reason, Age: s.now - m.heardAt, Outcome: "suspected"})
 	s.hedgeCalls(m.vm.Name())
 }
@@ -206,6 +224,7 @@
 	if p.Leaving {
 		s.memberLeaving(from)
 	}
+	m.suspected = false
 	if !m.alive {
 		m.alive = true
 		s.log(Decision{Event: "vm", VM: from, Age: s.now - m.pingSentAt, Outcome: "answers"})
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -68,7 +68,10 @@
 			continue
 		}
 		if m, ok := s.members.byName[vm]; ok {
-			m.usedAt = s.now
+			m.usedAt = max(s.now, 1)
+			if !m.alive && !m.suspected {
+				s.doubt(vm)
+			}
 		}
 		if s.isCarrier(vm) {
 			return vm, true
@@ -77,13 +80,19 @@
 	return "", false
 }
 
-// carriesNow reports whether this node is the first choice among the VMs that may get calls.
+// mayCarry reports whether other nodes are likely to choose the VM.
+func (s *State) mayCarry(vm currantloom.VMName) bool {
+	m, ok := s.members.byName[vm]
+	return ok && !m.suspected && !m.leaving && m.goneAt == 0
+}
+
+// carriesNow reports whether this node is the first choice among the VMs that are likely to get calls.
 func (s *State) carriesNow(u *upstream) bool {
 	for _, vm := range s.carriers(u) {
 		if vm == s.config.Self {
 			return !s.stop.requested && u.isUsable(s)
 		}
-		if s.isCarrier(vm) && u.avoid[vm] <= s.now {
+		if s.mayCarry(vm) && u.avoid[vm] <= s.now {
 			return false
 		}
 	}
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -512,7 +512,10 @@
 		case s.now >= c.timeoutAt:
 			late = append(late, c)
 		case c.request != nil && s.now-c.sentAt >= hedgeAfter:
+			s.doubt(c.vm)
 			s.hedge(c)
+		case s.now-c.sentAt >= doubtAfter:
+			s.doubt(c.vm)
 		}
 	}
 	slices.SortFunc(late, func(a, b *call) int { return int(a.key.Number) - int(b.key.Number) })
--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -18,7 +18,12 @@
 const (
 	// watchWait is how long a watch waits for changes. A connection that has gone silent is noticed after it and the
 	// timeout of the call.
-	watchWait = 4 * time.Second
+	watchWait      = 4 * time.Second
+	watchWaitLarge = 8 * time.Second
+	// largeFleet is the number of nodes from which on calls to the store are spared: changes of a gatherTime come in one
+	// answer.
+	largeFleet = 16
+	gatherTime = 700 * time.Millisecond
 	// retryPauseMin and retryPauseMax bound the pause after a failed call.
 	retryPauseMin = 150 * time.Millisecond
 	retryPauseMax = time.Second
@@ -119,7 +124,11 @@
 		r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
 		return next, nil
 	}
-	items, next, err := store.Watch(ctx, "", revision, watchWait)
+	wait := watchWait
+	if r.isLarge() {
+		wait = watchWaitLarge
+	}
+	items, next, err := store.Watch(ctx, "", revision, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -128,9 +137,25 @@
 		r.node.post(r.changes(items, false, next))
 	}
 	r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
+	if len(items) > 0 && r.isLarge() {
+		sleep(ctx, gatherTime)
+	}
 	return next, nil
 }
 
+// isLarge reports whether the fleet has so many nodes that their calls to the store add up.
+func (r *registry) isLarge() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	nodes := 0
+	for key := range r.items {
+		if strings.HasPrefix(key, memberPrefix) {
+			nodes++
+		}
+	}
+	return nodes > largeFleet
+}
+
 // askSeeds takes what other nodes know, so that a node that starts while the store is away can serve.
 func (r *registry) askSeeds() {
 	for _, seed := range r.node.config.Seeds {
@@ -260,6 +285,7 @@
 	}})
 }
 
+// sleep returns after the time, or at the end of the context.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
