--- a/loomfleet/carrier.go
+++ b/loomfleet/carrier.go
@@ -82,7 +82,7 @@
 	return w.isSingleWrite() || w.call.Command.Commits && w.conn != nil && w.conn.wrote
 }
 
-func (s *State) callReceived(link LinkID, from currantloom.VMName, m currantloom.Call) {
+func (s *State) callReceived(link LinkID, m currantloom.Call) {
 	w := &work{call: m, link: link, startBy: s.now + m.Wait, goalAt: s.now + m.Goal}
 	if s.carrier.works[m.Key] != nil {
 		return
--- a/loomfleet/duty.go
+++ b/loomfleet/duty.go
@@ -28,7 +28,6 @@
 	failovers map[currantloom.ServiceName]*failover
 	// unanswered holds, for each service, the last order whose outcome is not known.
 	unanswered map[currantloom.ServiceName]order
-	startedAt  time.Duration
 	orders     uint64
 	acting     bool
 }
@@ -118,7 +117,10 @@
 
 // wants reports whether this node shall claim the duty now.
 func (d *duty) wants(s *State) bool {
-	if d.holder.name != "" || d.holder.absentAt == 0 || s.catalog.lost || s.now < settleTime || s.catalog.configuration == nil {
+	if d.holder.name != "" || d.holder.absentAt == 0 || s.now < settleTime {
+		return false
+	}
+	if s.catalog.lost || s.catalog.configuration == nil {
 		return false
 	}
 	return s.now-d.holder.absentAt >= time.Duration(d.rank(s))*campaignDelay
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -75,15 +75,17 @@
 // StoreResult is the outcome of a call to the store.
 type StoreResult uint8
 
+// Outcomes of calls to the store.
 const (
-	// StoreUnknown: no answer; a change may take effect later.
+	// StoreUnknown means that there was no answer; a change may take effect later.
 	StoreUnknown StoreResult = iota
+	// StoreDone means that the call was carried out.
 	StoreDone
-	// StoreConflict: a condition did not hold.
+	// StoreConflict means that a condition did not hold.
 	StoreConflict
-	// StoreNoLease: the lease has ended.
+	// StoreNoLease means that the lease has ended.
 	StoreNoLease
-	// StoreUnavailable: nothing was done.
+	// StoreUnavailable means that nothing was done.
 	StoreUnavailable
 )
 
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -329,6 +329,8 @@
 func (s *State) tickFence(f *failover) {
 	d := &s.duty
 	switch {
+	case f.fence == 0 && s.catalog.lost:
+		s.keepFence(f)
 	case f.fence == 0:
 		if d.newFence(s) {
 			f.fence = d.lead.revision
@@ -377,7 +379,7 @@
 	if f.busy[u.Name] {
 		return
 	}
-	vm, ok := s.carrierOf(u, nil)
+	vm, ok := s.carrierOf(u)
 	if !ok {
 		vm = s.config.Self
 	}
@@ -588,7 +590,7 @@
 	if f.probing || s.now-f.probedAt < probeInterval {
 		return
 	}
-	vm, ok := s.carrierOf(u, nil)
+	vm, ok := s.carrierOf(u)
 	if !ok {
 		return
 	}
@@ -627,7 +629,7 @@
 
 // resumeReplica lets a replica receive again. It is repeated until the replica answers.
 func (s *State) resumeReplica(u *upstream, retries int) {
-	vm, ok := s.carrierOf(u, nil)
+	vm, ok := s.carrierOf(u)
 	if !ok {
 		vm = s.config.Self
 	}
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -31,7 +31,8 @@
 	return sum ^ sum>>33
 }
 
-// carriers returns all VMs in the order in which they are chosen as carrier: near to the upstream first, then by weight.
+// carriers returns all VMs in the order in which they are chosen as carrier: near to the upstream first, then by
+// weight.
 func (s *State) carriers(u *upstream) []currantloom.VMName {
 	if u.orderedAtEpoch == s.members.epoch {
 		return u.order
@@ -62,9 +63,9 @@
 }
 
 // carrierOf returns the VM that carries the upstream. It reports false if none may get calls.
-func (s *State) carrierOf(u *upstream, skip map[currantloom.VMName]bool) (currantloom.VMName, bool) {
+func (s *State) carrierOf(u *upstream) (currantloom.VMName, bool) {
 	for _, vm := range s.carriers(u) {
-		if skip[vm] || u.avoid[vm] > s.now {
+		if u.avoid[vm] > s.now {
 			continue
 		}
 		if m, ok := s.members.byName[vm]; ok {
--- a/loomfleet/registration.go
+++ b/loomfleet/registration.go
@@ -7,11 +7,9 @@
 )
 
 const (
-	// callTimeout is how long a call to the store may be without an answer; the process gives it up then.
-	callTimeout = 2500 * time.Millisecond
-	// retryMin and retryMax bound the pause after a failed call to the store.
-	retryMin = 200 * time.Millisecond
-	retryMax = 1500 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call to the store.
+	firstPause   = 200 * time.Millisecond
+	longestPause = 1500 * time.Millisecond
 )
 
 // registration keeps one key of the node in the store, under a lease.
@@ -122,7 +120,7 @@
 }
 
 func (r *registration) backOff(s *State) {
-	r.pause = min(max(retryMin, 2*r.pause), retryMax)
+	r.pause = min(max(firstPause, 2*r.pause), longestPause)
 	r.retryAt = s.now + r.pause/2 + time.Duration(s.random%uint64(r.pause/2))
 }
 
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -175,7 +175,7 @@
 	}
 	s.requests.calls[m.Key] = c
 	if vm == s.config.Self {
-		s.later(func() { s.callReceived(0, vm, m) })
+		s.later(func() { s.callReceived(0, m) })
 		return c
 	}
 	if known, ok := s.members.byName[vm]; ok {
--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -71,15 +71,15 @@
 	if u == nil || !u.isUsable(s) || r.tried[u.Name] > s.now {
 		return choice{}, false
 	}
-	vm, ok := s.carrierOf(u, nil)
+	vm, ok := s.carrierOf(u)
 	if !ok {
 		return choice{}, false
 	}
 	mode := currantloom.CallOpen
-	switch {
-	case r.purpose == purposeWrite:
+	switch r.purpose {
+	case purposeWrite:
 		mode = currantloom.CallPlain
-	case r.purpose == purposeRead:
+	case purposeRead:
 		mode = currantloom.CallGuarded
 	}
 	return choice{upstream: u, vm: vm, mode: mode}, true
@@ -96,7 +96,7 @@
 		if !u.isUsable(s) || r.tried[u.Name] > s.now {
 			continue
 		}
-		vm, ok := s.carrierOf(u, nil)
+		vm, ok := s.carrierOf(u)
 		if cost := s.readCost(u, taken); ok && (!found || cost < bestCost) {
 			best.upstream, best.vm, bestCost, found = u, vm, cost, true
 		}
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -139,7 +139,7 @@
 func (s *State) messageReceived(e MessageReceived) {
 	switch m := e.Message.(type) {
 	case currantloom.Call:
-		s.callReceived(e.Link, e.From, m)
+		s.callReceived(e.Link, m)
 	case currantloom.CallAnswer:
 		s.members.heard(e.From, s.now)
 		s.callAnswered(m)
--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -24,9 +24,9 @@
 	// answer.
 	largeFleet = 16
 	gatherTime = 700 * time.Millisecond
-	// retryPauseMin and retryPauseMax bound the pause after a failed call.
-	retryPauseMin = 150 * time.Millisecond
-	retryPauseMax = time.Second
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 150 * time.Millisecond
+	longestPause = time.Second
 	// seedTimeout bounds the question to another node.
 	seedTimeout = time.Second
 )
@@ -86,31 +86,32 @@
 // run watches the store until the context ends.
 func (r *registry) run(ctx context.Context) error {
 	var revision uint64
-	pause := retryPauseMin
+	pause := firstPause
 	for ctx.Err() == nil {
 		next, err := r.step(ctx, revision)
-		if err == nil {
-			revision, pause = next, retryPauseMin
-			continue
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		if currantloom.IsInput(err) {
+		switch {
+		case err == nil:
+			revision, pause = next, firstPause
+		case currantloom.IsInput(err):
 			// The store no longer has the history after the revision.
 			revision = 0
-			continue
-		}
-		r.node.post(loomfleet.StoreLost{Stamp: r.node.stamp(), Reason: err.Error()})
-		if revision == 0 {
-			r.askSeeds()
+		case ctx.Err() == nil:
+			r.lost(revision, err)
+			sleep(ctx, pause/2+rand.N(pause))
+			pause = min(2*pause, longestPause)
 		}
-		sleep(ctx, pause/2+rand.N(pause))
-		pause = min(2*pause, retryPauseMax)
 	}
 	return nil
 }
 
+// lost reports a failed call. A node that has read nothing yet asks others.
+func (r *registry) lost(revision uint64, err error) {
+	r.node.post(loomfleet.StoreLost{Stamp: r.node.stamp(), Reason: err.Error()})
+	if revision == 0 {
+		r.askSeeds()
+	}
+}
+
 // step reads everything, or waits for the next changes.
 func (r *registry) step(ctx context.Context, revision uint64) (uint64, error) {
 	store := r.node.config.Store
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -23,7 +23,7 @@
 			},
 			After: mark, Settings: []currantloom.Setting{{Name: "n", Value: "v"}},
 			Prepared: currantloom.Prepared{Writes: true, Shape: "q"}, Timeout: time.Second, Wait: time.Millisecond,
-			Goal: time.Minute,
+			Goal:     time.Minute,
 			Priority: 2, TransactionIdle: 3 * time.Second,
 		},
 		currantloom.CallAnswer{
--- a/loommesh/doc.go
+++ b/loommesh/doc.go
@@ -1,5 +1,5 @@
-// Package loommesh carries messages between nodes: one link for each direction in which a node asks, with answers coming
-// back on the link of the question. A message is a length and a MessagePack array.
+// Package loommesh carries messages between nodes: one link for each direction in which a node asks, with answers
+// coming back on the link of the question. A message is a length and a MessagePack array.
 //
 // Invariants:
 //   - messages of a link arrive in the order in which they were sent, and none twice;
--- /dev/null
+++ b/loommodel/scenario_test.go
@@ -0,0 +1,125 @@
+package loommodel_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom/loommodel"
+)
+
+// TestEachTrouble guards against a single kind of fault that the fleet does not survive.
+func TestEachTrouble(t *testing.T) {
+	for _, trouble := range loommodel.Troubles() {
+		t.Run(trouble.String(), func(t *testing.T) {
+			for seed := range uint64(3) {
+				w := newWorld(t, 100*seed+uint64(trouble), loommodel.Options{Clients: 16})
+				w.TroubleAt(trouble, time.Second)
+				w.TroubleAt(trouble, 5*time.Second)
+				w.Run(20 * time.Second)
+				assertSound(t, w)
+				assertServes(t, w)
+			}
+		})
+	}
+}
+
+// TestLastCopy guards against the promotion of a replica that lacks acknowledged commits. The primary dies while one
+// replica receives nothing; the other one takes over, and is then the only server that holds them. Its commits hang,
+// but it must not be replaced once the dead server counts as gone.
+func TestLastCopy(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, seed, loommodel.Options{Clients: 16})
+		w.Run(time.Second)
+		primary := w.Primary(0)
+		deaf := ""
+		for _, name := range w.Servers() {
+			if name != primary {
+				deaf = name
+			}
+		}
+		w.Lag(deaf, 1, true, 12*time.Second)
+		w.Run(2 * time.Second)
+		w.Crash(primary, true, 30*time.Second)
+		w.Run(20 * time.Second)
+		assertSound(t, w)
+	}
+}
+
+// failoverBound is the time in which a change of primary has to be over.
+const failoverBound = 8 * time.Second
+
+// TestFailoverTime guards against an interruption of writes that is longer than the users accept. It prints the
+// distribution for docs/CAPACITY.md.
+func TestFailoverTime(t *testing.T) {
+	causes := map[string]func(w *loommodel.World){
+		"crash": func(w *loommodel.World) { w.Crash(w.Primary(0), false, 20*time.Second) },
+		"dark":  func(w *loommodel.World) { w.Crash(w.Primary(0), true, 20*time.Second) },
+		"dark, holder killed": func(w *loommodel.World) {
+			w.Crash(w.Primary(0), true, 20*time.Second)
+			w.Kill(w.DutyHolder(), 10*time.Second)
+		},
+		"dark, store down": func(w *loommodel.World) {
+			w.SetStoreDown(true)
+			w.Crash(w.Primary(0), true, 20*time.Second)
+		},
+		"planned": func(w *loommodel.World) { w.Drain(w.Primary(0), 7*time.Second) },
+	}
+	for name, cause := range causes {
+		t.Run(name, func(t *testing.T) {
+			var gaps []time.Duration
+			for seed := range uint64(10) {
+				gaps = append(gaps, gapOf(t, seed, cause))
+			}
+			longest := time.Duration(0)
+			for _, gap := range gaps {
+				longest = max(longest, gap)
+			}
+			t.Logf("%s: longest time without a commit %s of %v", name, longest, gaps)
+			if longest > failoverBound {
+				t.Errorf("no commit for %s, want at most %s", longest, failoverBound)
+			}
+		})
+	}
+}
+
+// gapOf returns the longest time without a commit after the cause.
+func gapOf(t *testing.T, seed uint64, cause func(*loommodel.World)) time.Duration {
+	t.Helper()
+	w := newWorld(t, seed, loommodel.Options{Nodes: 6, Clients: 24, Think: 20 * time.Millisecond})
+	w.Run(2 * time.Second)
+	cause(w)
+	var longest, since time.Duration
+	commits := w.Report().Commits
+	const step = 50 * time.Millisecond
+	for range 15 * time.Second / step {
+		w.Run(step)
+		if got := w.Report().Commits; got > commits {
+			commits, since = got, 0
+			continue
+		}
+		since += step
+		longest = max(longest, since)
+	}
+	assertSound(t, w)
+	return longest.Round(time.Millisecond)
+}
+
+// TestRollingStop guards against a planned stop of all nodes, one after the other, that is an incident for clients.
+func TestRollingStop(t *testing.T) {
+	w := newWorld(t, 3, loommodel.Options{Nodes: 4, Clients: 20})
+	for _, name := range w.Nodes() {
+		w.Stop(name, 500*time.Millisecond)
+		w.Run(9 * time.Second)
+	}
+	assertSound(t, w)
+	assertServes(t, w)
+	answered := w.Report().Answered
+	total := 0
+	for _, count := range answered {
+		total += count
+	}
+	if bad := total - answered["ok"]; bad > total/100 {
+		t.Errorf("%d of %d statements failed while nodes were stopped in turn: %v", bad, total, fmt.Sprint(answered))
+	}
+}
--- a/message.go
+++ b/message.go
@@ -76,28 +76,29 @@
 // CallReason says why a call has no reply of the upstream.
 type CallReason uint8
 
+// Reasons of calls without a reply.
 const (
-	// ReasonReplied: there is a reply.
+	// ReasonReplied means that there is a reply.
 	ReasonReplied CallReason = iota
-	// ReasonQueue: the work would wait too long.
+	// ReasonQueue means that the work would wait too long.
 	ReasonQueue
-	// ReasonUnreachable: this carrier has no connection to the upstream.
+	// ReasonUnreachable means that this carrier has no connection to the upstream.
 	ReasonUnreachable
-	// ReasonUnknownUpstream: the carrier does not know the upstream.
+	// ReasonUnknownUpstream means that the carrier does not know the upstream.
 	ReasonUnknownUpstream
-	// ReasonLeaving: the carrier is shutting down.
+	// ReasonLeaving means that the carrier is shutting down.
 	ReasonLeaving
-	// ReasonNoTransaction: the transaction is over.
+	// ReasonNoTransaction means that the transaction is over.
 	ReasonNoTransaction
-	// ReasonLost: the connection ended during the run.
+	// ReasonLost means that the connection ended during the run.
 	ReasonLost
-	// ReasonSilent: no answer within the timeout.
+	// ReasonSilent means that there was no answer within the timeout.
 	ReasonSilent
-	// ReasonLink: the link to the carrier failed.
+	// ReasonLink means that the link to the carrier failed.
 	ReasonLink
-	// ReasonRefused: the upstream refused before it ran the command, as the reply says.
+	// ReasonRefused means that the upstream refused before it ran the command, as the reply says.
 	ReasonRefused
-	// ReasonHeld: a planned change of primary holds new work back.
+	// ReasonHeld means that a planned change of primary holds new work back.
 	ReasonHeld
 )
 
