--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 SEED ?= 1
 STEPS ?= 200
 CHECKS ?= 100
+SEEDS ?= 60
 FUZZTIME ?= 30s
 LINT = $(GO) tool -modfile=tools/go.mod golangci-lint
 
-.PHONY: all build test race lint format fuzz fuzz-found fuzz-input bench measure
+.PHONY: all build test race lint format fuzz fuzz-found fuzz-input model bench measure
 
 all: lint test
 
@@ -39,10 +40,18 @@
 			-rapid.checks=1 -rapid.nofailfile || exit 1; \
 	done
 
-# Arbitrary bytes from clients and from other nodes.
+# The fleet on the platform, in virtual time under random faults. A failing seed prints its faults.
+model:
+	$(GO) test ./loommodel -run '^TestTroubles$$' -count=1 -timeout 60m -model.seed=$(SEED) -model.seeds=$(SEEDS)
+
+# Arbitrary bytes from clients, servers, other nodes and the store.
 fuzz-input:
 	$(GO) test ./loomentry -run '^$$' -fuzz FuzzSession -fuzztime $(FUZZTIME)
 	$(GO) test ./loompeer -run '^$$' -fuzz FuzzLinkRequest -fuzztime $(FUZZTIME)
+	$(GO) test ./loommesh -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzReadReply -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzStatement -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzUpstream -fuzztime $(FUZZTIME)
 
 # One package at a time, so that they do not slow each other down.
 bench:
