Spread the store's changes inside a failure domain in large fleets

In fleets of more than 16 nodes two nodes of a failure domain watch and push what they read; the others watch as soon as they hear nothing for 2.5 s or find a gap. A late push cannot bring a removed key back (TestFollow).

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -148,7 +148,7 @@
 		}
 		return
 	}
-	if known && e.Revision <= u.revision && u.goneAt == 0 {
+	if known && (e.Revision < u.revision || e.Revision == u.revision && u.goneAt == 0) {
 		return
 	}
 	if known && (u.Born != e.Upstream.Born || u.Address != e.Upstream.Address || u.Service != e.Upstream.Service) {
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -598,7 +598,10 @@
 	sentAt := s.now
 	s.control(u, vm, currantloom.CallProbe, currantloom.Command{}, func(a currantloom.CallAnswer) {
 		f.probing = false
-		if a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK {
+		switch {
+		case a.Verdict != currantloom.Ran:
+			u.avoid[vm] = s.now + avoidFor
+		case a.Reply.Code == currantloom.CodeOK:
 			g.lead(s, f.candidate, a.Reply.Mark, sentAt)
 		}
 	})
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -115,6 +115,7 @@
 	actor(n.log.Run)
 	actor(n.tick)
 	actor(n.registry.run)
+	actor(n.registry.spread)
 	actor(n.metrics.run)
 	actor(n.acceptSessions)
 	actor(n.acceptLinks)
@@ -232,9 +233,13 @@
 
 // MessageReceived passes a message of another node on. Questions for items are answered without the reducer.
 func (n *Node) MessageReceived(from currantloom.VMName, link uint64, m currantloom.Message) {
-	if _, ok := m.(currantloom.ItemsRequest); ok {
+	switch m := m.(type) {
+	case currantloom.ItemsRequest:
 		n.mesh.Respond(link, currantloom.Items{Items: n.registry.known()})
 		return
+	case currantloom.Items:
+		n.registry.pushed(m)
+		return
 	}
 	n.post(loomfleet.MessageReceived{Stamp: n.stamp(), From: from, Link: loomfleet.LinkID(link), Message: m})
 }
--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -41,12 +41,20 @@
 type registry struct {
 	node *Node
 
+	// pushes are changes that other nodes of the failure domain have read.
+	pushes chan currantloom.Items
+
 	mu    sync.Mutex
 	items map[string]currantloom.StoreItem
+	// revision is the one up to which the items are complete, reached says that the store answered last.
+	revision uint64
+	reached  bool
 }
 
 func newRegistry(n *Node) *registry {
-	return &registry{node: n, items: make(map[string]currantloom.StoreItem)}
+	return &registry{
+		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan currantloom.Items, maxPushes),
+	}
 }
 
 // memberRecord is what a node writes under its name; dutyRecord what the holder of the duty writes.
@@ -88,9 +96,16 @@
 	var revision uint64
 	pause := firstPause
 	for ctx.Err() == nil {
+		if revision > 0 && r.follows() {
+			if next, ok := r.follow(ctx, revision); ok {
+				revision = next
+				continue
+			}
+		}
 		next, err := r.step(ctx, revision)
 		switch {
 		case err == nil:
+			r.complete(revision, next)
 			revision, pause = next, firstPause
 		case currantloom.IsInput(err):
 			// The store no longer has the history after the revision.
@@ -106,6 +121,9 @@
 
 // lost reports a failed call. A node that has read nothing yet asks others.
 func (r *registry) lost(revision uint64, err error) {
+	r.mu.Lock()
+	r.reached = false
+	r.mu.Unlock()
 	r.node.post(loomfleet.StoreLost{Stamp: r.node.stamp(), Reason: err.Error()})
 	if revision == 0 {
 		r.askSeeds()
@@ -135,6 +153,7 @@
 	}
 	r.merge(items)
 	if len(items) > 0 {
+		r.push(currantloom.Items{Items: items, Push: true, Base: revision, Revision: next})
 		r.node.post(r.changes(items, false, next))
 	}
 	r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
@@ -144,19 +163,6 @@
 	return next, nil
 }
 
-// isLarge reports whether the fleet has so many nodes that their calls to the store add up.
-func (r *registry) isLarge() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	nodes := 0
-	for key := range r.items {
-		if strings.HasPrefix(key, memberPrefix) {
-			nodes++
-		}
-	}
-	return nodes > largeFleet
-}
-
 // askSeeds takes what other nodes know, so that a node that starts while the store is away can serve.
 func (r *registry) askSeeds() {
 	for _, seed := range r.node.config.Seeds {
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -47,7 +47,10 @@
 		currantloom.Hold{Service: "s", For: time.Second, Commits: true},
 		currantloom.Promoted{Service: "s", Upstream: "u", Term: 4},
 		currantloom.ItemsRequest{},
-		currantloom.Items{Items: []currantloom.StoreItem{{Key: "k", Value: []byte("v"), Revision: 8}}},
+		currantloom.Items{
+			Items: []currantloom.StoreItem{{Key: "k", Value: []byte("v"), Revision: 8, Deleted: true}}, Push: true, Base: 7,
+			Revision: 8,
+		},
 	}
 }
 
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -119,7 +119,7 @@
 	case kindItemsRequest:
 		return currantloom.ItemsRequest{}
 	case kindItems:
-		return currantloom.Items{Items: d.items()}
+		return currantloom.Items{Items: d.items(), Push: d.flag(), Base: d.number(), Revision: d.number()}
 	default:
 		if d.err == nil {
 			d.err = currantloom.ErrInput.New("message of kind %d", k)
@@ -199,7 +199,7 @@
 func (d *decoder) items() []currantloom.StoreItem {
 	var items []currantloom.StoreItem
 	for range d.length() {
-		items = append(items, currantloom.StoreItem{Key: d.text(), Value: d.bytes(), Revision: d.number()})
+		items = append(items, currantloom.StoreItem{Key: d.text(), Value: d.bytes(), Revision: d.number(), Deleted: d.flag()})
 	}
 	return items
 }
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -120,6 +120,9 @@
 	case currantloom.Items:
 		e.number(uint64(kindItems))
 		e.items(m.Items)
+		e.flag(m.Push)
+		e.number(m.Base)
+		e.number(m.Revision)
 	}
 }
 
@@ -227,5 +230,6 @@
 		e.text(item.Key)
 		e.bytes(item.Value)
 		e.number(item.Revision)
+		e.flag(item.Deleted)
 	}
 }
--- a/message.go
+++ b/message.go
@@ -179,8 +179,13 @@
 // ItemsRequest asks a node for the items of the store that it knows.
 type ItemsRequest struct{}
 
-// Items are keys of the store as a node read them.
-type Items struct{ Items []StoreItem }
+// Items are keys of the store as a node read them: the answer to an ItemsRequest, or with Push what changed after the
+// revision Base up to Revision.
+type Items struct {
+	Items          []StoreItem
+	Push           bool
+	Base, Revision uint64
+}
 
 func (Call) message()           {}
 func (CallAnswer) message()     {}
