Let carriers prove the age of reads, and ping only where it is needed in large fleets

Now the entry node states the accepted age, and the carrier of the chosen server proves it with its own samples, taken before the call arrived.

--- a/loomfleet/carrier.go
+++ b/loomfleet/carrier.go
@@ -52,6 +52,9 @@
 	// goalAt is when the latency that the operators want is over.
 	goalAt    time.Duration
 	startedAt time.Duration
+	// required is what the upstream's log has to cover, taken that long before the arrival.
+	required sample
+	arrived  time.Duration
 	// sent says that the command was sent to the upstream.
 	sent bool
 	// occupies says that it counts among the running work of the pool.
@@ -83,7 +86,7 @@
 }
 
 func (s *State) callReceived(link LinkID, m currantloom.Call) {
-	w := &work{call: m, link: link, startBy: s.now + m.Wait, goalAt: s.now + m.Goal}
+	w := &work{call: m, link: link, startBy: s.now + m.Wait, goalAt: s.now + m.Goal, arrived: s.now}
 	if s.carrier.works[m.Key] != nil {
 		return
 	}
@@ -100,11 +103,33 @@
 		s.answerNotRun(w, currantloom.ReasonLeaving)
 		return
 	}
+	if m.MaxAge > 0 && !s.require(w, u.group) {
+		s.answerNotRun(w, currantloom.ReasonNoSample)
+		return
+	}
 	w.pool = s.poolOf(u)
 	s.carrier.works[m.Key] = w
 	w.pool.enqueue(s, w)
 }
 
+// require sets what the upstream's log has to cover: every commit acknowledged before the accepted age, counted from
+// the arrival of the call, which is later than that of the statement; and the session's own ones. It reports false if
+// no sample is fresh enough.
+func (s *State) require(w *work, g *group) bool {
+	taken, ok := g.cover(s.now - w.call.MaxAge + ageMargin)
+	if !ok {
+		return false
+	}
+	if w.call.After.Compare(taken.mark) > 0 {
+		taken.mark = w.call.After
+	}
+	w.required = taken
+	if w.call.Mode == currantloom.CallPlain {
+		w.call.Command.After = taken.mark
+	}
+	return true
+}
+
 // continueTransaction runs the next statement of an open transaction on its connection.
 func (s *State) continueTransaction(w *work) {
 	cn, ok := s.carrier.pinned[w.call.Transaction]
@@ -129,6 +154,9 @@
 		a.Wait = w.pool.expectedWait(s.now)
 		a.Sample = s.sampleOf(w.pool.upstream.group)
 	}
+	if a.Required = w.required.mark; !a.Required.IsZero() {
+		a.Fresh = w.arrived - w.required.takenAt
+	}
 	if w.link == 0 {
 		s.later(func() { s.callAnswered(a) })
 		return
--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -139,7 +139,7 @@
 		commands = append(commands, currantloom.Command{Kind: currantloom.CommandBegin})
 		cn.expect(stepBegin, 1)
 	case currantloom.CallOpenRead:
-		commands = append(commands, currantloom.Command{Kind: currantloom.CommandBeginRead, After: w.call.After})
+		commands = append(commands, currantloom.Command{Kind: currantloom.CommandBeginRead, After: w.required.mark})
 		cn.expect(stepBegin, 1)
 	case currantloom.CallProbe:
 		commands = append(commands, currantloom.Command{Kind: currantloom.CommandBegin})
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -28,6 +28,9 @@
 	probeInterval = 120 * time.Millisecond
 	// retryPause is the time before a failed change starts again.
 	retryPause = 300 * time.Millisecond
+	// ackedWait is how long the VMs have to tell the newest commit that they saw acknowledged, a round trip between
+	// regions.
+	ackedWait = 80 * time.Millisecond
 	// stuckPause is the time before commits without an answer start another change, if the last one was in vain.
 	stuckPause = 3 * time.Second
 	// resumeRetries bounds how often a replica is told to go on.
@@ -319,7 +322,7 @@
 	for _, m := range s.members.ordered {
 		reports := slices.ContainsFunc(m.reports, func(r currantloom.UpstreamReport) bool { return r.Name == u.Name })
 		if m.alive && !m.waiting && reports {
-			s.sendPing(m)
+			s.sendPing(m, "")
 		}
 	}
 }
@@ -362,6 +365,11 @@
 func (s *State) pauseReplicas(f *failover) {
 	f.term = max(f.term, f.group.term) + 1
 	clear(f.reports)
+	for _, m := range s.members.ordered {
+		if !m.suspected && !m.waiting {
+			s.sendPing(m, f.group.name)
+		}
+	}
 	for _, u := range f.group.upstreams {
 		if u.Name != f.old {
 			s.pause(f, u)
@@ -428,7 +436,7 @@
 // tickPause chooses the next primary once the reports show every acknowledged commit.
 func (s *State) tickPause(f *failover) {
 	missing := s.missingReports(f)
-	if len(missing) == 0 {
+	if len(missing) == 0 && s.now-f.stepAt >= ackedWait {
 		s.chooseNext(f)
 		return
 	}
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -19,7 +19,7 @@
 	suspectAfter = 700 * time.Millisecond
 	// resetAfter is when the link is given up as silent.
 	resetAfter = 1400 * time.Millisecond
-	// memberIdle is how long after its last use a VM is still pinged in a large fleet.
+	// memberIdle is how long after its last use a VM that does not answer is still pinged in a large fleet.
 	memberIdle = 10 * time.Second
 	// smallFleet is the number of VMs up to which all are pinged.
 	smallFleet = 16
@@ -122,14 +122,52 @@
 // tickMembers sends pings and suspects VMs that do not answer.
 func (s *State) tickMembers() {
 	m := &s.members
+	targets := s.pingTargets()
 	for _, known := range slices.Clone(m.ordered) {
 		switch {
 		case known.goneAt > 0 && !known.alive && s.now-max(known.goneAt, known.heardAt) > forgetMember:
 			s.forgetMember(known)
 		case known.waiting:
 			s.awaitPong(known)
-		case s.isPinged(known) && s.now-known.pingSentAt >= s.pingInterval():
-			s.sendPing(known)
+		case (targets == nil || targets[known.vm.Name()]) && s.now-known.pingSentAt >= s.pingInterval():
+			s.sendPing(known, "")
+		}
+	}
+}
+
+// pingTargets returns the VMs that are pinged now and then; nil means all, in a small fleet. In a large one these are the
+// carriers of the primaries whose replicas this node carries, for their samples; the VMs that are needed and do not
+// answer; and for the holder of the duty the first choices as carriers. Any other VM is pinged when it leaves a call
+// without an answer.
+func (s *State) pingTargets() map[currantloom.VMName]bool {
+	if len(s.members.ordered) <= smallFleet {
+		return nil
+	}
+	targets := make(map[currantloom.VMName]bool)
+	for _, m := range s.members.ordered {
+		if !m.alive && m.usedAt > 0 && s.now-m.usedAt < memberIdle {
+			targets[m.vm.Name()] = true
+		}
+	}
+	for _, p := range s.carrier.pools {
+		if leader := p.upstream.group.find(p.upstream.group.leader); leader != nil {
+			s.addCarrier(targets, leader)
+		}
+	}
+	if s.duty.lead.revision > 0 {
+		for _, u := range s.catalog.upstreams {
+			s.addCarrier(targets, u)
+		}
+	}
+	return targets
+}
+
+// addCarrier adds the VM that is likely to carry the upstream.
+func (s *State) addCarrier(targets map[currantloom.VMName]bool, u *upstream) {
+	for _, vm := range s.carriers(u) {
+		if s.mayCarry(vm) && u.avoid[vm] <= s.now {
+			targets[vm] = true
+			return
 		}
 	}
 }
@@ -144,18 +182,15 @@
 // doubt pings a VM that has not answered a call for a while.
 func (s *State) doubt(vm currantloom.VMName) {
 	if m, ok := s.members.byName[vm]; ok && !m.waiting && s.now-m.pingSentAt >= pingInterval {
-		s.sendPing(m)
+		s.sendPing(m, "")
 	}
 }
 
-func (s *State) isPinged(m *member) bool {
-	return len(s.members.ordered) <= smallFleet || m.usedAt > 0 && s.now-m.usedAt < memberIdle
-}
-
-func (s *State) sendPing(m *member) {
+// sendPing asks a VM what it knows, with a service also for the newest commit of it that it has seen acknowledged.
+func (s *State) sendPing(m *member, service currantloom.ServiceName) {
 	m.ping = s.nextNumber()
 	m.pingSentAt, m.waiting = s.now, true
-	s.emit(Send{VM: m.vm, Message: currantloom.Ping{Number: m.ping}})
+	s.emit(Send{VM: m.vm, Message: currantloom.Ping{Number: m.ping, Service: service}})
 }
 
 // awaitPong suspects a VM whose answer is late, and gives up its link once it counts as silent.
@@ -207,7 +242,7 @@
 		answer.Version = c.Version
 	}
 	for _, g := range s.catalog.ordered {
-		if !g.acked.IsZero() {
+		if !g.acked.IsZero() && (g.name == p.Service || s.carrier.pools[g.leader] != nil) {
 			answer.Acked = append(answer.Acked, currantloom.AckedMark{Service: g.name, Mark: g.acked})
 		}
 	}
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -60,8 +60,6 @@
 	retryAt time.Duration
 	hedged  bool
 	last    currantloom.CallReason
-	after   currantloom.Mark
-	takenAt time.Duration
 	done    bool
 }
 
@@ -74,6 +72,9 @@
 	mode      currantloom.CallMode
 	sentAt    time.Duration
 	timeoutAt time.Duration
+	// required is what the log of the upstream had to cover, fresh how long before the arrival that was taken.
+	required currantloom.Mark
+	fresh    time.Duration
 	// done takes the answer of a command of a failover.
 	done func(currantloom.CallAnswer)
 }
@@ -122,7 +123,6 @@
 // attempt makes a call for the request.
 func (s *State) attempt(r *request, c choice) {
 	r.attempt++
-	r.after, r.takenAt = c.after, c.takenAt
 	command := r.command(c)
 	timeout := r.route.Timeout
 	wait := max(0, r.giveUpAt()-s.now)
@@ -130,7 +130,7 @@
 		Key: s.nextKey(), Service: r.group.name, Upstream: c.upstream.Name, Mode: c.mode, Command: command,
 		Settings: r.session.settings(), Timeout: timeout, Wait: wait, Goal: max(0, r.arrived+r.route.Target-s.now),
 		Priority:        r.route.Priority,
-		TransactionIdle: s.transactionIdle(), After: c.after,
+		TransactionIdle: s.transactionIdle(), After: c.after, MaxAge: c.maxAge,
 	}
 	if command.Kind == currantloom.CommandExecute {
 		m.Prepared = r.session.prepared[r.statement.Name]
@@ -147,7 +147,7 @@
 func (r *request) command(c choice) currantloom.Command {
 	if r.statement.Kind != currantloom.StatementExecute {
 		return currantloom.Command{
-			Kind: currantloom.CommandStatement, ID: r.statement.ID, Text: r.statement.Text, After: c.readAfter(),
+			Kind: currantloom.CommandStatement, ID: r.statement.ID, Text: r.statement.Text,
 			Writes:  r.statement.Kind == currantloom.StatementWrite,
 			Commits: r.statement.Kind == currantloom.StatementCommit,
 		}
@@ -155,7 +155,7 @@
 	p := r.session.prepared[r.statement.Name]
 	return currantloom.Command{
 		Kind: currantloom.CommandExecute, ID: r.statement.ID, Name: preparedName(p), Argument: r.statement.Parameters,
-		Writes: p.Writes, After: c.readAfter(),
+		Writes: p.Writes,
 	}
 }
 
@@ -247,6 +247,7 @@
 	}
 	delete(s.requests.calls, a.Key)
 	s.sampled(a.Sample, c.sentAt)
+	c.required, c.fresh = a.Required, a.Fresh
 	c.upstream.expect(a.Wait, s.now)
 	c.upstream.saw(a.Reply.Mark, c.sentAt)
 	if c.done != nil {
@@ -324,7 +325,7 @@
 	switch a.Reason {
 	case currantloom.ReasonRefused:
 		s.refusedBy(r, c, a)
-	case currantloom.ReasonQueue:
+	case currantloom.ReasonQueue, currantloom.ReasonNoSample:
 		r.tried[u.Name] = s.now + avoidFor
 	case currantloom.ReasonUnreachable:
 		u.avoid[c.vm] = s.now + avoidFor
@@ -443,18 +444,15 @@
 
 func (s *State) logRequest(r *request, reply currantloom.Reply, c *call) {
 	d := Decision{
-		Event: "statement", Request: r.statement.ID, Session: r.session.id, Service: r.group.name, Mark: r.after,
+		Event: "statement", Request: r.statement.ID, Session: r.session.id, Service: r.group.name,
 		Age: s.now - r.arrived, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.version(),
 		Routine: reply.Code == currantloom.CodeOK && r.attempt == 1,
 	}
-	if r.takenAt > 0 {
-		d.Fresh = r.arrived - r.takenAt
-	}
 	if r.last != currantloom.ReasonReplied {
 		d.Reason = r.last.String()
 	}
 	if c != nil {
-		d.Upstream, d.VM = c.upstream.Name, c.vm
+		d.Upstream, d.VM, d.Mark, d.Fresh = c.upstream.Name, c.vm, c.required, c.fresh
 	}
 	s.log(d)
 }
--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -33,39 +33,21 @@
 	upstream *upstream
 	vm       currantloom.VMName
 	mode     currantloom.CallMode
-	after    currantloom.Mark
-	// takenAt is when the mark was taken that the session's age asks for.
-	takenAt time.Duration
+	// maxAge is the accepted age, if the upstream need not be the primary, and after the session's own commit.
+	maxAge time.Duration
+	after  currantloom.Mark
 }
 
-// readAfter is the mark that the command itself asks for; a transaction asks for it when it opens.
-func (c choice) readAfter() currantloom.Mark {
-	if c.mode == currantloom.CallPlain {
-		return c.after
-	}
-	return currantloom.Mark{}
-}
-
-// choose picks the upstream, its carrier and the proof that a read is fresh enough. It reports false if there is none.
+// choose picks the upstream and its carrier. It reports false if there is none.
 func (s *State) choose(r *request) (choice, bool) {
 	if !r.needsPrimary() {
-		if taken, ok := s.coverOf(r); ok {
-			return s.chooseReplica(r, taken)
+		if c, ok := s.chooseReplica(r); ok {
+			return c, true
 		}
 	}
 	return s.choosePrimary(r)
 }
 
-// coverOf returns the mark that makes a read fresh enough. A read that arrives now accepts what was acknowledged
-// within its age before now.
-func (s *State) coverOf(r *request) (sample, bool) {
-	taken, ok := r.group.cover(r.arrived - r.route.MaxAge + ageMargin)
-	if ok && r.route.Policy == currantloom.ReadSession && r.session.own.Compare(taken.mark) > 0 {
-		taken.mark = r.session.own
-	}
-	return taken, ok
-}
-
 func (s *State) choosePrimary(r *request) (choice, bool) {
 	u := r.group.find(r.group.leader)
 	if u == nil || !u.isUsable(s) || r.tried[u.Name] > s.now {
@@ -86,18 +68,31 @@
 }
 
 // chooseReplica picks the cheapest upstream, the primary among them.
-func (s *State) chooseReplica(r *request, taken sample) (choice, bool) {
-	best, found := choice{mode: currantloom.CallPlain, after: taken.mark, takenAt: taken.takenAt}, false
+func (s *State) chooseReplica(r *request) (choice, bool) {
+	best, found := choice{mode: currantloom.CallPlain, maxAge: max(r.route.MaxAge, 1)}, false
 	if r.purpose != purposeRead {
 		best.mode = currantloom.CallOpenRead
 	}
+	if r.route.Policy == currantloom.ReadSession {
+		best.after = r.session.own
+	}
+	needed, known := r.group.cover(r.arrived - r.route.MaxAge)
+	if best.after.Compare(needed.mark) > 0 {
+		needed, known = sample{mark: best.after, takenAt: r.arrived}, true
+	}
 	var bestCost time.Duration
 	for _, u := range r.group.upstreams {
 		if !u.isUsable(s) || r.tried[u.Name] > s.now {
 			continue
 		}
-		vm, ok := s.carrierOf(u)
-		if cost := s.readCost(u, taken); ok && (!found || cost < bestCost) {
+		cost := s.readCost(u)
+		if known && u.Name != r.group.leader {
+			cost += s.lagCostOf(u, needed)
+		}
+		if found && cost >= bestCost {
+			continue
+		}
+		if vm, ok := s.carrierOf(u); ok {
 			best.upstream, best.vm, bestCost, found = u, vm, cost, true
 		}
 	}
@@ -105,15 +100,13 @@
 }
 
 // readCost is the expected time of a read at the upstream, with what the way there costs.
-func (s *State) readCost(u *upstream, taken sample) time.Duration {
+func (s *State) readCost(u *upstream) time.Duration {
 	cost := [...]time.Duration{0, domainCost, regionCost}[s.config.Place.Distance(u.Place)]
 	if s.now-u.waitAt < reportFresh {
 		cost += u.wait
 	}
 	if u.Name == u.group.leader {
 		cost += primaryCost
-	} else {
-		cost += s.lagCostOf(u, taken)
 	}
 	if u.slowUntil > s.now {
 		cost += slowCost
--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -18,8 +18,9 @@
 const (
 	// watchWait is how long a watch waits for changes. A connection that has gone silent is noticed after it and the
 	// timeout of the call.
-	watchWait      = 4 * time.Second
-	watchWaitLarge = 8 * time.Second
+	watchWait = 4 * time.Second
+	// followerWait is that of a node that follows others and has missed something.
+	followerWait = 300 * time.Millisecond
 	// largeFleet is the number of nodes from which on calls to the store are spared: changes of a gatherTime come in one
 	// answer.
 	largeFleet = 16
@@ -144,8 +145,8 @@
 		return next, nil
 	}
 	wait := watchWait
-	if r.isLarge() {
-		wait = watchWaitLarge
+	if r.follows() {
+		wait = followerWait
 	}
 	items, next, err := store.Watch(ctx, "", revision, wait)
 	if err != nil {
@@ -157,7 +158,7 @@
 		r.node.post(r.changes(items, false, next))
 	}
 	r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
-	if len(items) > 0 && r.isLarge() {
+	if len(items) > 0 && r.isLarge() && !r.follows() {
 		sleep(ctx, gatherTime)
 	}
 	return next, nil
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -21,13 +21,14 @@
 				Kind: currantloom.CommandExecute, ID: "id", Text: "text", After: mark, Name: "n", Argument: "a", Writes: true,
 				Commits: true, Term: 4,
 			},
-			After: mark, Settings: []currantloom.Setting{{Name: "n", Value: "v"}},
+			After: mark, MaxAge: time.Hour, Settings: []currantloom.Setting{{Name: "n", Value: "v"}},
 			Prepared: currantloom.Prepared{Writes: true, Shape: "q"}, Timeout: time.Second, Wait: time.Millisecond,
 			Goal:     time.Minute,
 			Priority: 2, TransactionIdle: 3 * time.Second,
 		},
 		currantloom.CallAnswer{
 			Key: key, Verdict: currantloom.Ran, Reason: currantloom.ReasonRefused, Wait: time.Second, Sample: taken,
+			Required: mark, Fresh: time.Minute,
 			Reply: currantloom.Reply{
 				Rows: []string{"a", ""}, Signature: "sig", Code: currantloom.CodeBusy, Detail: "d", State: 'T', Mark: mark,
 				Status: &currantloom.ReplicationStatus{Primary: true, Term: 3, Received: mark},
@@ -35,7 +36,7 @@
 		},
 		currantloom.CallCancel{Key: key},
 		currantloom.TransactionEnd{Transaction: key},
-		currantloom.Ping{Number: 7},
+		currantloom.Ping{Number: 7, Service: "s"},
 		currantloom.Pong{
 			Number: 7, Leaving: true, StoreReachable: true, Version: 9,
 			Upstreams: []currantloom.UpstreamReport{{
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -102,7 +102,7 @@
 	case kindEnd:
 		return currantloom.TransactionEnd{Transaction: d.key()}
 	case kindPing:
-		return currantloom.Ping{Number: d.number()}
+		return currantloom.Ping{Number: d.number(), Service: currantloom.ServiceName(d.text())}
 	case kindPong:
 		return d.pong()
 	case kindLeaving:
@@ -132,6 +132,7 @@
 	m := currantloom.Call{
 		Key: d.key(), Service: currantloom.ServiceName(d.text()), Upstream: currantloom.ServerName(d.text()),
 		Mode: currantloom.CallMode(d.number()), Transaction: d.key(), Command: d.command(), After: d.mark(),
+		MaxAge: d.duration(),
 	}
 	for range d.length() {
 		m.Settings = append(m.Settings, currantloom.Setting{Name: d.text(), Value: d.text()})
@@ -153,6 +154,7 @@
 	return currantloom.CallAnswer{
 		Key: d.key(), Verdict: currantloom.Verdict(d.number()), Reply: d.reply(),
 		Reason: currantloom.CallReason(d.number()), Wait: d.duration(), Sample: d.sample(),
+		Required: d.mark(), Fresh: d.duration(),
 	}
 }
 
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -100,6 +100,7 @@
 	case currantloom.Ping:
 		e.number(uint64(kindPing))
 		e.number(m.Number)
+		e.text(string(m.Service))
 	case currantloom.Pong:
 		e.number(uint64(kindPong))
 		e.pong(m)
@@ -134,6 +135,7 @@
 	e.key(m.Transaction)
 	e.command(m.Command)
 	e.mark(m.After)
+	e.duration(m.MaxAge)
 	e.length(len(m.Settings))
 	for _, s := range m.Settings {
 		e.text(s.Name)
@@ -167,6 +169,8 @@
 	e.number(uint64(m.Reason))
 	e.duration(m.Wait)
 	e.sample(m.Sample)
+	e.mark(m.Required)
+	e.duration(m.Fresh)
 }
 
 func (e *encoder) reply(r currantloom.Reply) {
--- a/message.go
+++ b/message.go
@@ -34,8 +34,11 @@
 	// Transaction is the key of the call that opened the transaction to continue.
 	Transaction RequestKey
 	Command     Command
-	// After is the mark that the upstream's log has to cover; the zero mark asks for nothing.
+	// After is the session's own newest commit, which a read has to see; zero if it need not see any.
 	After Mark
+	// MaxAge is the accepted age of a read that any upstream may serve; zero for all other commands. The carrier proves
+	// it from the samples that it has when the call arrives.
+	MaxAge time.Duration
 	// Settings are the values that the session has set, sorted by name.
 	Settings []Setting
 	// Prepared is what the command executes; only for CommandExecute.
@@ -71,6 +74,9 @@
 	Wait time.Duration
 	// Sample is the newest one of the service; its upstream is empty if there is none.
 	Sample Sample
+	// Required is what the log had to cover, and Fresh how long before the call's arrival that was taken.
+	Required Mark
+	Fresh    time.Duration
 }
 
 // CallReason says why a call has no reply of the upstream.
@@ -100,13 +106,15 @@
 	ReasonRefused
 	// ReasonHeld means that a planned change of primary holds new work back.
 	ReasonHeld
+	// ReasonNoSample means that the carrier cannot prove that its upstream is fresh enough.
+	ReasonNoSample
 )
 
 // String returns the reason as it stands in logs.
 func (r CallReason) String() string {
 	names := [...]string{
 		"replied", "queue", "unreachable", "unknown_upstream", "leaving", "no_transaction", "lost", "silent", "link",
-		"refused", "held",
+		"refused", "held", "no_sample",
 	}
 	if int(r) < len(names) {
 		return names[r]
@@ -120,8 +128,12 @@
 // TransactionEnd rolls a transaction back.
 type TransactionEnd struct{ Transaction RequestKey }
 
-// Ping asks a node for its Pong.
-type Ping struct{ Number uint64 }
+// Ping asks a node for its Pong. With a service it also asks for the newest commit of it that the node has seen
+// acknowledged.
+type Ping struct {
+	Number  uint64
+	Service ServiceName
+}
 
 // UpstreamReport is what a carrier knows of an upstream.
 type UpstreamReport struct {
