--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// pingInterval is the time between two pings to a VM in a small fleet, largeInterval to one in use in a large one.
+	// pingInterval is the time between two pings to a VM, largeInterval that of the holder of the duty to the carriers of
+	// a large fleet.
 	pingInterval  = 300 * time.Millisecond
 	largeInterval = time.Second
 	// doubtAfter is how long a call may be without an answer before its VM is pinged at once.
@@ -129,7 +130,7 @@
 			s.forgetMember(known)
 		case known.waiting:
 			s.awaitPong(known)
-		case (targets == nil || targets[known.vm.Name()]) && s.now-known.pingSentAt >= s.pingInterval():
+		case s.isPingDue(known, targets):
 			s.sendPing(known, "")
 		}
 	}
@@ -139,44 +140,46 @@
 // carriers of the primaries whose replicas this node carries, for their samples; the VMs that are needed and do not
 // answer; and for the holder of the duty the first choices as carriers. Any other VM is pinged when it leaves a call
 // without an answer.
-func (s *State) pingTargets() map[currantloom.VMName]bool {
+func (s *State) pingTargets() map[currantloom.VMName]time.Duration {
 	if len(s.members.ordered) <= smallFleet {
 		return nil
 	}
-	targets := make(map[currantloom.VMName]bool)
+	targets := make(map[currantloom.VMName]time.Duration)
 	for _, m := range s.members.ordered {
 		if !m.alive && m.usedAt > 0 && s.now-m.usedAt < memberIdle {
-			targets[m.vm.Name()] = true
-		}
-	}
-	for _, p := range s.carrier.pools {
-		if leader := p.upstream.group.find(p.upstream.group.leader); leader != nil {
-			s.addCarrier(targets, leader)
+			targets[m.vm.Name()] = pingInterval
 		}
 	}
 	if s.duty.lead.revision > 0 {
 		for _, u := range s.catalog.upstreams {
-			s.addCarrier(targets, u)
+			s.addCarrier(targets, u, largeInterval)
+		}
+	}
+	for _, p := range s.carrier.pools {
+		if leader := p.upstream.group.find(p.upstream.group.leader); leader != nil {
+			s.addCarrier(targets, leader, pingInterval)
 		}
 	}
 	return targets
 }
 
 // addCarrier adds the VM that is likely to carry the upstream.
-func (s *State) addCarrier(targets map[currantloom.VMName]bool, u *upstream) {
+func (s *State) addCarrier(targets map[currantloom.VMName]time.Duration, u *upstream, interval time.Duration) {
 	for _, vm := range s.carriers(u) {
 		if s.mayCarry(vm) && u.avoid[vm] <= s.now {
-			targets[vm] = true
+			targets[vm] = interval
 			return
 		}
 	}
 }
 
-func (s *State) pingInterval() time.Duration {
-	if len(s.members.ordered) <= smallFleet {
-		return pingInterval
+// isPingDue reports whether a VM has to be pinged now.
+func (s *State) isPingDue(m *member, targets map[currantloom.VMName]time.Duration) bool {
+	interval := pingInterval
+	if targets != nil {
+		interval = targets[m.vm.Name()]
 	}
-	return largeInterval
+	return interval > 0 && s.now-m.pingSentAt >= interval
 }
 
 // doubt pings a VM that has not answered a call for a while.
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -325,8 +325,10 @@
 	switch a.Reason {
 	case currantloom.ReasonRefused:
 		s.refusedBy(r, c, a)
-	case currantloom.ReasonQueue, currantloom.ReasonNoSample:
+	case currantloom.ReasonQueue:
 		r.tried[u.Name] = s.now + avoidFor
+	case currantloom.ReasonNoSample:
+		r.tried[u.Name] = s.now + parkInterval
 	case currantloom.ReasonUnreachable:
 		u.avoid[c.vm] = s.now + avoidFor
 		r.tried[u.Name] = s.now + parkInterval
