--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -19,8 +19,9 @@
 	// watchWait is how long a watch waits for changes. A connection that has gone silent is noticed after it and the
 	// timeout of the call.
 	watchWait = 4 * time.Second
-	// followerWait is that of a node that follows others and has missed something.
-	followerWait = 300 * time.Millisecond
+	// shortWait is that of a node that follows others and has missed something, and of one whose last call failed: a
+	// call that was made while the store was silent has no answer, even after the store is back.
+	shortWait = 300 * time.Millisecond
 	// largeFleet is the number of nodes from which on calls to the store are spared: changes of a gatherTime come in one
 	// answer.
 	largeFleet = 16
@@ -145,8 +146,8 @@
 		return next, nil
 	}
 	wait := watchWait
-	if r.follows() {
-		wait = followerWait
+	if r.follows() || !r.isReached() {
+		wait = shortWait
 	}
 	items, next, err := store.Watch(ctx, "", revision, wait)
 	if err != nil {
@@ -164,6 +165,13 @@
 	return next, nil
 }
 
+// isReached reports whether the store answered the last call.
+func (r *registry) isReached() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reached
+}
+
 // askSeeds takes what other nodes know, so that a node that starts while the store is away can serve.
 func (r *registry) askSeeds() {
 	for _, seed := range r.node.config.Seeds {
