--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -136,10 +136,10 @@
 	}
 }
 
-// pingTargets returns the VMs that are pinged now and then; nil means all, in a small fleet. In a large one these are the
-// carriers of the primaries whose replicas this node carries, for their samples; the VMs that are needed and do not
-// answer; and for the holder of the duty the first choices as carriers. Any other VM is pinged when it leaves a call
-// without an answer.
+// pingTargets returns the VMs that are pinged now and then, with the time between two pings; nil means all, in a small
+// fleet. In a large one these are the carriers of the primaries whose replicas this node carries, for their samples;
+// the VMs that are needed and do not answer; and for the holder of the duty the first choices as carriers. Any other VM
+// is pinged when it leaves a call without an answer.
 func (s *State) pingTargets() map[currantloom.VMName]time.Duration {
 	if len(s.members.ordered) <= smallFleet {
 		return nil
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -123,7 +123,7 @@
 // attempt makes a call for the request.
 func (s *State) attempt(r *request, c choice) {
 	r.attempt++
-	command := r.command(c)
+	command := r.command()
 	timeout := r.route.Timeout
 	wait := max(0, r.giveUpAt()-s.now)
 	m := currantloom.Call{
@@ -144,7 +144,7 @@
 }
 
 // command returns what the upstream is asked for.
-func (r *request) command(c choice) currantloom.Command {
+func (r *request) command() currantloom.Command {
 	if r.statement.Kind != currantloom.StatementExecute {
 		return currantloom.Command{
 			Kind: currantloom.CommandStatement, ID: r.statement.ID, Text: r.statement.Text,
