--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -59,6 +59,7 @@
 	stopOnce   sync.Once
 	stopping   chan struct{}
 	finished   chan struct{}
+	endpoints  []*endpoint
 
 	mu       sync.Mutex
 	running  bool
@@ -119,6 +120,9 @@
 	actor(n.metrics.run)
 	actor(n.acceptSessions)
 	actor(n.acceptLinks)
+	for _, e := range n.endpoints {
+		actor(func(ctx context.Context) error { return n.runEndpoint(ctx, e) })
+	}
 	actor(func(background context.Context) error { return n.awaitStop(ctx, background) })
 	err := g.Run()
 	n.closeParts()
@@ -200,6 +204,7 @@
 			<-ctx.Done()
 			return nil
 		default:
+			n.log.Put(loomlog.Line{Event: "accept", Routine: true, Fields: []any{"outcome", "failed", "reason", err}})
 			time.Sleep(acceptPause)
 		}
 	}
