--- /dev/null
+++ b/loomfleet/candidate.go
@@ -0,0 +1,78 @@
+package loomfleet
+
+import "cmp"
+
+// missingReports returns the replicas whose logs are not known. Those that are gone took theirs with them. With more
+// synchronous replicas, fewer reports are enough.
+func (s *State) missingReports(f *failover) []*upstream {
+	var missing []*upstream
+	for _, u := range f.group.upstreams {
+		if u.Name == f.old || u.goneAt > 0 && s.now-u.goneAt > lapseGrace {
+			continue
+		}
+		if _, ok := f.reports[u.Name]; !ok {
+			missing = append(missing, u)
+		}
+	}
+	if spare := s.service(f.group.name).SyncReplicas - 1; len(missing) <= spare {
+		return nil
+	}
+	return missing
+}
+
+// chooseNext picks the server with the longest log, which holds every acknowledged commit.
+func (s *State) chooseNext(f *failover) {
+	var best *upstream
+	for _, u := range f.group.upstreams {
+		if _, ok := f.reports[u.Name]; ok && (best == nil || s.compareCandidates(f, u, best) < 0) {
+			best = u
+		}
+	}
+	switch {
+	case best == nil:
+		f.retryAt = s.now + retryPause
+		return
+	case !f.reports[best.Name].Received.Covers(f.group.acked) || best.Name == f.old:
+		s.noCandidate(f, best)
+		return
+	}
+	f.candidate = best.Name
+	s.enter(f, stepOrder)
+}
+
+// noCandidate leaves the primary in place if it still works, and otherwise waits for a server that holds every
+// acknowledged commit.
+func (s *State) noCandidate(f *failover, best *upstream) {
+	s.log(Decision{
+		Event: "failover", Service: f.group.name, Upstream: best.Name, Mark: f.group.acked,
+		Age: s.now - f.began, Reason: "no replica holds every acknowledged commit", Outcome: "waiting",
+	})
+	if _, steppedDown := f.reports[f.old]; steppedDown {
+		f.candidate = f.old
+		s.enter(f, stepOrder)
+		return
+	}
+	if f.reason == reasonStuck || f.planned {
+		f.group.stuckUntil = s.now + stuckPause
+		s.endFailover(f, "no candidate")
+		return
+	}
+	f.retryAt = s.now + retryPause
+	clear(f.reports)
+}
+
+// compareCandidates orders candidates: the longest log first, then those that stay, then the nearest to this node.
+func (s *State) compareCandidates(f *failover, a, b *upstream) int {
+	leaving := func(u *upstream) int {
+		if u.isLeaving() {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		f.reports[b.Name].Received.Compare(f.reports[a.Name].Received),
+		cmp.Compare(leaving(a), leaving(b)),
+		cmp.Compare(s.config.Place.Distance(a.Place), s.config.Place.Distance(b.Place)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
--- /dev/null
+++ b/loomfleet/detection.go
@@ -0,0 +1,70 @@
+package loomfleet
+
+import (
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// leaderQuiet is how long no proof of the primary may come before the holder of the duty asks itself.
+const leaderQuiet = 800 * time.Millisecond
+
+// needsFailover returns why the primary of the group has to be replaced or checked; empty if it need not be.
+func (s *State) needsFailover(g *group) (reason string, planned bool) {
+	if len(g.upstreams) == 0 || s.catalog.configuration == nil || !s.catalog.complete {
+		return "", false
+	}
+	if _, ok := s.catalog.configuration.Services[g.name]; !ok {
+		return "", false
+	}
+	u := g.find(g.leader)
+	switch {
+	case u == nil:
+		return "no primary", false
+	case u.drainingAt > 0:
+		return "primary is draining", true
+	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
+		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
+	case s.now >= g.stuckUntil && s.isStuck(u):
+		return reasonStuck, false
+	case s.isReportedDown(u):
+		return "primary is unreachable", false
+	case s.now-g.leaderAt > leaderQuiet:
+		return "primary is quiet", false
+	default:
+		return "", false
+	}
+}
+
+// reportsOn returns what carriers say of an upstream, this node included.
+func (s *State) reportsOn(u *upstream) []currantloom.UpstreamReport {
+	var found []currantloom.UpstreamReport
+	if p, ok := s.carrier.pools[u.Name]; ok {
+		found = append(found, p.report(s))
+	}
+	for _, m := range s.members.ordered {
+		if !m.alive {
+			continue
+		}
+		for _, r := range m.reports {
+			if r.Name == u.Name {
+				found = append(found, r)
+			}
+		}
+	}
+	return found
+}
+
+func (s *State) isStuck(u *upstream) bool {
+	return slices.ContainsFunc(s.reportsOn(u), func(r currantloom.UpstreamReport) bool { return r.Stuck })
+}
+
+// isReportedDown reports whether every carrier that tried failed to reach the upstream.
+func (s *State) isReportedDown(u *upstream) bool {
+	reports := s.reportsOn(u)
+	if len(reports) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(reports, func(r currantloom.UpstreamReport) bool { return !r.Down })
+}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -1,7 +1,6 @@
 package loomfleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -9,10 +8,7 @@
 )
 
 const (
-	// leaderQuiet is how long no proof of the primary may come before the holder of the duty asks itself.
-	leaderQuiet = 800 * time.Millisecond
-	// drainTransactions is how long a planned change waits for open transactions, holdCommits how long before its end
-	// it holds their statements.
+	// drainTransactions is how long a planned change waits for open transactions before it holds their statements too.
 	drainTransactions = time.Second
 	// drainReports is when the reports on open transactions are newer than the hold, between regions too.
 	drainReports = 250 * time.Millisecond
@@ -22,10 +18,6 @@
 	controlTimeout = 300 * time.Millisecond
 	// stepTimeout is how long a step waits for the store or for replicas before it starts again.
 	stepTimeout = 1500 * time.Millisecond
-	// promoteTimeout is how long after the order the new primary may take to lead.
-	promoteTimeout = 4 * time.Second
-	// probeInterval is the time between two probes of the new primary.
-	probeInterval = 120 * time.Millisecond
 	// retryPause is the time before a failed change starts again.
 	retryPause = 300 * time.Millisecond
 	// ackedWait is how long the VMs have to tell the newest commit that they saw acknowledged, a round trip between
@@ -110,65 +102,6 @@
 	}
 }
 
-// needsFailover returns why the primary of the group has to be replaced or checked; empty if it need not be.
-func (s *State) needsFailover(g *group) (reason string, planned bool) {
-	if len(g.upstreams) == 0 || s.catalog.configuration == nil || !s.catalog.complete {
-		return "", false
-	}
-	if _, ok := s.catalog.configuration.Services[g.name]; !ok {
-		return "", false
-	}
-	u := g.find(g.leader)
-	switch {
-	case u == nil:
-		return "no primary", false
-	case u.drainingAt > 0:
-		return "primary is draining", true
-	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
-		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
-	case s.now >= g.stuckUntil && s.isStuck(u):
-		return reasonStuck, false
-	case s.isReportedDown(u):
-		return "primary is unreachable", false
-	case s.now-g.leaderAt > leaderQuiet:
-		return "primary is quiet", false
-	default:
-		return "", false
-	}
-}
-
-// reportsOn returns what carriers say of an upstream, this node included.
-func (s *State) reportsOn(u *upstream) []currantloom.UpstreamReport {
-	var found []currantloom.UpstreamReport
-	if p, ok := s.carrier.pools[u.Name]; ok {
-		found = append(found, p.report(s))
-	}
-	for _, m := range s.members.ordered {
-		if !m.alive {
-			continue
-		}
-		for _, r := range m.reports {
-			if r.Name == u.Name {
-				found = append(found, r)
-			}
-		}
-	}
-	return found
-}
-
-func (s *State) isStuck(u *upstream) bool {
-	return slices.ContainsFunc(s.reportsOn(u), func(r currantloom.UpstreamReport) bool { return r.Stuck })
-}
-
-// isReportedDown reports whether every carrier that tried failed to reach the upstream.
-func (s *State) isReportedDown(u *upstream) bool {
-	reports := s.reportsOn(u)
-	if len(reports) == 0 {
-		return false
-	}
-	return !slices.ContainsFunc(reports, func(r currantloom.UpstreamReport) bool { return !r.Down })
-}
-
 func (s *State) startFailover(g *group, reason string, planned bool) {
 	f := &failover{
 		group: g, reason: reason, planned: planned, began: s.now, old: g.leader,
@@ -474,147 +407,6 @@
 	}
 }
 
-// missingReports returns the replicas whose logs are not known. Those that are gone took theirs with them. With more
-// synchronous replicas, fewer reports are enough.
-func (s *State) missingReports(f *failover) []*upstream {
-	var missing []*upstream
-	for _, u := range f.group.upstreams {
-		if u.Name == f.old || u.goneAt > 0 && s.now-u.goneAt > lapseGrace {
-			continue
-		}
-		if _, ok := f.reports[u.Name]; !ok {
-			missing = append(missing, u)
-		}
-	}
-	if spare := s.service(f.group.name).SyncReplicas - 1; len(missing) <= spare {
-		return nil
-	}
-	return missing
-}
-
-// chooseNext picks the server with the longest log, which holds every acknowledged commit.
-func (s *State) chooseNext(f *failover) {
-	var best *upstream
-	for _, u := range f.group.upstreams {
-		if _, ok := f.reports[u.Name]; ok && (best == nil || s.compareCandidates(f, u, best) < 0) {
-			best = u
-		}
-	}
-	switch {
-	case best == nil:
-		f.retryAt = s.now + retryPause
-		return
-	case !f.reports[best.Name].Received.Covers(f.group.acked) || best.Name == f.old:
-		s.noCandidate(f, best)
-		return
-	}
-	f.candidate = best.Name
-	s.enter(f, stepOrder)
-}
-
-// noCandidate leaves the primary in place if it still works, and otherwise waits for a server that holds every
-// acknowledged commit.
-func (s *State) noCandidate(f *failover, best *upstream) {
-	s.log(Decision{
-		Event: "failover", Service: f.group.name, Upstream: best.Name, Mark: f.group.acked,
-		Age: s.now - f.began, Reason: "no replica holds every acknowledged commit", Outcome: "waiting",
-	})
-	if _, steppedDown := f.reports[f.old]; steppedDown {
-		f.candidate = f.old
-		s.enter(f, stepOrder)
-		return
-	}
-	if f.reason == reasonStuck || f.planned {
-		f.group.stuckUntil = s.now + stuckPause
-		s.endFailover(f, "no candidate")
-		return
-	}
-	f.retryAt = s.now + retryPause
-	clear(f.reports)
-}
-
-// compareCandidates orders candidates: the longest log first, then those that stay, then the nearest to this node.
-func (s *State) compareCandidates(f *failover, a, b *upstream) int {
-	leaving := func(u *upstream) int {
-		if u.isLeaving() {
-			return 1
-		}
-		return 0
-	}
-	return cmp.Or(
-		f.reports[b.Name].Received.Compare(f.reports[a.Name].Received),
-		cmp.Compare(leaving(a), leaving(b)),
-		cmp.Compare(s.config.Place.Distance(a.Place), s.config.Place.Distance(b.Place)),
-		cmp.Compare(a.Name, b.Name),
-	)
-}
-
-// sendOrder asks the platform to promote the candidate.
-func (s *State) sendOrder(f *failover) {
-	d := &s.duty
-	d.orders++
-	f.order = d.orders
-	d.unanswered[f.group.name] = order{fence: f.fence, upstream: f.candidate}
-	s.emit(Promote{Service: f.group.name, Upstream: f.candidate, Fence: f.fence, Order: f.order})
-}
-
-func (s *State) promoteAnswered(e PromoteAnswered) {
-	f := s.duty.failovers[e.Service]
-	s.log(Decision{
-		Event: "order", Service: e.Service, Version: e.Order, Outcome: e.Result.String(),
-	})
-	if f == nil || f.order != e.Order || f.step != stepOrder {
-		return
-	}
-	switch e.Result {
-	case currantloom.PromoteAccepted:
-		delete(s.duty.unanswered, e.Service)
-		s.enter(f, stepAwait)
-	case currantloom.PromoteRefused:
-		s.enter(f, stepFence)
-		f.retryAt = s.now + retryPause
-	case currantloom.PromoteNotDone:
-		f.stepAt = s.now - stepTimeout + retryPause
-	default:
-		s.enter(f, stepOrder)
-	}
-}
-
-// tickAwait probes the candidate until it leads.
-func (s *State) tickAwait(f *failover) {
-	g := f.group
-	u := g.find(f.candidate)
-	switch {
-	case u == nil:
-		s.enter(f, stepFence)
-		return
-	case g.leader == f.candidate && g.leaderAt > f.stepAt:
-		s.endFailover(f, "promoted")
-		return
-	case s.now-f.stepAt > promoteTimeout:
-		s.enter(f, stepFence)
-		return
-	}
-	if f.probing || s.now-f.probedAt < probeInterval {
-		return
-	}
-	vm, ok := s.carrierOf(u)
-	if !ok {
-		return
-	}
-	f.probing, f.probedAt = true, s.now
-	sentAt := s.now
-	s.control(u, vm, currantloom.CallProbe, currantloom.Command{}, func(a currantloom.CallAnswer) {
-		f.probing = false
-		switch {
-		case a.Verdict != currantloom.Ran:
-			u.avoid[vm] = s.now + avoidFor
-		case a.Reply.Code == currantloom.CodeOK:
-			g.lead(s, f.candidate, a.Reply.Mark, sentAt)
-		}
-	})
-}
-
 // endFailover lets the replicas go on and announces the primary.
 func (s *State) endFailover(f *failover, reason string) {
 	g := f.group
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -20,12 +20,6 @@
 	fastAttempts = 4
 	// defaultTimeout bounds a statement whose route states no timeout.
 	defaultTimeout = 2 * time.Second
-	// callMargin is how much longer than its queue and its run a call may take, 5 round trips between regions.
-	callMargin = 300 * time.Millisecond
-	// hedgeAfter is when a read without an answer is sent to a second upstream.
-	hedgeAfter = 300 * time.Millisecond
-	// hedgeShare is the share of requests that may be hedged, in percent, and maxHedges what may be saved up.
-	hedgeShare, maxHedges = 10, 2000
 )
 
 // purpose says what a request does.
@@ -63,22 +57,6 @@
 	done    bool
 }
 
-// call is an attempt of a request, or a command of a failover, at a carrier.
-type call struct {
-	key       currantloom.RequestKey
-	request   *request
-	upstream  *upstream
-	vm        currantloom.VMName
-	mode      currantloom.CallMode
-	sentAt    time.Duration
-	timeoutAt time.Duration
-	// required is what the log of the upstream had to cover, fresh how long before the arrival that was taken.
-	required currantloom.Mark
-	fresh    time.Duration
-	// done takes the answer of a command of a failover.
-	done func(currantloom.CallAnswer)
-}
-
 // requests holds what has no answer yet.
 type requests struct {
 	parked      []*request
@@ -168,23 +146,6 @@
 	return "r" + p.Shape
 }
 
-// sendCall hands a call to its carrier, which may be this node.
-func (s *State) sendCall(u *upstream, vm currantloom.VMName, m currantloom.Call) *call {
-	c := &call{
-		key: m.Key, upstream: u, vm: vm, mode: m.Mode, sentAt: s.now, timeoutAt: s.now + m.Wait + m.Timeout + callMargin,
-	}
-	s.requests.calls[m.Key] = c
-	if vm == s.config.Self {
-		s.later(func() { s.callReceived(0, m) })
-		return c
-	}
-	if known, ok := s.members.byName[vm]; ok {
-		known.usedAt = s.now
-	}
-	s.emit(Send{VM: s.vmOf(vm), Message: m})
-	return c
-}
-
 // giveUpAt is when a request without an attempt under way is refused.
 func (r *request) giveUpAt() time.Duration { return r.arrived + patience }
 
@@ -239,50 +200,6 @@
 	}, nil)
 }
 
-// callAnswered brings the answer to a call of this node.
-func (s *State) callAnswered(a currantloom.CallAnswer) {
-	c, ok := s.requests.calls[a.Key]
-	if !ok {
-		return
-	}
-	delete(s.requests.calls, a.Key)
-	s.sampled(a.Sample, c.sentAt)
-	c.required, c.fresh = a.Required, a.Fresh
-	c.upstream.expect(a.Wait, s.now)
-	c.upstream.saw(a.Reply.Mark, c.sentAt)
-	if c.done != nil {
-		c.done(a)
-		return
-	}
-	r := c.request
-	r.calls = slices.DeleteFunc(r.calls, func(other *call) bool { return other == c })
-	r.last = a.Reason
-	if a.Verdict != currantloom.Ran {
-		s.logAttempt(r, c, a)
-	}
-	switch {
-	case r.done:
-		s.dropAnswer(c, a)
-	case a.Verdict == currantloom.Ran:
-		s.ran(r, c, a)
-	case a.Verdict == currantloom.NotRun:
-		s.notRun(r, c, a)
-	default:
-		s.mayHaveRun(r, c, a)
-	}
-}
-
-// dropAnswer ends a transaction that was opened for a request that was answered otherwise.
-func (s *State) dropAnswer(c *call, a currantloom.CallAnswer) {
-	if opens(c.mode) && a.Verdict != currantloom.NotRun {
-		s.sendEnd(c.vm, c.key)
-	}
-}
-
-func opens(mode currantloom.CallMode) bool {
-	return mode == currantloom.CallOpen || mode == currantloom.CallOpenRead
-}
-
 // ran passes the upstream's answer on.
 func (s *State) ran(r *request, c *call, a currantloom.CallAnswer) {
 	reply, sn := a.Reply, r.session
@@ -471,39 +388,6 @@
 	r.calls = nil
 }
 
-// cancelCall gives up a call if it still waits in a queue.
-func (s *State) cancelCall(c *call) {
-	delete(s.requests.calls, c.key)
-	if c.vm == s.config.Self {
-		s.later(func() { s.callCancelled(c.key) })
-		return
-	}
-	s.emit(Send{VM: s.vmOf(c.vm), Message: currantloom.CallCancel{Key: c.key}})
-}
-
-// failCalls ends the calls to a VM whose link failed.
-func (s *State) failCalls(vm currantloom.VMName, sent bool) {
-	verdict := currantloom.NotRun
-	if sent {
-		verdict = currantloom.MayHaveRun
-	}
-	for _, c := range s.callsTo(vm) {
-		s.callAnswered(currantloom.CallAnswer{Key: c.key, Verdict: verdict, Reason: currantloom.ReasonLink})
-	}
-}
-
-// callsTo returns the calls to a VM in the order in which they were made.
-func (s *State) callsTo(vm currantloom.VMName) []*call {
-	var calls []*call
-	for _, c := range s.requests.calls {
-		if c.vm == vm {
-			calls = append(calls, c)
-		}
-	}
-	slices.SortFunc(calls, func(a, b *call) int { return int(a.key.Number) - int(b.key.Number) })
-	return calls
-}
-
 // tickRequests ends calls whose time is over and hedges late reads.
 func (s *State) tickRequests() {
 	var late []*call
@@ -524,32 +408,3 @@
 	}
 	s.reviewRequests()
 }
-
-// hedgeCalls hedges the reads that a suspected VM has not answered.
-func (s *State) hedgeCalls(vm currantloom.VMName) {
-	for _, c := range s.callsTo(vm) {
-		if c.request != nil {
-			s.hedge(c)
-		}
-	}
-}
-
-// hedge makes a second attempt of a read at another upstream; the first answer counts.
-func (s *State) hedge(c *call) {
-	r := c.request
-	if r.purpose != purposeRead || r.hedged || s.requests.hedgeCredit < 100 {
-		return
-	}
-	r.tried[c.upstream.Name] = s.now + avoidFor
-	next, ok := s.choose(r)
-	if !ok || next.upstream == c.upstream {
-		return
-	}
-	r.hedged = true
-	s.requests.hedgeCredit -= 100
-	s.later(func() {
-		if !r.done {
-			s.attempt(r, next)
-		}
-	})
-}
