Start a change of primary for hanging commits only if the replicas can be compared

Cause: after a dark primary was replaced while the third server received nothing, commits hung for lack of a replica. The holder took that for a primary cut off, paused the only replica that the commits waited for, could not get the dead server's report, and gave up after 1.5 s.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -7,19 +7,25 @@
 func (s *State) missingReports(f *failover) []*upstream {
 	var missing []*upstream
 	for _, u := range f.group.upstreams {
-		if u.Name == f.old || u.goneAt > 0 && s.now-u.goneAt > lapseGrace {
+		if u.Name == f.old || u.isLost(s) {
 			continue
 		}
 		if _, ok := f.reports[u.Name]; !ok {
 			missing = append(missing, u)
 		}
 	}
-	if spare := s.service(f.group.name).SyncReplicas - 1; len(missing) <= spare {
+	if len(missing) <= s.spareReports(f.group) {
 		return nil
 	}
 	return missing
 }
 
+// spareReports is the number of replicas whose logs need not be known, because others hold what they acknowledged.
+func (s *State) spareReports(g *group) int { return max(0, s.service(g.name).SyncReplicas-1) }
+
+// isLost reports whether the upstream counts as gone together with its log.
+func (u *upstream) isLost(s *State) bool { return u.goneAt > 0 && s.now-u.goneAt > lapseGrace }
+
 // chooseNext picks the server with the longest log, which holds every acknowledged commit.
 func (s *State) chooseNext(f *failover) {
 	var best *upstream
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -26,7 +26,7 @@
 		return "primary is draining", true
 	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
 		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
-	case s.now >= g.stuckUntil && s.isStuck(u):
+	case s.now >= g.stuckUntil && s.isStuck(u) && s.canCompare(g):
 		return reasonStuck, false
 	case s.isReportedDown(u):
 		return "primary is unreachable", false
@@ -60,6 +60,23 @@
 	return slices.ContainsFunc(s.reportsOn(u), func(r currantloom.UpstreamReport) bool { return r.Stuck })
 }
 
+// canCompare reports whether enough replicas can be reached to find out which of them hold every acknowledged commit.
+// Without them a change could not end, and would only stop the replicas that the primary waits for.
+func (s *State) canCompare(g *group) bool {
+	unreachable := 0
+	for _, u := range g.upstreams {
+		if u.Name != g.leader && !u.isLost(s) && (u.goneAt > 0 || !s.isReportedUp(u)) {
+			unreachable++
+		}
+	}
+	return unreachable <= s.spareReports(g)
+}
+
+// isReportedUp reports whether a carrier had an answer of the upstream lately.
+func (s *State) isReportedUp(u *upstream) bool {
+	return slices.ContainsFunc(s.reportsOn(u), func(r currantloom.UpstreamReport) bool { return r.Up })
+}
+
 // isReportedDown reports whether every carrier that tried failed to reach the upstream.
 func (s *State) isReportedDown(u *upstream) bool {
 	reports := s.reportsOn(u)
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -36,9 +36,10 @@
 	running, pinned int
 	// run is the moving average of the time of a run.
 	run time.Duration
-	// heardAt is when the upstream last answered, failedAt when it last failed; down says that it failed since.
+	// heardAt is when the upstream last answered, failedAt when it last failed; down says that it failed since. Until the
+	// first answer, heardAt is when the pool was made.
 	heardAt, failedAt time.Duration
-	down              bool
+	answered, down    bool
 	fullUntil         time.Duration
 	usedAt            time.Duration
 	probe             *conn
@@ -89,7 +90,9 @@
 }
 
 // isUp reports whether the upstream answered lately.
-func (p *pool) isUp(s *State) bool { return !p.down && s.now-p.heardAt < silentAfter+probeAfter }
+func (p *pool) isUp(s *State) bool {
+	return p.answered && !p.down && s.now-p.heardAt < silentAfter+probeAfter
+}
 
 // isInUse reports whether this node is the carrier, or has work at the upstream.
 func (p *pool) isInUse(s *State) bool {
@@ -257,7 +260,7 @@
 			Outcome: "reachable",
 		})
 	}
-	p.down, p.heardAt = false, s.now
+	p.answered, p.down, p.heardAt = true, false, s.now
 }
 
 func (p *pool) refuseQueue(s *State, reason currantloom.CallReason) {
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -46,6 +46,38 @@
 	}
 }
 
+// TestLoneReplica guards against a change of primary that is hopeless and stops the only replica that commits wait for.
+// The primary dies while one replica receives nothing; the other one takes over. Its commits hang until the first
+// replica receives again, and are then acknowledged at once.
+func TestLoneReplica(t *testing.T) {
+	const (
+		deafFor = 4 * time.Second
+		// catchUp covers the next repetition of the log, 100 ms, and a round trip between regions.
+		catchUp = 300 * time.Millisecond
+	)
+	for seed := range uint64(10) {
+		w := newWorld(t, seed, loommodel.Options{Clients: 16})
+		w.Run(time.Second)
+		primary := w.Primary(0)
+		deaf := ""
+		for _, name := range w.Servers() {
+			if name != primary {
+				deaf = name
+			}
+		}
+		w.Lag(deaf, 1, true, deafFor)
+		w.Run(500 * time.Millisecond)
+		w.Crash(primary, true, 30*time.Second)
+		w.Run(deafFor - 500*time.Millisecond)
+		commits := w.Report().Commits
+		w.Run(catchUp)
+		if w.Report().Commits == commits {
+			t.Errorf("seed %d: no commit within %s after the replica received again", seed, catchUp)
+		}
+		assertSound(t, w)
+	}
+}
+
 // failoverBound is the time in which a change of primary has to be over.
 const failoverBound = 8 * time.Second
 
