Open connections to an upstream only as far as its slots can use them

Cause: after an outage a carrier opened a connection for each waiting statement, up to the limit of the upstream. Opening one occupies a slot for 27 ms, so the slots were blocked for about a second, the upstream answered BUSY to everything else, and other carriers began the same.

A carrier now holds one connection for each slot, one run to spare and one probe, besides those of open transactions, and opens at most half as many at a time as there are slots. The model's servers now occupy a slot while a connection opens. TestHerd failed before (13 at once).

Ruled out: members unknown at the start (all 78 stood in the store).

--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -18,6 +18,8 @@
 	fullAfter = 500 * time.Millisecond
 	// warmConnections are opened before there is work.
 	warmConnections = 2
+	// probeConnections are left for probes and commands while work has all others.
+	probeConnections = 1
 	// surplusAfter is how long a connection may be idle while others are too. Few connections leave room for the node
 	// that takes over: an upstream counts those of a VM without power for some seconds.
 	surplusAfter = 2 * time.Second
@@ -207,8 +209,11 @@
 }
 
 // openForQueue opens connections for work that waits for one.
+//
+// The load that it answers is a herd: after an outage hundreds of statements wait at once. A connection for each would
+// occupy the slots of the upstream for seconds, as its opening takes one, and could not be used.
 func (p *pool) openForQueue(s *State) {
-	opening, idle := 0, 0
+	opening, idle, free := 0, 0, 0
 	for _, cn := range p.conns {
 		switch {
 		case cn.state == connOpening:
@@ -216,8 +221,12 @@
 		case cn.isIdle():
 			idle++
 		}
+		if cn.transaction == (currantloom.RequestKey{}) {
+			free++
+		}
 	}
-	wanted := p.queue.unpinned() - opening - idle
+	usable := p.slots() + spareRuns + probeConnections
+	wanted := min(p.queue.unpinned()-opening-idle, usable-free, max(1, p.slots()/2)-opening)
 	if s.carriesNow(p.upstream) && len(p.conns) < warmConnections {
 		wanted = max(wanted, 1)
 	}
--- a/loomfleet/queue_test.go
+++ b/loomfleet/queue_test.go
@@ -105,3 +105,38 @@
 			single.isLate(now, 0), first.isLate(now, 0))
 	}
 }
+
+// TestHerd guards against a connection for each statement that waits: after an outage their opening would occupy the
+// slots of the upstream for seconds.
+func TestHerd(t *testing.T) {
+	const waiting, slots = 200, 4
+	f := newFixture(t)
+	f.configure(currantloom.ReadLatest)
+	u := f.state.catalog.upstreams["a"]
+	u.Slots = slots
+	p := f.state.poolOf(u)
+	call := currantloom.Call{
+		Service: testService, Upstream: "a", Mode: currantloom.CallGuarded, Wait: time.Second, Goal: time.Second,
+		Timeout: time.Second,
+	}
+	for i := range uint64(waiting) {
+		call.Key.Number = i + 1
+		f.reduce(MessageReceived{Stamp: f.stamp(), From: "vm-2", Link: 1, Message: call})
+	}
+	if got := len(p.conns); got > max(slots/2, warmConnections) {
+		t.Errorf("%d connections are opened at once, want half of the %d slots", got, slots)
+	}
+	for range waiting {
+		for _, cn := range p.conns {
+			if cn.state == connOpening {
+				f.reduce(ConnOpened{Stamp: f.stamp(), Conn: cn.id})
+			}
+		}
+	}
+	if got := len(p.conns); got > slots+spareRuns+probeConnections {
+		t.Errorf("%d connections, want one for each of %d slots and runs to spare", got, slots+spareRuns+probeConnections)
+	}
+	if p.running != slots+spareRuns {
+		t.Errorf("%d statements run, want %d", p.running, slots+spareRuns)
+	}
+}
--- a/loommodel/server.go
+++ b/loommodel/server.go
@@ -110,22 +110,40 @@
 	if s == nil || !w.reaches(n.name, s.name) || s.dark {
 		return
 	}
-	w.after(w.delay(n.name, s.name)+connectTime, func() {
-		opened := loomfleet.ConnOpened{Conn: e.Conn}
-		switch {
-		case !s.alive:
-			opened.Failed, opened.Refused = true, true
-		case len(s.conns) >= s.limit:
-			opened.Reply.Code = currantloom.CodeNoConnections
-		default:
+	w.after(w.delay(n.name, s.name), func() { s.accept(n, key) })
+}
+
+// accept answers the request for a connection. Opening one occupies a slot.
+func (s *server) accept(n *node, key connKey) {
+	opened := loomfleet.ConnOpened{Conn: key.id}
+	answer := func() {
+		s.reply(key, func() loomfleet.Event {
+			opened.Stamp = n.stamp()
+			return opened
+		})
+	}
+	switch {
+	case !s.alive:
+		opened.Failed, opened.Refused = true, true
+		answer()
+		return
+	case len(s.conns) >= s.limit:
+		opened.Reply.Code = currantloom.CodeNoConnections
+		answer()
+		return
+	}
+	run := s.run
+	s.withSlot(func(free func()) {
+		s.world.after(connectTime, func() {
+			free()
+			if s.run != run {
+				return
+			}
 			s.conns[key] = &serverConn{
 				key: key, values: make(map[string]string), prepared: make(map[string]currantloom.Command),
 			}
 			opened.Reply = currantloom.Reply{State: currantloom.TransactionIdle, Mark: s.position()}
-		}
-		s.reply(key, func() loomfleet.Event {
-			opened.Stamp = n.stamp()
-			return opened
+			answer()
 		})
 	})
 }
