Report a failed primary to the holder of the duty at once, and check quiet ones less often in a large fleet

A real failure was known to the holder only by its next question.

Carriers now send UpstreamFailed when the primary that they carry fails or its commits hang, and the limit in a large fleet is 1.8 s.

--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -10,6 +10,15 @@
 // leaderQuiet is how long no proof of the primary may come before the holder of the duty asks itself.
 const leaderQuiet = 800 * time.Millisecond
 
+// quietLimit is leaderQuiet for the size of the fleet: in a large one the holder asks the carriers less often, and they
+// tell it at once of a primary that fails.
+func (s *State) quietLimit() time.Duration {
+	if len(s.members.ordered) > smallFleet {
+		return leaderQuiet + largeInterval
+	}
+	return leaderQuiet
+}
+
 // needsFailover returns why the primary of the group has to be replaced or checked; empty if it need not be.
 func (s *State) needsFailover(g *group) (reason string, planned bool) {
 	if len(g.upstreams) == 0 || s.catalog.configuration == nil || !s.catalog.complete {
@@ -25,12 +34,12 @@
 	case u.drainingAt > 0:
 		return "primary is draining", true
 	case u.goneAt > 0 && s.now-u.goneAt > lapseGrace && !s.catalog.lost:
-		return "entry of the primary is gone", s.now-g.leaderAt < leaderQuiet
+		return "entry of the primary is gone", s.now-g.leaderAt < s.quietLimit()
 	case s.now >= g.stuckUntil && s.isStuck(u) && s.canCompare(g):
 		return reasonStuck, false
 	case s.isReportedDown(u):
 		return "primary is unreachable", false
-	case s.now-g.leaderAt > leaderQuiet:
+	case s.now-g.leaderAt > s.quietLimit():
 		return "primary is quiet", false
 	default:
 		return "", false
@@ -85,3 +94,26 @@
 	}
 	return !slices.ContainsFunc(reports, func(r currantloom.UpstreamReport) bool { return !r.Down })
 }
+
+// reportFailure tells the holder of the duty once that the primary fails.
+func (p *pool) reportFailure(s *State) {
+	u := p.upstream
+	failed := u.group.leader == u.Name && (p.down || p.isStuck(s))
+	if holder, ok := s.members.byName[s.duty.holder.name]; ok && failed && !p.reported {
+		s.emit(Send{VM: holder.vm, Message: currantloom.UpstreamFailed{Report: p.report(s)}})
+	}
+	p.reported = failed
+}
+
+// upstreamFailed takes a report that was not asked for. It counts until the next answer to a ping.
+func (s *State) upstreamFailed(from currantloom.VMName, report currantloom.UpstreamReport) {
+	m, ok := s.members.byName[from]
+	if !ok || !m.alive {
+		return
+	}
+	m.reports = slices.DeleteFunc(m.reports, func(r currantloom.UpstreamReport) bool { return r.Name == report.Name })
+	m.reports = append(m.reports, report)
+	s.log(Decision{
+		Event: "upstream", Service: report.Service, Upstream: report.Name, VM: from, Mark: report.Mark, Outcome: "reported",
+	})
+}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -402,7 +402,7 @@
 		s.endFailover(f, "a replica does not report")
 		return
 	}
-	if f.group.leader != f.old || s.now-f.group.leaderAt < leaderQuiet && !f.planned {
+	if f.group.leader != f.old || s.now-f.group.leaderAt < s.quietLimit() && !f.planned {
 		s.endFailover(f, "a primary leads")
 	}
 }
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -49,6 +49,8 @@
 	// unanswered counts the commits without an answer since the last one with an answer; the first was sent at stuckAt.
 	unanswered int
 	stuckAt    time.Duration
+	// reported says that the holder of the duty was told of a failure that lasts.
+	reported bool
 }
 
 // poolOf returns the pool of an upstream, made on first use.
@@ -289,6 +291,7 @@
 	for _, cn := range slices.Clone(p.conns) {
 		cn.tick(s)
 	}
+	p.reportFailure(s)
 	if p.isInUse(s) {
 		p.probeQuiet(s)
 		p.trim(s)
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -151,6 +151,8 @@
 		s.emit(Respond{Link: e.Link, Message: s.pong(m)})
 	case currantloom.Pong:
 		s.pongReceived(e.From, m)
+	case currantloom.UpstreamFailed:
+		s.upstreamFailed(e.From, m.Report)
 	case currantloom.Leaving:
 		s.memberLeaving(e.From)
 	case currantloom.Hold:
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -44,6 +44,9 @@
 			}},
 			Samples: []currantloom.Sample{taken}, Acked: []currantloom.AckedMark{{Service: "s", Mark: mark}},
 		},
+		currantloom.UpstreamFailed{Report: currantloom.UpstreamReport{
+			Name: "u", Service: "s", Up: true, Down: true, Stuck: true, Open: 2, Wait: time.Second, Mark: mark,
+		}},
 		currantloom.Leaving{},
 		currantloom.Hold{Service: "s", For: time.Second, Commits: true},
 		currantloom.Promoted{Service: "s", Upstream: "u", Term: 4},
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -105,6 +105,8 @@
 		return currantloom.Ping{Number: d.number(), Service: currantloom.ServiceName(d.text())}
 	case kindPong:
 		return d.pong()
+	case kindUpstreamFailed:
+		return currantloom.UpstreamFailed{Report: d.report()}
 	case kindLeaving:
 		return currantloom.Leaving{}
 	case kindHold:
@@ -184,10 +186,7 @@
 func (d *decoder) pong() currantloom.Pong {
 	m := currantloom.Pong{Number: d.number(), Leaving: d.flag(), StoreReachable: d.flag(), Version: d.number()}
 	for range d.length() {
-		m.Upstreams = append(m.Upstreams, currantloom.UpstreamReport{
-			Name: currantloom.ServerName(d.text()), Service: currantloom.ServiceName(d.text()), Up: d.flag(),
-			Down: d.flag(), Stuck: d.flag(), Open: int(d.number()), Wait: d.duration(), Mark: d.mark(),
-		})
+		m.Upstreams = append(m.Upstreams, d.report())
 	}
 	for range d.length() {
 		m.Samples = append(m.Samples, d.sample())
@@ -198,6 +197,13 @@
 	return m
 }
 
+func (d *decoder) report() currantloom.UpstreamReport {
+	return currantloom.UpstreamReport{
+		Name: currantloom.ServerName(d.text()), Service: currantloom.ServiceName(d.text()), Up: d.flag(),
+		Down: d.flag(), Stuck: d.flag(), Open: int(d.number()), Wait: d.duration(), Mark: d.mark(),
+	}
+}
+
 func (d *decoder) items() []currantloom.StoreItem {
 	var items []currantloom.StoreItem
 	for range d.length() {
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -25,6 +25,7 @@
 	kindPromoted
 	kindItemsRequest
 	kindItems
+	kindUpstreamFailed
 )
 
 // maxMessage bounds a message in bytes.
@@ -104,6 +105,9 @@
 	case currantloom.Pong:
 		e.number(uint64(kindPong))
 		e.pong(m)
+	case currantloom.UpstreamFailed:
+		e.number(uint64(kindUpstreamFailed))
+		e.report(m.Report)
 	case currantloom.Leaving:
 		e.number(uint64(kindLeaving))
 	case currantloom.Hold:
@@ -208,14 +212,7 @@
 	e.number(m.Version)
 	e.length(len(m.Upstreams))
 	for _, u := range m.Upstreams {
-		e.text(string(u.Name))
-		e.text(string(u.Service))
-		e.flag(u.Up)
-		e.flag(u.Down)
-		e.flag(u.Stuck)
-		e.number(uint64(u.Open))
-		e.duration(u.Wait)
-		e.mark(u.Mark)
+		e.report(u)
 	}
 	e.length(len(m.Samples))
 	for _, s := range m.Samples {
@@ -228,6 +225,17 @@
 	}
 }
 
+func (e *encoder) report(u currantloom.UpstreamReport) {
+	e.text(string(u.Name))
+	e.text(string(u.Service))
+	e.flag(u.Up)
+	e.flag(u.Down)
+	e.flag(u.Stuck)
+	e.number(uint64(u.Open))
+	e.duration(u.Wait)
+	e.mark(u.Mark)
+}
+
 func (e *encoder) items(items []currantloom.StoreItem) {
 	e.length(len(items))
 	for _, item := range items {
--- a/message.go
+++ b/message.go
@@ -170,6 +170,10 @@
 	Acked     []AckedMark
 }
 
+// UpstreamFailed tells the holder of the duty, without being asked, that the sender can no longer reach the primary of a
+// service that it carries, or that commits remain without an answer there.
+type UpstreamFailed struct{ Report UpstreamReport }
+
 // Leaving says that the sender is shutting down and takes no new work.
 type Leaving struct{}
 
@@ -205,6 +209,7 @@
 func (TransactionEnd) message() {}
 func (Ping) message()           {}
 func (Pong) message()           {}
+func (UpstreamFailed) message() {}
 func (Leaving) message()        {}
 func (Hold) message()           {}
 func (Promoted) message()       {}
