End the check of a quiet primary after 0.45 s

Ruled out: asking fewer carriers; one that is unreachable would then decide alone.

TestSilentWitness failed before.

--- a/loomfleet/detection_test.go
+++ b/loomfleet/detection_test.go
@@ -95,3 +95,21 @@
 		t.Errorf("a primary that was proven %s ago needs a change: %s", f.now-g.leaderAt, reason)
 	}
 }
+
+// TestSilentWitness guards against a change of primary that waits for a carrier that cannot be reached.
+func TestSilentWitness(t *testing.T) {
+	f := newFixture(t)
+	f.configure(currantloom.ReadLatest)
+	f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
+	change := f.state.duty.failovers[testService]
+	if change.asked == 0 {
+		t.Fatal("nobody was asked")
+	}
+	for end := f.now + verifyTimeout + 2*TickInterval; f.now < end; f.now += TickInterval {
+		f.state.now = f.now
+		f.state.tickFailover(change)
+	}
+	if change.step == stepVerify {
+		t.Errorf("still checking the primary after %s", verifyTimeout)
+	}
+}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -14,6 +14,9 @@
 	drainReports = 250 * time.Millisecond
 	// holdFor bounds the hold of a change whose holder died.
 	holdFor = 3 * time.Second
+	// verifyTimeout bounds the wait for the answers of a primary that is checked. A carrier that cannot be reached must
+	// not delay the change.
+	verifyTimeout = 450 * time.Millisecond
 	// controlTimeout bounds a command of a failover at one carrier.
 	controlTimeout = 300 * time.Millisecond
 	// stepTimeout is how long a step waits for the store or for replicas before it starts again.
@@ -151,7 +154,7 @@
 	}
 	switch f.step {
 	case stepVerify:
-		if f.asked == 0 {
+		if f.asked == 0 || s.now-f.stepAt > verifyTimeout {
 			s.verified(f)
 		}
 	case stepDrain:
