Ask a VM that was not heard yet before taking the next carrier

Cause: a node passed over every VM that had not answered a ping, so after a power loss each node fell through to itself and opened its own connections to every upstream.

It now waits up to 0.25 s for the first answer. A VM that is suspected is passed over at once, as before.

TestIntroduction failed before.

--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -12,6 +12,9 @@
 // avoidFor is how long a VM that could not reach an upstream is passed over as its carrier.
 const avoidFor = 2 * time.Second
 
+// introductionTime is how long the first answer of a VM may take: the link and the ping between regions, twice.
+const introductionTime = 250 * time.Millisecond
+
 // claim is a VM's claim to carry an upstream.
 type claim struct {
 	vm       currantloom.VMName
@@ -62,7 +65,8 @@
 	return ok && m.alive && !m.leaving
 }
 
-// carrierOf returns the VM that carries the upstream. It reports false if none may get calls.
+// carrierOf returns the VM that carries the upstream. It reports false if none may get calls, or if the first choice was
+// asked for the first time a moment ago: the next choice, which may be this node, would open connections of its own.
 func (s *State) carrierOf(u *upstream) (currantloom.VMName, bool) {
 	for _, vm := range s.carriers(u) {
 		if u.avoid[vm] > s.now {
@@ -70,8 +74,8 @@
 		}
 		if m, ok := s.members.byName[vm]; ok {
 			m.usedAt = max(s.now, 1)
-			if !m.alive && !m.suspected {
-				s.doubt(vm)
+			if !m.alive && !m.suspected && s.introduces(m) {
+				return "", false
 			}
 		}
 		if s.isCarrier(vm) {
@@ -81,6 +85,12 @@
 	return "", false
 }
 
+// introduces asks a VM that was not heard yet, and reports whether its answer may still come soon.
+func (s *State) introduces(m *member) bool {
+	s.doubt(m.vm.Name())
+	return !m.leaving && m.waiting && s.sinceAwake(m.pingSentAt) < introductionTime
+}
+
 // mayCarry reports whether other nodes are likely to choose the VM.
 func (s *State) mayCarry(vm currantloom.VMName) bool {
 	m, ok := s.members.byName[vm]
