Let every VM tell the newest acknowledged commit after a log was lost

The reports of the replicas prove every commit unless the server that had received it was replaced meanwhile, which a release of servers does.

The wait is now up to 0.3 s, until all VMs that are not suspected have answered, if a log was lost within the last 30 s. All VMs are asked.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -155,6 +155,7 @@
 		s.log(Decision{
 			Event: "upstream", Upstream: u.Name, Service: u.Service, Version: e.Revision, Outcome: "restarted",
 		})
+		u.group.logLostAt = max(s.now, 1)
 		s.dropUpstream(u)
 		known = false
 	}
@@ -203,6 +204,7 @@
 		return
 	}
 	u.goneAt = max(s.now, 1)
+	u.group.logLostAt = u.goneAt
 	s.log(Decision{Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.revision, Outcome: "gone"})
 }
 
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -24,8 +24,10 @@
 	// retryPause is the time before a failed change starts again.
 	retryPause = 300 * time.Millisecond
 	// ackedWait is how long the VMs have to tell the newest commit that they saw acknowledged, a round trip between
-	// regions.
-	ackedWait = 80 * time.Millisecond
+	// regions; ackedLimit that of slow ones, which counts for logLostFor after a log was lost.
+	ackedWait  = 80 * time.Millisecond
+	ackedLimit = 300 * time.Millisecond
+	logLostFor = 30 * time.Second
 	// stuckPause is the time before commits without an answer start another change, if the last one was in vain.
 	stuckPause = 3 * time.Second
 	// resumeRetries bounds how often a replica is told to go on.
@@ -302,7 +304,7 @@
 	f.term = max(f.term, f.group.term) + 1
 	clear(f.reports)
 	for _, m := range s.members.ordered {
-		if !m.suspected && !m.waiting {
+		if !m.suspected {
 			s.sendPing(m, f.group.name)
 		}
 	}
@@ -372,7 +374,7 @@
 // tickPause chooses the next primary once the reports show every acknowledged commit.
 func (s *State) tickPause(f *failover) {
 	missing := s.missingReports(f)
-	if len(missing) == 0 && s.now-f.stepAt >= ackedWait {
+	if len(missing) == 0 && s.knowsAcked(f) {
 		s.chooseNext(f)
 		return
 	}
@@ -390,6 +392,21 @@
 	s.retryPause(f)
 }
 
+// knowsAcked reports whether the VMs had the time to tell the newest commit that they saw acknowledged. If a log was lost
+// lately, that commit may stand in none of the logs that were reported, so every VM has to answer.
+func (s *State) knowsAcked(f *failover) bool {
+	waited, lostAt := s.now-f.stepAt, f.group.logLostAt
+	switch {
+	case waited < ackedWait:
+		return false
+	case lostAt == 0 || s.now-lostAt > logLostFor || waited >= ackedLimit:
+		return true
+	}
+	return !slices.ContainsFunc(s.members.ordered, func(m *member) bool {
+		return m.waiting && !m.suspected && m.pingSentAt >= f.stepAt
+	})
+}
+
 // retryPause checks now and then whether the old primary leads again, or another one does.
 func (s *State) retryPause(f *failover) {
 	if s.now-f.stepAt < stepTimeout {
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -39,6 +39,8 @@
 	holdsCommits bool
 	// acked is the newest commit that this node knows to be acknowledged. The next primary has to hold it.
 	acked currantloom.Mark
+	// logLostAt is when a server of the group was last gone or back without its log; zero if none was.
+	logLostAt time.Duration
 	// stuckUntil is until when commits without an answer start no change of primary, because the last one found no
 	// replica to promote.
 	stuckUntil time.Duration
