Answer what is left at the end of a shutdown, and close a session with its answer

At a crest, or on a slow VM, a statement can take longer; and a client that sends its next statement right after each answer kept its session until then, because idle sessions were closed by the tick only.

Statements that are left now get a true answer: BUSY if nothing was sent or it is a read, INDOUBT for a write or commit under way, ABORTED for others of a transaction, which is rolled back.

--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -328,6 +328,7 @@
 	s.logRequest(r, reply, c)
 	if s.sessions[sn.id] == sn {
 		s.emit(AnswerSession{Session: sn.id, Reply: reply})
+		s.closeAnswered(sn)
 	}
 }
 
--- a/loomfleet/stop.go
+++ b/loomfleet/stop.go
@@ -1,6 +1,8 @@
 package loomfleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -55,11 +57,44 @@
 	busy := len(s.sessions) > 0 || len(s.carrier.works) > 0 || len(s.carrier.pinned) > 0
 	if s.stop.refusing && !busy || since >= s.config.GracePeriod-stopMargin {
 		s.stop.stopped = true
+		s.answerLeft()
 		s.log(Decision{Event: "stop", Age: since, Outcome: "stopped"})
 		s.emit(Stopped{})
 	}
 }
 
+// answerLeft answers the statements whose answers the process cannot wait for any more.
+func (s *State) answerLeft() {
+	for _, id := range slices.Sorted(maps.Keys(s.sessions)) {
+		if r := s.sessions[id].request; r != nil {
+			s.finish(r, r.replyAtEnd(), nil)
+		}
+	}
+}
+
+// replyAtEnd says what is known of a request without an answer at the end of the process, whose transactions are rolled
+// back.
+func (r *request) replyAtEnd() currantloom.Reply {
+	const reason = "shutdown"
+	switch {
+	case r.purpose == purposeRead || len(r.calls) == 0 && r.purpose == purposeWrite:
+		return currantloom.Reply{Code: currantloom.CodeBusy, Detail: "retry after 0 ms"}
+	case len(r.calls) > 0 && (r.purpose == purposeWrite || r.purpose == purposeCommit):
+		return currantloom.Reply{Code: currantloom.CodeInDoubt, Detail: reason}
+	default:
+		return currantloom.Reply{Code: currantloom.CodeAborted, Detail: reason}
+	}
+}
+
+// closeAnswered closes a session of a node that is shutting down with the answer that it gets, because its client would
+// send the next statement at once.
+func (s *State) closeAnswered(sn *session) {
+	if s.stop.refusing && sn.status == currantloom.TransactionIdle {
+		delete(s.sessions, sn.id)
+		s.emit(CloseSession{Session: sn.id})
+	}
+}
+
 // closeIdleSessions closes sessions that wait for nothing. Open transactions have half of the grace period.
 func (s *State) closeIdleSessions(transactions bool) {
 	for id, sn := range s.sessions {
