Log once a second and service that reads are turned away from lagging replicas

Cause: a primary that serves all reads because both replicas lag showed only as single 'lagging' attempts, which are routine lines and left out under load.

The line names the count, the replica, where it stood and what the last read had to see. TestLagIsTold.

--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -115,6 +115,8 @@
 	Version uint64
 	Age     time.Duration
 	Attempt int
+	// Count is how often something happened since the last such line.
+	Count   int
 	Reason  string
 	Outcome string
 	// Routine says that the line tells of ordinary work, and may be left out under load.
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -46,6 +46,7 @@
 	stuckUntil time.Duration
 	// usedAt is when a session last used the service.
 	usedAt time.Duration
+	lag    lag
 }
 
 // groupOf returns the group of a service, made on first use.
--- /dev/null
+++ b/loomfleet/lag_test.go
@@ -0,0 +1,44 @@
+package loomfleet
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// TestLagIsTold guards against reads that all go to the primary without a line that says why, and against a line for
+// each of them.
+func TestLagIsTold(t *testing.T) {
+	f := newFixture(t)
+	f.configure(currantloom.ReadBounded)
+	g := f.state.groupOf(testService)
+	lines := func() []Decision {
+		var found []Decision
+		for _, e := range f.effects {
+			if d, ok := e.(Decision); ok && d.Event == "lag" {
+				found = append(found, d)
+			}
+		}
+		return found
+	}
+	count := 0
+	for range 2 {
+		f.now += 100 * time.Millisecond
+		f.state.now = f.now
+		for range 50 {
+			g.lag.turnedAway(g.find("b"), sample{mark: currantloom.NewMark(1, 9), takenAt: time.Millisecond})
+		}
+		f.reduce(Tick{Stamp: f.stamp()})
+		for _, d := range lines() {
+			count += d.Count
+		}
+	}
+	if count != 50 {
+		t.Errorf("%d reads were told within a second, want those of the first line, 50", count)
+	}
+	f.wait(lagInterval)
+	if got := lines(); len(got) != 1 || got[0].Count != 50 || got[0].Upstream != "b" {
+		t.Errorf("lines after a second: %+v, want one on the other 50", got)
+	}
+}
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -280,6 +280,8 @@
 	switch a.Reply.Code {
 	case currantloom.CodeNotPrimary:
 		r.group.denied(s, c.upstream.Name)
+	case currantloom.CodeLagging:
+		r.group.lag.turnedAway(c.upstream, sample{mark: c.required, takenAt: c.sentAt - c.fresh})
 	case currantloom.CodeMisrouted:
 		until = s.now + avoidFor
 	}
--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -87,7 +87,11 @@
 		}
 		cost := s.readCost(u)
 		if known && u.Name != r.group.leader {
-			cost += s.lagCostOf(u, needed)
+			behind := s.lagCostOf(u, needed)
+			if behind >= farBehindCost {
+				r.group.lag.turnedAway(u, needed)
+			}
+			cost += behind
 		}
 		if found && cost >= bestCost {
 			continue
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -167,6 +167,9 @@
 	s.tickMembers()
 	s.tickCarrier()
 	s.tickRequests()
+	for _, g := range s.catalog.ordered {
+		g.lag.tell(s, g.name)
+	}
 	s.tickSessions()
 	s.duty.tick(s)
 	s.tickFailovers()
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -124,6 +124,7 @@
 	add("version", d.Version == 0, d.Version)
 	add("age", d.Age == 0, d.Age.Round(10*time.Microsecond))
 	add("attempt", d.Attempt == 0, d.Attempt)
+	add("count", d.Count == 0, d.Count)
 	add("reason", d.Reason == "", d.Reason)
 	add("outcome", d.Outcome == "", d.Outcome)
 	return loomlog.Line{Event: d.Event, Fields: fields, Routine: d.Routine}
