--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 # One package at a time, so that they do not slow each other down.
 bench:
-	$(GO) test -p 1 ./cmd/currantloom ./loomcore -run '^$$' -bench . -benchtime 2s
+	$(GO) test -p 1 ./cmd/currantloom ./loomcore ./loommesh ./platform -run '^$$' -bench . -benchtime 2s
 
 measure:
 	$(GO) run ./cmd/currantloom measure
