--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -392,8 +392,8 @@
 	s.retryPause(f)
 }
 
-// knowsAcked reports whether the VMs had the time to tell the newest commit that they saw acknowledged. If a log was lost
-// lately, that commit may stand in none of the logs that were reported, so every VM has to answer.
+// knowsAcked reports whether the VMs had the time to tell the newest commit that they saw acknowledged. If a log was
+// lost lately, that commit may stand in none of the logs that were reported, so every VM has to answer.
 func (s *State) knowsAcked(f *failover) bool {
 	waited, lostAt := s.now-f.stepAt, f.group.logLostAt
 	switch {
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -65,8 +65,8 @@
 	return ok && m.alive && !m.leaving
 }
 
-// carrierOf returns the VM that carries the upstream. It reports false if none may get calls, or if the first choice was
-// asked for the first time a moment ago: the next choice, which may be this node, would open connections of its own.
+// carrierOf returns the VM that carries the upstream. It reports false if none may get calls, or if the first choice
+// was asked for the first time a moment ago: the next choice, which may be this node, would open connections itself.
 func (s *State) carrierOf(u *upstream) (currantloom.VMName, bool) {
 	for _, vm := range s.carriers(u) {
 		if u.avoid[vm] > s.now {
--- a/loomhost/endpoint.go
+++ b/loomhost/endpoint.go
@@ -30,7 +30,9 @@
 
 // Missing notes in the log that the node runs without a part that it should have.
 func (n *Node) Missing(name string, err error) {
-	n.log.Put(loomlog.Line{Event: "endpoint", Warn: true, Fields: []any{"name", name, "outcome", "missing", "reason", err}})
+	n.log.Put(loomlog.Line{Event: "endpoint", Warn: true, Fields: []any{
+		"name", name, "outcome", "missing", "reason", err,
+	}})
 }
 
 // runEndpoint serves until the context ends. An endpoint that fails before does not end the node, which still has
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/oklog/run"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
 	"currantloom.example/currantloom/loomlog"
 	"currantloom.example/currantloom/loommesh"
+	"currantloom.example/currantloom/loomtask"
 )
 
 // defaultRoutineLines is the number of log lines on ordinary work per second.
@@ -109,10 +109,8 @@
 	n.mu.Unlock()
 	defer close(n.finished)
 	n.log.Put(loomlog.Line{Event: "start", Fields: []any{"vm", n.config.Core.Self, "version", n.config.Version}})
-	var g run.Group
-	actor := func(f func(context.Context) error) {
-		g.Add(func() error { return f(n.background) }, func(error) { n.cancel() })
-	}
+	var g loomtask.Group
+	actor := func(f func(context.Context) error) { g.Add(n.background, n.cancel, f) }
 	actor(n.log.Run)
 	actor(n.tick)
 	actor(n.registry.run)
@@ -180,16 +178,7 @@
 }
 
 func (n *Node) tick(ctx context.Context) error {
-	ticker := time.NewTicker(loomfleet.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			n.post(loomfleet.Tick{Stamp: n.stamp()})
-		}
-	}
+	return loomtask.Every(ctx, loomfleet.TickInterval, func() { n.post(loomfleet.Tick{Stamp: n.stamp()}) })
 }
 
 // acceptSessions serves clients until the listener is closed, which is part of the shutdown.
--- a/loomhost/registry.go
+++ b/loomhost/registry.go
@@ -13,6 +13,7 @@
 	"currantloom.example/currantloom/loomfleet"
 	"currantloom.example/currantloom/loomlog"
 	"currantloom.example/currantloom/loommesh"
+	"currantloom.example/currantloom/loomtask"
 )
 
 const (
@@ -114,7 +115,7 @@
 			revision = 0
 		case ctx.Err() == nil:
 			r.lost(revision, err)
-			sleep(ctx, pause/2+rand.N(pause))
+			loomtask.Sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestPause)
 		}
 	}
@@ -160,7 +161,7 @@
 	}
 	r.node.post(loomfleet.StoreReached{Stamp: r.node.stamp()})
 	if len(items) > 0 && r.isLarge() && !r.follows() {
-		sleep(ctx, gatherTime)
+		loomtask.Sleep(ctx, gatherTime)
 	}
 	return next, nil
 }
@@ -300,11 +301,3 @@
 		"key", item.Key, "version", item.Revision, "reason", err, "outcome", "ignored",
 	}})
 }
-
-// sleep returns after the time, or at the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/loomhost/spread.go
+++ b/loomhost/spread.go
@@ -11,6 +11,7 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomtask"
 )
 
 // In a large fleet only some nodes of each failure domain watch the store: a waiting watch counts as a call, and each
@@ -114,7 +115,7 @@
 // spread tells followers now and then that there is no news.
 func (r *registry) spread(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, spreadInterval)
+		loomtask.Sleep(ctx, spreadInterval)
 		r.mu.Lock()
 		revision, reached := r.revision, r.reached
 		r.mu.Unlock()
--- a/loomnode/control.go
+++ b/loomnode/control.go
@@ -11,6 +11,7 @@
 	"currantloom.example/currantloom/loomentry"
 	"currantloom.example/currantloom/loompeer"
 	"currantloom.example/currantloom/loomrules"
+	"currantloom.example/currantloom/loomtask"
 )
 
 const (
@@ -195,7 +196,7 @@
 				c.node.log.Warn("store unavailable", "error", err)
 			}
 			failing = true
-			sleep(ctx, watchRetry)
+			loomtask.Sleep(ctx, watchRetry)
 			continue
 		}
 		if failing {
@@ -208,7 +209,7 @@
 		}
 		if newIndex == 0 {
 			// An empty store answers at once.
-			sleep(ctx, watchRetry)
+			loomtask.Sleep(ctx, watchRetry)
 		}
 		index = newIndex
 	}
--- a/loomnode/control_test.go
+++ b/loomnode/control_test.go
@@ -16,6 +16,7 @@
 	"currantloom.example/currantloom/loomcore"
 	"currantloom.example/currantloom/loomentry"
 	"currantloom.example/currantloom/loompeer"
+	"currantloom.example/currantloom/loomtask"
 )
 
 // memoryStore is a store for one document that can be down.
@@ -37,7 +38,7 @@
 		if index != after {
 			return document, index, nil
 		}
-		sleep(ctx, 10*time.Millisecond)
+		loomtask.Sleep(ctx, 10*time.Millisecond)
 	}
 	return currantloom.RulesDocument{}, 0, ctx.Err()
 }
--- a/loomnode/http.go
+++ b/loomnode/http.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"currantloom.example/currantloom/loomtask"
 )
 
 const (
@@ -49,7 +51,7 @@
 		status := n.state.Status()
 		n.metrics.gauges(status)
 		n.mu.Unlock()
-		sleep(ctx, reportInterval)
+		loomtask.Sleep(ctx, reportInterval)
 	}
 	return nil
 }
--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/oklog/run"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomcore"
@@ -19,12 +17,16 @@
 	"currantloom.example/currantloom/loomlog"
 	"currantloom.example/currantloom/loompeer"
 	"currantloom.example/currantloom/loomserver"
+	"currantloom.example/currantloom/loomtask"
 )
 
 // drainInterval is the load balancer's interval: how long it may still send new connections to a node that reports
 // that it is not ready.
 const drainInterval = 2 * time.Second
 
+// listRetry is the pause after a VM list that could not be read.
+const listRetry = time.Second
+
 // stopLimit bounds the graceful shutdown; the longest requests and transactions are bounded by their own deadlines.
 const stopLimit = 10 * time.Minute
 
@@ -143,17 +145,17 @@
 	}
 	n.mu.Unlock()
 	defer close(n.finished)
-	var g run.Group
-	actor := func(f func(context.Context) error) {
-		g.Add(func() error { return f(n.background) }, func(error) { n.cancel() })
-	}
+	var g loomtask.Group
+	actor := func(f func(context.Context) error) { g.Add(n.background, n.cancel, f) }
 	actor(n.tick)
 	actor(n.watchVMs)
 	actor(n.decisions.Run)
-	actor(func(ctx context.Context) error { return serveUntil(ctx, n.entry.Serve, n.config.Callers) })
-	actor(func(ctx context.Context) error { return serveUntil(ctx, n.links.Serve, n.config.Links) })
+	actor(func(ctx context.Context) error { return loomtask.ServeUntil(ctx, n.entry.Serve, n.config.Callers) })
+	actor(func(ctx context.Context) error { return loomtask.ServeUntil(ctx, n.links.Serve, n.config.Links) })
 	if n.control != nil {
-		actor(func(ctx context.Context) error { return serveUntil(ctx, n.control.serve, n.config.ControlListener) })
+		actor(func(ctx context.Context) error {
+			return loomtask.ServeUntil(ctx, n.control.serve, n.config.ControlListener)
+		})
 	}
 	if n.config.HTTP != nil {
 		actor(func(ctx context.Context) error { return n.serveHTTP(ctx, n.config.HTTP) })
@@ -165,18 +167,6 @@
 	return err
 }
 
-// serveUntil serves a listener. The end of the listener alone, which is part of the shutdown, is not an error.
-func serveUntil(ctx context.Context, serve func(net.Listener) error, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	err := serve(listener)
-	if !errors.Is(err, net.ErrClosed) {
-		return err
-	}
-	<-ctx.Done()
-	return nil
-}
-
 // Close stops the node gracefully and waits for the end of Run.
 func (n *Node) Close() error {
 	n.stoppingOnce.Do(func() { close(n.stopping) })
@@ -204,7 +194,7 @@
 	if interval == 0 {
 		interval = drainInterval
 	}
-	sleep(background, interval)
+	loomtask.Sleep(background, interval)
 	_ = n.config.Callers.Close()
 	closed := make(chan struct{})
 	n.spawn(func() {
@@ -249,18 +239,11 @@
 }
 
 func (n *Node) tick(ctx context.Context) error {
-	ticker := time.NewTicker(loomcore.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			stamp := n.stamp()
-			n.submit(loomcore.Tick{Stamp: stamp})
-			n.tickedAt.Store(int64(stamp.Now))
-		}
-	}
+	return loomtask.Every(ctx, loomcore.TickInterval, func() {
+		stamp := n.stamp()
+		n.submit(loomcore.Tick{Stamp: stamp})
+		n.tickedAt.Store(int64(stamp.Now))
+	})
 }
 
 func (n *Node) watchVMs(ctx context.Context) error {
@@ -268,7 +251,8 @@
 	for ctx.Err() == nil {
 		set, err := n.config.VMs.VMs(ctx, index)
 		if err != nil {
-			sleep(ctx, time.Second)
+			n.log.Warn("VM list not read", "reason", err)
+			loomtask.Sleep(ctx, listRetry)
 			continue
 		}
 		index = set.Index
@@ -276,10 +260,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/message.go
+++ b/message.go
@@ -170,8 +170,8 @@
 	Acked     []AckedMark
 }
 
-// UpstreamFailed tells the holder of the duty, without being asked, that the sender can no longer reach the primary of a
-// service that it carries, or that commits remain without an answer there.
+// UpstreamFailed tells the holder of the duty, without being asked, that the sender can no longer reach the primary of
+// a service that it carries, or that commits remain without an answer there.
 type UpstreamFailed struct{ Report UpstreamReport }
 
 // Leaving says that the sender is shutting down and takes no new work.
