--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -46,6 +46,82 @@
 	}
 }
 
+// TestSplit guards against a node that is alone with a replaced primary: it must not serve what others have changed,
+// and what it is told to be committed must not be lost with the next primary. The parts of one side reach each other
+// only.
+func TestSplit(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// replicas is the number of replicas on the side of the primary; -1 means that they are on both sides.
+		replicas int
+		// promotes says that the other side can choose a next primary.
+		promotes bool
+	}{
+		{"primary and a node", 0, true},
+		{"primary and a node, replicas on both sides", -1, true},
+		{"primary, a replica and a node", 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := newWorld(t, seed, loommodel.Options{Nodes: 4, Clients: 32, Think: 20 * time.Millisecond})
+				w.Run(time.Second)
+				split(w, c.replicas)
+				w.Run(8 * time.Second)
+				if promoted := w.Report().Promoted > 0; promoted != c.promotes {
+					t.Errorf("seed %d: promoted %t, want %t", seed, promoted, c.promotes)
+				}
+				w.Heal()
+				w.Run(4 * time.Second)
+				assertSound(t, w)
+			}
+		})
+	}
+}
+
+// split cuts the primary, a node that does not hold the duty, and some replicas off from everything else.
+func split(w *loommodel.World, replicas int) {
+	primary := w.Primary(0)
+	near, far := []string{primary}, []string{"store", "cloud"}
+	for _, name := range w.Nodes() {
+		if len(near) == 1 && name != w.DutyHolder() {
+			near = append(near, name)
+		} else {
+			far = append(far, name)
+		}
+	}
+	for _, name := range w.Servers() {
+		switch {
+		case name == primary || replicas < 0:
+		case replicas > 0:
+			replicas--
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	for _, from := range near {
+		for _, to := range far {
+			w.Cut(from, to, true)
+		}
+	}
+}
+
+// TestOldReplicas guards against reads from replicas that are further behind than is accepted.
+func TestOldReplicas(t *testing.T) {
+	const factor = 200 // of 20 ms, so that replicas are 2 to 6 s behind
+	for seed := range uint64(5) {
+		w := newWorld(t, seed, loommodel.Options{Clients: 32, Think: 20 * time.Millisecond})
+		w.Run(time.Second)
+		for _, name := range w.Servers() {
+			if name != w.Primary(0) {
+				w.Lag(name, factor, false, 8*time.Second)
+			}
+		}
+		w.Run(8 * time.Second)
+		assertSound(t, w)
+	}
+}
+
 // TestLoneReplica guards against a change of primary that is hopeless and stops the only replica that commits wait for.
 // The primary dies while one replica receives nothing; the other one takes over. Its commits hang until the first
 // replica receives again, and are then acknowledged at once.
