--- a/loomnode/node.go
+++ b/loomnode/node.go
@@ -248,13 +248,21 @@
 
 func (n *Node) watchVMs(ctx context.Context) error {
 	var index uint64
+	failing := false
 	for ctx.Err() == nil {
 		set, err := n.config.VMs.VMs(ctx, index)
 		if err != nil {
-			n.log.Warn("VM list not read", "reason", err)
+			if !failing && ctx.Err() == nil {
+				n.log.Warn("VM list unavailable", "error", err)
+			}
+			failing = true
 			loomtask.Sleep(ctx, listRetry)
 			continue
 		}
+		if failing {
+			n.log.Info("VM list available")
+			failing = false
+		}
 		index = set.Index
 		n.submit(loomcore.VMsReceived{Stamp: n.stamp(), Set: set})
 	}
