Let replicas go on only when no order may still take effect, and only as holder of the duty

By reading, two ways to that: (1) an order was forgotten once it was accepted, so a change that ended before it took effect (duty lost, shutdown) told the replicas to go on, and they acknowledged commits that the next primary lacked; (2) a node that had lost the duty told replicas to go on, up to 20 times, while the next holder had paused them.

An order now counts as open until its upstream leads, or until a newer fence is written and the time of a promotion has passed. A node without the duty sends no RESUME; the next holder notices commits that hang.

TestPendingPromotion and TestResumeWithoutDuty failed before.

--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -55,3 +55,74 @@
 		}
 	})
 }
+
+// TestPendingPromotion guards against replicas that go on while an accepted order has not taken effect: what they then
+// acknowledge is missing in the next primary.
+func TestPendingPromotion(t *testing.T) {
+	awaiting := func(t *testing.T) (*fixture, *failover) {
+		f := newFixture(t)
+		f.configure(currantloom.ReadLatest)
+		f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
+		change := f.state.duty.failovers[testService]
+		change.paused["b"], change.paused["c"] = true, true
+		change.candidate = "b"
+		f.state.enter(change, stepOrder)
+		f.reduce(PromoteAnswered{
+			Stamp: f.stamp(), Service: testService, Order: change.order, Result: currantloom.PromoteAccepted,
+		})
+		return f, change
+	}
+	resumed := func(f *fixture) int {
+		count := 0
+		for _, c := range f.state.requests.calls {
+			if c.mode == currantloom.CallControl {
+				count++
+			}
+		}
+		return count
+	}
+	t.Run("shutdown before it takes effect", func(t *testing.T) {
+		f, change := awaiting(t)
+		f.state.endFailover(change, "shutdown")
+		if got := resumed(f); got != 0 {
+			t.Errorf("%d replicas are told to go on, want none", got)
+		}
+	})
+	t.Run("it took effect", func(t *testing.T) {
+		f, change := awaiting(t)
+		f.state.groupOf(testService).lead(f.state, "b", currantloom.NewMark(2, 1), f.now)
+		f.state.endFailover(change, "promoted")
+		if got := resumed(f); got != 2 {
+			t.Errorf("%d replicas are told to go on, want both", got)
+		}
+	})
+}
+
+// TestResumeWithoutDuty guards against a node that lost the duty and lets replicas go on that the next holder paused.
+func TestResumeWithoutDuty(t *testing.T) {
+	newChange := func(t *testing.T) (*fixture, *failover) {
+		f := newFixture(t)
+		f.configure(currantloom.ReadLatest)
+		f.state.startFailover(f.state.groupOf(testService), reasonStuck, false)
+		change := f.state.duty.failovers[testService]
+		change.paused["b"] = true
+		return f, change
+	}
+	t.Run("when it loses the duty", func(t *testing.T) {
+		f, change := newChange(t)
+		f.state.endFailover(change, reasonDutyLost)
+		if got := len(f.state.requests.calls); got != 0 {
+			t.Errorf("%d commands after the duty was lost, want none", got)
+		}
+	})
+	t.Run("when a command has failed", func(t *testing.T) {
+		f, change := newChange(t)
+		f.state.endFailover(change, "no candidate")
+		for key := range f.state.requests.calls {
+			f.state.callAnswered(currantloom.CallAnswer{Key: key, Reason: currantloom.ReasonSilent})
+		}
+		if got := len(f.state.requests.calls); got != 0 {
+			t.Errorf("%d commands are repeated without the duty, want none", got)
+		}
+	})
+}
--- a/loomfleet/duty.go
+++ b/loomfleet/duty.go
@@ -29,23 +29,24 @@
 	holder holder
 	// failovers are the changes under way, by service.
 	failovers map[currantloom.ServiceName]*failover
-	// unanswered holds, for each service, the last order whose outcome is not known.
-	unanswered map[currantloom.ServiceName]order
-	orders     uint64
-	acting     bool
+	// open holds, for each service, the last order that may still take effect.
+	open   map[currantloom.ServiceName]order
+	orders uint64
+	acting bool
 }
 
-// order is a call to the platform whose outcome is not known.
+// order is a call to the platform that may have been accepted, and may not have taken effect yet.
 type order struct {
 	fence    uint64
 	upstream currantloom.ServerName
+	sentAt   time.Duration
 }
 
 func (d *duty) init(s *State) {
 	d.member = newRegistration(RegisterMember, max(memberLease, s.config.MinLease), memberRenewals)
 	d.lead = newRegistration(RegisterDuty, max(dutyLease, s.config.MinLease), dutyRenewals)
 	d.failovers = make(map[currantloom.ServiceName]*failover)
-	d.unanswered = make(map[currantloom.ServiceName]order)
+	d.open = make(map[currantloom.ServiceName]order)
 }
 
 // changed notes what the store says of the duty.
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -37,6 +37,9 @@
 // reasonStuck is the reason of a change whose primary answers but cannot commit.
 const reasonStuck = "commits are not acknowledged"
 
+// reasonDutyLost is why a change ends at a node that may not go on with it.
+const reasonDutyLost = "duty lost"
+
 type failoverStep uint8
 
 const (
@@ -91,7 +94,7 @@
 	if !d.isActing(s) {
 		for _, g := range s.catalog.ordered {
 			if f := d.failovers[g.name]; f != nil {
-				s.endFailover(f, "duty lost")
+				s.endFailover(f, reasonDutyLost)
 			}
 		}
 		return
@@ -290,7 +293,7 @@
 // keepFence goes on under the fence that the node has, if that is safe.
 func (s *State) keepFence(f *failover) {
 	d := &s.duty
-	if _, open := d.unanswered[f.group.name]; open || d.lead.revision == 0 {
+	if s.hasOpenOrder(f.group) || d.lead.revision == 0 {
 		s.enter(f, stepFence)
 		f.retryAt = s.now + retryPause
 		return
@@ -440,7 +443,8 @@
 	if g.leader != "" {
 		s.broadcast(currantloom.Promoted{Service: g.name, Upstream: g.leader, Term: g.term})
 	}
-	if _, open := s.duty.unanswered[g.name]; open {
+	if reason == reasonDutyLost || s.hasOpenOrder(g) {
+		// The next holder of the duty may have paused the replicas already. If not, it notices that commits hang.
 		return
 	}
 	for _, u := range g.upstreams {
@@ -450,7 +454,8 @@
 	}
 }
 
-// resumeReplica lets a replica receive again. It is repeated until the replica answers.
+// resumeReplica lets a replica receive again. It is repeated until the replica answers, or another node may have paused
+// the replica meanwhile.
 func (s *State) resumeReplica(u *upstream, retries int) {
 	vm, ok := s.carrierOf(u)
 	if !ok {
@@ -459,7 +464,8 @@
 	s.control(u, vm, currantloom.CallControl, currantloom.Command{Kind: currantloom.CommandResume},
 		func(a currantloom.CallAnswer) {
 			answered := a.Verdict == currantloom.Ran && a.Reply.Code == currantloom.CodeOK
-			if answered || retries == 0 || s.catalog.upstreams[u.Name] != u || s.duty.failovers[u.Service] != nil {
+			known := s.catalog.upstreams[u.Name] == u && s.duty.failovers[u.Service] == nil
+			if answered || retries == 0 || !known || !s.duty.isActing(s) {
 				return
 			}
 			u.avoid[vm] = s.now + avoidFor
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -18,10 +18,23 @@
 	d := &s.duty
 	d.orders++
 	f.order = d.orders
-	d.unanswered[f.group.name] = order{fence: f.fence, upstream: f.candidate}
+	d.open[f.group.name] = order{fence: f.fence, upstream: f.candidate, sentAt: s.now}
 	s.emit(Promote{Service: f.group.name, Upstream: f.candidate, Fence: f.fence, Order: f.order})
 }
 
+// hasOpenOrder reports whether an order for the group may still take effect. An accepted one does so later: until then
+// its upstream has to hold every commit that is acknowledged, so the replicas stay paused. A newer fence makes an order
+// void, unless it was accepted before.
+func (s *State) hasOpenOrder(g *group) bool {
+	d := &s.duty
+	o, ok := d.open[g.name]
+	if ok && (g.leader == o.upstream || d.lead.revision > o.fence && s.now-o.sentAt > promoteTimeout) {
+		delete(d.open, g.name)
+		ok = false
+	}
+	return ok
+}
+
 func (s *State) promoteAnswered(e PromoteAnswered) {
 	f := s.duty.failovers[e.Service]
 	s.log(Decision{
@@ -32,7 +45,6 @@
 	}
 	switch e.Result {
 	case currantloom.PromoteAccepted:
-		delete(s.duty.unanswered, e.Service)
 		s.enter(f, stepAwait)
 	case currantloom.PromoteRefused:
 		s.enter(f, stepFence)
