Pause the replicas and ask them again before an order is repeated

The store refused all calls, so the order for i-3 was answered 'not done' and repeated five times over 1.3 s with the old reports. Meanwhile the primary was back, and i-1 acknowledged its commits. i-3 then led without them.

After an order that was not done, or whose outcome is unknown, the change now goes back to the pause and chooses again; another candidate needs a new fence while the earlier order may still take effect.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -42,6 +42,12 @@
 		s.noCandidate(f, best)
 		return
 	}
+	if s.hasOpenOrder(f.group) && s.duty.open[f.group.name].upstream != best.Name {
+		// Only a new fence keeps the earlier order from taking effect after this one.
+		s.enter(f, stepFence)
+		f.retryAt = s.now + retryPause
+		return
+	}
 	f.candidate = best.Name
 	s.enter(f, stepOrder)
 }
--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -126,3 +126,25 @@
 		}
 	})
 }
+
+// TestOrderAgain guards against an order that is repeated on the strength of old reports: a replica that restarted
+// meanwhile is no longer paused, and may have acknowledged commits that the candidate lacks.
+func TestOrderAgain(t *testing.T) {
+	for _, result := range []currantloom.PromoteResult{currantloom.PromoteNotDone, currantloom.PromoteUnknown} {
+		t.Run(result.String(), func(t *testing.T) {
+			f := newFixture(t)
+			f.configure(currantloom.ReadLatest)
+			f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
+			change := f.state.duty.failovers[testService]
+			change.candidate = "b"
+			change.reports["b"] = currantloom.ReplicationStatus{Term: 1, Received: currantloom.NewMark(1, 7)}
+			f.state.enter(change, stepOrder)
+			f.reduce(PromoteAnswered{Stamp: f.stamp(), Service: testService, Order: change.order, Result: result})
+			f.state.now += stepTimeout
+			f.state.tickFailover(change)
+			if change.step != stepPause || len(change.reports) != 0 {
+				t.Errorf("step %s with %d reports, want pause without any", change.step, len(change.reports))
+			}
+		})
+	}
+}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -170,7 +170,8 @@
 		s.tickPause(f)
 	case stepOrder:
 		if s.now-f.stepAt > stepTimeout {
-			s.enter(f, stepOrder)
+			// A replica that restarted is no longer paused, so the reports are asked for again.
+			s.enter(f, stepPause)
 		}
 	case stepAwait:
 		s.tickAwait(f)
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -50,9 +50,10 @@
 		s.enter(f, stepFence)
 		f.retryAt = s.now + retryPause
 	case currantloom.PromoteNotDone:
+		delete(s.duty.open, e.Service)
 		f.stepAt = s.now - stepTimeout + retryPause
 	default:
-		s.enter(f, stepOrder)
+		s.enter(f, stepPause)
 	}
 }
 
