loommodel: a seed determines the whole run

Cause: the model and the reducer ranged over maps where the order decides which random number is drawn or which effect comes first: lost connections, ended sessions, idle transactions, late calls.

TestRunsRepeat plays four seeds twice under eight faults each and compares all decisions. Sets are collected first and sorted then, so a tick of a node with thousands of sessions sorts only the few that are due.

Ruled out: the order of the timers (they have a sequence number).

--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -395,21 +396,35 @@
 
 // tickRequests ends calls that have timed out and hedges slow reads.
 func (s *State) tickRequests() {
-	var timedOut []*call
+	var late, timedOut []*call
 	for _, c := range s.requests.calls {
-		switch {
+		switch waited := s.now - c.sentAt; {
 		case s.now >= c.timeoutAt:
 			timedOut = append(timedOut, c)
-		case c.request != nil && s.now-c.sentAt >= hedgeAfter:
-			s.pingIfDue(c.vm)
-			s.hedge(c)
-		case s.now-c.sentAt >= pingAfterSilence:
-			s.pingIfDue(c.vm)
+		case waited >= min(hedgeAfter, pingAfterSilence):
+			late = append(late, c)
 		}
 	}
-	slices.SortFunc(timedOut, func(a, b *call) int { return int(a.key.Number) - int(b.key.Number) })
+	bySequence := func(a, b *call) int { return cmp.Compare(a.key.Number, b.key.Number) }
+	slices.SortFunc(late, bySequence)
+	for _, c := range late {
+		s.handleLateCall(c)
+	}
+	slices.SortFunc(timedOut, bySequence)
 	for _, c := range timedOut {
 		s.handleCallResult(currantloom.CallResult{Key: c.key, Reason: currantloom.ReasonTimeout})
 	}
 	s.retryParkedRequests()
 }
+
+// handleLateCall pings the VM of a call that is late, and sends a late read to a second upstream.
+func (s *State) handleLateCall(c *call) {
+	waited := s.now - c.sentAt
+	switch {
+	case c.request != nil && waited >= hedgeAfter:
+		s.pingIfDue(c.vm)
+		s.hedge(c)
+	case waited >= pingAfterSilence:
+		s.pingIfDue(c.vm)
+	}
+}
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -278,15 +278,27 @@
 	s.emit(Send{VM: s.vmOf(vm), Message: currantloom.RollbackTransaction{Transaction: key}})
 }
 
+// sessionsWhere returns the sessions that the function selects, in the order in which they were opened.
+func (s *State) sessionsWhere(selects func(*session) bool) []*session {
+	var selected []*session
+	for _, sn := range s.sessions {
+		if selects(sn) {
+			selected = append(selected, sn)
+		}
+	}
+	slices.SortFunc(selected, func(a, b *session) int { return cmp.Compare(a.id, b.id) })
+	return selected
+}
+
 // tickSessions rolls back transactions that have been idle for too long, so that their connections can be reused.
 func (s *State) tickSessions() {
 	s.processStartups()
 	limit := s.idleTransactionTimeout()
-	for _, sn := range s.sessions {
+	idle := s.sessionsWhere(func(sn *session) bool {
+		return sn.transaction != nil && sn.transaction.opened && sn.request == nil && s.now-sn.lastActivityAt >= limit
+	})
+	for _, sn := range idle {
 		t := sn.transaction
-		if t == nil || !t.opened || sn.request != nil || s.now-sn.lastActivityAt < limit {
-			continue
-		}
 		s.log(Decision{
 			Event: "transaction", Session: sn.id, Service: t.route.Service, Upstream: t.upstream.Name,
 			Age: s.now - sn.lastActivityAt, Reason: "idle", Outcome: "rolled_back",
--- a/loomfleet/shutdown.go
+++ b/loomfleet/shutdown.go
@@ -99,12 +99,12 @@
 // closeIdleSessions closes sessions without a pending statement. Those with an open transaction are closed only if
 // transactions is set, after half of the grace period.
 func (s *State) closeIdleSessions(transactions bool) {
-	for id, sn := range s.sessions {
-		if sn.request != nil || sn.status != currantloom.TransactionIdle && !transactions {
-			continue
-		}
+	closing := s.sessionsWhere(func(sn *session) bool {
+		return sn.request == nil && (sn.status == currantloom.TransactionIdle || transactions)
+	})
+	for _, sn := range closing {
 		s.endTransaction(sn)
-		delete(s.sessions, id)
-		s.emit(CloseSession{Session: id})
+		delete(s.sessions, sn.id)
+		s.emit(CloseSession{Session: sn.id})
 	}
 }
--- a/loommodel/node.go
+++ b/loommodel/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -222,8 +223,8 @@
 	for _, u := range sim.upstreams {
 		u.closeNodeConns(n.name)
 	}
-	for id, c := range n.sessions {
-		c.sessionClosed(n, id)
+	for _, id := range slices.Sorted(maps.Keys(n.sessions)) {
+		n.sessions[id].sessionClosed(n, id)
 	}
 	n.sessions = nil
 }
--- a/loommodel/outage.go
+++ b/loommodel/outage.go
@@ -1,6 +1,7 @@
 package loommodel
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom/loomfleet"
@@ -33,18 +34,27 @@
 // resetConns closes all connections and reports the loss to their nodes.
 func (u *upstream) resetConns() {
 	for _, n := range u.sim.nodes {
-		for key := range u.conns {
-			if key.node != n.name || key.incarnation != n.incarnation {
-				continue
-			}
+		for _, id := range u.connsOf(n) {
 			n.deliver(connectionLossDelay, func() loomfleet.Event {
-				return loomfleet.ConnLost{Stamp: n.stamp(), Conn: key.id}
+				return loomfleet.ConnLost{Stamp: n.stamp(), Conn: id}
 			})
 		}
 	}
 	clear(u.conns)
 }
 
+// connsOf returns the ids of the connections that the current process of a node has to the upstream, sorted.
+func (u *upstream) connsOf(n *node) []loomfleet.ConnID {
+	var ids []loomfleet.ConnID
+	for key := range u.conns {
+		if key.node == n.name && key.incarnation == n.incarnation {
+			ids = append(ids, key.id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (u *upstream) restart() {
 	u.generation++
 	u.alive, u.hung, u.replicationPaused = true, false, false
--- a/loommodel/simulation_test.go
+++ b/loommodel/simulation_test.go
@@ -71,6 +71,36 @@
 	}
 }
 
+// traceOf runs a simulation under random faults and returns all decisions of its nodes.
+func traceOf(seed uint64) []string {
+	sim := loommodel.New(seed, loommodel.Options{Nodes: 4, Services: 2, Clients: 16})
+	var trace []string
+	sim.Trace = func(at time.Duration, vm currantloom.VMName, d loomfleet.Decision) {
+		trace = append(trace, fmt.Sprint(at, vm, d))
+	}
+	sim.Run(startupTime)
+	sim.StartClients()
+	sim.ScheduleRandomFaults(8, 10*time.Second)
+	sim.Run(16 * time.Second)
+	return trace
+}
+
+// TestRunsRepeat guards against a seed that does not determine the whole run, so that a failure cannot be replayed.
+func TestRunsRepeat(t *testing.T) {
+	for seed := range uint64(4) {
+		first, second := traceOf(seed), traceOf(seed)
+		for i := range min(len(first), len(second)) {
+			if first[i] != second[i] {
+				t.Errorf("seed %d: decision %d is %q in the first run and %q in the second", seed, i, first[i], second[i])
+				break
+			}
+		}
+		if len(first) != len(second) {
+			t.Errorf("seed %d: %d decisions in the first run, %d in the second", seed, len(first), len(second))
+		}
+	}
+}
+
 // TestRandomFaults guards against wrong results under several faults at a time: stale reads, lost or repeated writes,
 // writes that take effect after the client was told that nothing is kept, and mixed-up sessions. The seed determines
 // the sizes and the faults, and the run up to the first crash or restart.
