--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -19,8 +19,8 @@
 		f.answerPings()
 		g := f.state.groupOf(testService)
 		if logLost {
-			f.reduce(CatalogChanged{Stamp: f.stamp(), Revision: 30, Upstreams: []UpstreamChange{
-				{Revision: 30, Upstream: testUpstream("c", false).Upstream, Deleted: true},
+			f.reduce(CatalogChanged{Stamp: f.stamp(), Position: testStorePosition(30), Upstreams: []UpstreamChange{
+				{Position: testStorePosition(30), Upstream: testUpstream("c", false).Upstream, Deleted: true},
 			}})
 			f.now += deletionGrace + TickInterval
 			f.state.now = f.now
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -14,7 +14,7 @@
 	deletionGrace = 2500 * time.Millisecond
 	// drainMargin is subtracted from the drain timeout.
 	drainMargin = time.Second
-	// forgetUpstreamAfter is how long a deleted upstream is remembered.
+	// forgetUpstreamAfter is how long a deleted upstream keeps its connections and its place in the group.
 	forgetUpstreamAfter = 10 * time.Second
 	// notPrimaryTTL is how long an upstream that refused to act as primary is not tried as primary only because its
 	// registration says so.
@@ -30,8 +30,14 @@
 	sortedGroups []*group
 	// ready says that the node accepts sessions.
 	ready bool
-	// hasSnapshot says that a complete snapshot of the store was received.
+	// hasSnapshot says that a complete snapshot of the store was received. era is the era of the store that the catalog
+	// was read in.
 	hasSnapshot bool
+	era         currantloom.StoreEra
+	check       configurationCheck
+	// departed and returned are used when the store comes back from a copy, see restore.go.
+	departed map[currantloom.UpstreamName]departedUpstream
+	returned map[currantloom.UpstreamName]returnedUpstream
 	// storeReachedAt is when the watch on the store last succeeded; storeUnavailable says that it has failed since.
 	storeReachedAt   time.Duration
 	storeUnavailable bool
@@ -40,13 +46,18 @@
 func (c *catalog) init() {
 	c.upstreams = make(map[currantloom.UpstreamName]*upstream)
 	c.groups = make(map[currantloom.ServiceName]*group)
+	c.departed = make(map[currantloom.UpstreamName]departedUpstream)
+	c.returned = make(map[currantloom.UpstreamName]returnedUpstream)
 }
 
 // upstream is a registered upstream of a service.
 type upstream struct {
 	currantloom.Upstream
-	group    *group
-	revision uint64
+	group *group
+	// storePosition is the position of the registration in the store. missingSince is when a store that came back from a
+	// copy turned out not to have the registration; zero if it has it.
+	storePosition currantloom.StorePosition
+	missingSince  time.Duration
 	// drainingSince and deletedAt are when this node learnt that the upstream is draining or that its registration was
 	// deleted; zero if it is not.
 	drainingSince, deletedAt time.Duration
@@ -79,10 +90,36 @@
 func (u *upstream) isTerminating() bool { return u.drainingSince > 0 || u.deletedAt > 0 }
 
 func (s *State) handleCatalogChange(e CatalogChanged) {
-	c := &s.catalog
+	era := e.Position.Era()
+	if !e.Position.IsZero() && era < s.storeEra {
+		s.log(Decision{Event: "store_era", Version: uint64(era), Reason: "changes of an earlier era", Outcome: "dropped"})
+		return
+	}
+	s.enterStoreEra(era)
+	restored := e.Snapshot && s.catalog.isOfEarlierEra(era)
 	if e.Configuration != nil {
 		s.applyConfiguration(*e.Configuration)
 	}
+	if restored {
+		s.applyRestoredSnapshot(e)
+	} else {
+		s.applyChanges(e)
+	}
+	s.catalog.era = max(s.catalog.era, era)
+	s.catalog.hasSnapshot = s.catalog.hasSnapshot || e.Snapshot
+	if e.FailoverLease != nil {
+		s.coordinator.handleLeaseChange(s, *e.FailoverLease)
+	} else if e.Snapshot {
+		s.coordinator.handleLeaseChange(s, FailoverLeaseChange{Deleted: true, Position: e.Position})
+	}
+	s.updateReadiness()
+	s.processStartups()
+	s.retryParkedRequests()
+}
+
+// applyChanges applies the changes of upstreams and members. What a snapshot lacks is marked as deleted.
+func (s *State) applyChanges(e CatalogChanged) {
+	c := &s.catalog
 	present := make(map[currantloom.UpstreamName]bool)
 	for _, change := range e.Upstreams {
 		present[change.Upstream.Name] = !change.Deleted
@@ -93,29 +130,21 @@
 		members[change.VM.Name()] = !change.Deleted
 		s.applyMemberChange(change)
 	}
-	if e.Snapshot {
-		c.hasSnapshot = true
-		for _, name := range c.upstreamNames() {
-			if !present[name] {
-				s.markUpstreamDeleted(c.upstreams[name])
-			}
-		}
-		s.members.markAbsent(s, members, e.Revision)
+	if !e.Snapshot {
+		return
 	}
-	if e.FailoverLease != nil {
-		s.coordinator.handleLeaseChange(s, *e.FailoverLease)
-	} else if e.Snapshot {
-		s.coordinator.handleLeaseChange(s, FailoverLeaseChange{Deleted: true, Revision: e.Revision})
+	for _, name := range c.upstreamNames() {
+		if !present[name] {
+			s.markUpstreamDeleted(c.upstreams[name])
+		}
 	}
-	s.updateReadiness()
-	s.processStartups()
-	s.retryParkedRequests()
+	s.members.markAbsent(s, members, e.Position)
 }
 
 // updateReadiness reports the node ready once it knows the configuration and at least one upstream.
 func (s *State) updateReadiness() {
 	c := &s.catalog
-	if c.ready || s.shutdown.requested || c.configuration == nil || len(c.upstreams) == 0 {
+	if c.ready || s.shutdown.requested || c.configuration == nil || len(c.upstreams) == 0 || !s.isConfigurationCurrent() {
 		return
 	}
 	c.ready = true
@@ -145,21 +174,22 @@
 
 func (s *State) applyUpstreamChange(e UpstreamChange) {
 	c := &s.catalog
+	delete(c.returned, e.Upstream.Name)
 	u, exists := c.upstreams[e.Upstream.Name]
 	if e.Deleted {
-		if exists && e.Revision > u.revision {
-			u.revision = e.Revision
+		if exists && e.Position.After(u.storePosition) {
+			u.storePosition = e.Position
 			s.markUpstreamDeleted(u)
 		}
 		return
 	}
-	if exists && (e.Revision < u.revision || e.Revision == u.revision && u.deletedAt == 0) {
+	if exists && (u.storePosition.After(e.Position) || e.Position == u.storePosition && u.deletedAt == 0) {
 		return
 	}
 	if exists && (u.Incarnation != e.Upstream.Incarnation || u.Address != e.Upstream.Address ||
 		u.Service != e.Upstream.Service) {
 		s.log(Decision{
-			Event: "upstream", Upstream: u.Name, Service: u.Service, Version: e.Revision, Outcome: "restarted",
+			Event: "upstream", Upstream: u.Name, Service: u.Service, Version: e.Position.Revision(), Outcome: "restarted",
 		})
 		u.group.logLostAt = max(s.now, 1)
 		s.forgetUpstream(u)
@@ -176,7 +206,8 @@
 // updateUpstream applies a change to a known upstream.
 func (s *State) updateUpstream(u *upstream, e UpstreamChange) {
 	before := u.Upstream
-	u.Upstream, u.revision, u.deletedAt = e.Upstream, e.Revision, 0
+	before.Sequence = e.Upstream.Sequence
+	u.Upstream, u.storePosition, u.deletedAt, u.missingSince = e.Upstream, e.Position, 0, 0
 	switch {
 	case !e.Upstream.Draining:
 		u.drainingSince = 0
@@ -185,7 +216,8 @@
 	}
 	if before != u.Upstream {
 		s.log(Decision{
-			Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.revision, Outcome: upstreamOutcome(u.Upstream),
+			Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.storePosition.Revision(),
+			Outcome: upstreamOutcome(u.Upstream),
 		})
 	}
 	if u.Primary && !before.Primary {
@@ -212,7 +244,9 @@
 	}
 	u.deletedAt = max(s.now, 1)
 	u.group.logLostAt = u.deletedAt
-	s.log(Decision{Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.revision, Outcome: "gone"})
+	s.log(Decision{
+		Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.storePosition.Revision(), Outcome: "gone",
+	})
 }
 
 // forgetUpstream removes an upstream and closes its connections.
@@ -237,6 +271,9 @@
 		if u.deletedAt > 0 && u.deletedAt >= c.storeReachedAt {
 			u.deletedAt = now
 		}
+		if u.missingSince > 0 {
+			u.missingSince = now
+		}
 	}
 }
 
@@ -247,14 +284,17 @@
 	s.catalog.storeUnavailable = true
 }
 
-// tickCatalog forgets upstreams that have been deleted for long.
+// tickCatalog forgets upstreams that have been deleted for long, and completes the return of the store from a copy.
 func (s *State) tickCatalog() {
+	s.updateReadiness()
 	for _, name := range s.catalog.upstreamNames() {
 		u := s.catalog.upstreams[name]
 		if u.deletedAt > 0 && !s.catalog.storeUnavailable && s.now-u.deletedAt > forgetUpstreamAfter {
+			s.catalog.departed[name] = departedUpstream{incarnation: u.Incarnation, at: s.now}
 			s.forgetUpstream(u)
 		}
 	}
+	s.tickRestoredCatalog()
 }
 
 // route returns the route of a database.
--- /dev/null
+++ b/loomfleet/configurationcheck.go
@@ -0,0 +1,86 @@
+package loomfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// maxPeersAsked is how many nodes a starting node asks for the version of their configuration.
+	maxPeersAsked = 3
+	// fetchTimeout is how long a starting node waits for a newer configuration that another node reported.
+	fetchTimeout = time.Second
+)
+
+// configurationCheck makes sure that a starting node does not serve with an older configuration than the fleet has: the
+// store may just have come back from a copy, and the operator may not have written the newest configuration again.
+type configurationCheck struct {
+	started   bool
+	startedAt time.Duration
+	asked     []currantloom.VMName
+	// fetching is when a newer configuration was requested; zero if none was.
+	fetching time.Duration
+	done     bool
+}
+
+// isConfigurationCurrent reports whether no node that was asked reported a newer configuration than this node has.
+// Nodes that do not answer in time are not waited for.
+func (s *State) isConfigurationCurrent() bool {
+	k := &s.catalog.check
+	if k.done {
+		return true
+	}
+	if !k.started {
+		k.started, k.startedAt, k.asked = true, s.now, s.nearestMembers(maxPeersAsked)
+		for _, vm := range k.asked {
+			s.pingIfDue(vm)
+		}
+	}
+	if k.fetching > 0 {
+		k.done = s.now-k.fetching > fetchTimeout || !s.isConfigurationBehind()
+		return k.done
+	}
+	waiting := slices.ContainsFunc(k.asked, func(vm currantloom.VMName) bool {
+		m, ok := s.members.byName[vm]
+		return ok && m.heardAt == 0 && !m.suspected
+	})
+	k.done = !waiting || s.now-k.startedAt > firstPongTimeout
+	return k.done
+}
+
+// nearestMembers returns the registered members that are nearest to this node, at most the given number.
+func (s *State) nearestMembers(most int) []currantloom.VMName {
+	near := slices.DeleteFunc(slices.Clone(s.members.sorted), func(m *member) bool {
+		return m.deletedAt > 0 || m.suspected || m.shuttingDown
+	})
+	slices.SortStableFunc(near, func(a, b *member) int {
+		return cmp.Compare(s.config.Location.Distance(a.vm.Location()), s.config.Location.Distance(b.vm.Location()))
+	})
+	names := make([]currantloom.VMName, 0, most)
+	for _, m := range near[:min(most, len(near))] {
+		names = append(names, m.vm.Name())
+	}
+	return names
+}
+
+// isConfigurationBehind reports whether a node that was asked has a newer configuration.
+func (s *State) isConfigurationBehind() bool {
+	return slices.ContainsFunc(s.catalog.check.asked, func(vm currantloom.VMName) bool {
+		m, ok := s.members.byName[vm]
+		return ok && m.configurationVersion > s.configurationVersion()
+	})
+}
+
+// compareConfiguration requests the configuration of a member that reports a newer one while this node starts.
+func (s *State) compareConfiguration(m *member) {
+	k := &s.catalog.check
+	if k.done || !k.started || k.fetching > 0 || m.configurationVersion <= s.configurationVersion() {
+		return
+	}
+	k.fetching = max(s.now, 1)
+	s.log(Decision{Event: "configuration", VM: m.vm.Name(), Version: m.configurationVersion, Outcome: "requested"})
+	s.emit(FetchConfiguration{VM: m.vm})
+}
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -40,7 +40,7 @@
 // pendingPromotion is a request for promotion that the platform may have accepted, and that may not have taken effect
 // yet.
 type pendingPromotion struct {
-	fence    uint64
+	fence    currantloom.StorePosition
 	upstream currantloom.UpstreamName
 	sentAt   time.Duration
 }
@@ -56,35 +56,43 @@
 
 // handleLeaseChange records what the store says about the failover lease.
 func (c *coordinator) handleLeaseChange(s *State, e FailoverLeaseChange) {
-	if e.Revision > 0 && e.Revision < c.holder.revision {
+	if !e.Position.IsZero() && c.holder.position.After(e.Position) {
 		return
 	}
 	before := c.holder
 	if e.Deleted {
 		if before.name != "" || before.vacantSince == 0 {
-			c.holder = leaseHolder{revision: max(e.Revision, before.revision), vacantSince: max(s.now, 1)}
+			c.holder = leaseHolder{position: e.Position, vacantSince: max(s.now, 1)}
 		}
 	} else {
-		c.holder = leaseHolder{name: e.Holder, incarnation: e.Incarnation, revision: e.Revision}
+		c.holder = leaseHolder{name: e.Holder, incarnation: e.Incarnation, position: e.Position}
 	}
+	r := &c.leaseKey
 	switch {
 	case c.isHolder(s):
-		c.leaseKey.revision = max(c.leaseKey.revision, e.Revision)
-	case c.leaseKey.revision > 0 && c.leaseKey.pendingKind != pendingWrite && e.Revision > c.leaseKey.revision:
-		c.leaseKey.revision = 0
+		if !r.lease.IsZero() && e.Position.After(r.position) {
+			r.position = e.Position
+		}
+	case !r.position.IsZero() && r.pendingKind != pendingWrite && e.Position.After(r.position):
+		r.position = currantloom.StorePosition{}
 	}
 	if before.name != c.holder.name {
-		s.log(Decision{Event: "duty", VM: c.holder.name, Version: c.holder.revision, Outcome: "holder"})
+		s.log(Decision{Event: "duty", VM: c.holder.name, Version: c.holder.position.Revision(), Outcome: "holder"})
 	}
 }
 
 func (c *coordinator) handleStoreAnswer(s *State, e StoreAnswered) {
+	if e.Result == StoreRestored {
+		s.enterStoreEra(e.Era)
+		return
+	}
 	if c.memberKey.handleAnswer(s, e) {
 		return
 	}
-	if c.leaseKey.handleAnswer(s, e) && e.Result == StoreConflict && c.isHolder(s) {
+	expected := c.leaseKey.pendingExpected
+	if c.leaseKey.handleAnswer(s, e) && e.Result == StoreConflict && c.isHolder(s) && c.holder.position.After(expected) {
 		// An earlier write that got no answer took effect.
-		c.leaseKey.revision = c.holder.revision
+		c.leaseKey.position = c.holder.position
 	}
 }
 
@@ -104,7 +112,7 @@
 		if acting {
 			outcome = "acting"
 		}
-		s.log(Decision{Event: "duty", VM: s.config.Self, Version: c.leaseKey.revision, Outcome: outcome})
+		s.log(Decision{Event: "duty", VM: s.config.Self, Version: c.leaseKey.position.Revision(), Outcome: outcome})
 	}
 }
 
@@ -114,16 +122,25 @@
 		return
 	}
 	switch {
-	case r.revision > 0:
+	case !r.position.IsZero():
 		r.renewIfDue(s)
-	case !c.shouldCampaign(s):
-	case r.leaseID == 0 || s.now >= r.validUntil-r.ttl/3:
+	case !c.shouldCampaign(s) && !c.isNamedWithoutLease(s):
+	case r.lease.IsZero() || s.now >= r.validUntil-r.ttl/3:
 		r.requestLease(s)
+	case c.isNamedWithoutLease(s):
+		r.write(s, true, c.holder.position)
 	default:
-		r.write(s, true, 0)
+		r.write(s, true, currantloom.StorePosition{})
 	}
 }
 
+// isNamedWithoutLease reports whether the store names this run of the node as the holder although the node does not
+// hold the key: the store came back from a copy in which it did, under a lease that this node has dropped. No other
+// node may claim the key meanwhile.
+func (c *coordinator) isNamedWithoutLease(s *State) bool {
+	return c.isHolder(s) && c.leaseKey.position.IsZero()
+}
+
 // shouldCampaign reports whether this node should claim the failover lease now.
 func (c *coordinator) shouldCampaign(s *State) bool {
 	if c.holder.name != "" || c.holder.vacantSince == 0 || s.now < settleTime {
@@ -150,7 +167,7 @@
 // isActing reports whether this node may run failovers. While no VM reaches the store, nobody else can have acquired
 // the failover lease, so the last holder continues; a later holder has a higher fence.
 func (c *coordinator) isActing(s *State) bool {
-	if c.leaseKey.revision == 0 || s.shutdown.requested || s.now-s.resumedAt < settleTime && s.resumedAt > 0 {
+	if c.leaseKey.position.IsZero() || s.shutdown.requested || s.now-s.resumedAt < settleTime && s.resumedAt > 0 {
 		return false
 	}
 	return c.leaseKey.isHeld(s.now) || s.catalog.storeUnavailable && !s.peerReachesStore()
@@ -169,9 +186,9 @@
 // requestFence rewrites the key of the failover lease, so that its revision, which is the fence, increases.
 func (c *coordinator) requestFence(s *State) bool {
 	r := &c.leaseKey
-	if !r.canCall(s.now) || r.revision == 0 {
+	if !r.canCall(s.now) || r.position.IsZero() {
 		return false
 	}
-	r.write(s, true, r.revision)
+	r.write(s, true, r.position)
 	return true
 }
--- a/loomfleet/detection_test.go
+++ b/loomfleet/detection_test.go
@@ -13,9 +13,9 @@
 // addMember registers a VM and answers the pings to it.
 func (f *fixture) addMember(name currantloom.VMName) {
 	f.Helper()
-	f.reduce(CatalogChanged{Stamp: f.stamp(), Revision: 20, Members: []MemberChange{{
+	f.reduce(CatalogChanged{Stamp: f.stamp(), Position: testStorePosition(20), Members: []MemberChange{{
 		VM:          currantloom.NewVM(name, testLocation, "10.0.0.2:1", "", currantloom.VMLive),
-		Incarnation: 1, Revision: 20,
+		Incarnation: 1, Position: testStorePosition(20),
 	}}})
 	f.answerPings()
 }
@@ -49,8 +49,8 @@
 	f.configure(currantloom.ReadLatest)
 	f.addMember(testLeaseHolder)
 	f.reduce(CatalogChanged{
-		Stamp: f.stamp(), Revision: 21,
-		FailoverLease: &FailoverLeaseChange{Holder: testLeaseHolder, Incarnation: 1, Revision: 21},
+		Stamp: f.stamp(), Position: testStorePosition(21),
+		FailoverLease: &FailoverLeaseChange{Holder: testLeaseHolder, Incarnation: 1, Position: testStorePosition(21)},
 	})
 	p := f.state.poolOf(f.state.catalog.upstreams["a"])
 	p.markUnreachable(f.state, "connection refused")
--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -60,20 +60,21 @@
 	// StoreGrantLease requests a lease.
 	StoreGrantLease struct {
 		Call CallID
+		Era  currantloom.StoreEra
 		TTL  time.Duration
 	}
 	// StoreRenewLease renews a lease.
 	StoreRenewLease struct {
 		Call  CallID
-		Lease uint64
+		Lease currantloom.StoreLease
 	}
-	// StoreRevokeLease revokes a lease; its result is ignored.
-	StoreRevokeLease struct{ Lease uint64 }
+	// FetchConfiguration asks a VM that reports a newer configuration for its copy. CatalogChanged reports the result.
+	FetchConfiguration struct{ VM currantloom.VM }
 	// Promote asks the platform to make an upstream the primary.
 	Promote struct {
 		Service     currantloom.ServiceName
 		Upstream    currantloom.UpstreamName
-		Fence       uint64
+		Fence       currantloom.StorePosition
 		PromotionID uint64
 	}
 )
@@ -91,13 +92,15 @@
 
 // StoreTxn writes one of the node's own keys.
 type StoreTxn struct {
-	Kind  RegistrationKind
-	Lease uint64
-	// ExpectedRevision is the revision that the key must have, 0 if it must not exist. Without Conditional the key is
+	Kind RegistrationKind
+	// Lease is the lease under which the key is written. Its era is that of the transaction, also for a deletion.
+	Lease currantloom.StoreLease
+	// Expected is the position that the key must have, zero if it must not exist. Without Conditional the key is
 	// written in any case.
-	Conditional      bool
-	ExpectedRevision uint64
-	Delete           bool
+	Conditional bool
+	Expected    currantloom.StorePosition
+	// Delete deletes the key instead of writing it.
+	Delete bool
 }
 
 // Decision is a log line: what was decided, the inputs with their age or version, and the outcome.
@@ -125,20 +128,20 @@
 	Routine bool
 }
 
-func (ReplyToSession) effect()   {}
-func (CloseSession) effect()     {}
-func (OpenConn) effect()         {}
-func (SendCommands) effect()     {}
-func (CloseConn) effect()        {}
-func (Send) effect()             {}
-func (Respond) effect()          {}
-func (ResetLink) effect()        {}
-func (SetReady) effect()         {}
-func (StopAccepting) effect()    {}
-func (ShutdownFinished) effect() {}
-func (StoreCommit) effect()      {}
-func (StoreGrantLease) effect()  {}
-func (StoreRenewLease) effect()  {}
-func (StoreRevokeLease) effect() {}
-func (Promote) effect()          {}
-func (Decision) effect()         {}
+func (ReplyToSession) effect()     {}
+func (CloseSession) effect()       {}
+func (OpenConn) effect()           {}
+func (SendCommands) effect()       {}
+func (CloseConn) effect()          {}
+func (Send) effect()               {}
+func (Respond) effect()            {}
+func (ResetLink) effect()          {}
+func (SetReady) effect()           {}
+func (StopAccepting) effect()      {}
+func (ShutdownFinished) effect()   {}
+func (StoreCommit) effect()        {}
+func (StoreGrantLease) effect()    {}
+func (StoreRenewLease) effect()    {}
+func (FetchConfiguration) effect() {}
+func (Promote) effect()            {}
+func (Decision) effect()           {}
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -42,8 +42,8 @@
 	CatalogChanged struct {
 		Stamp
 		Snapshot bool
-		// Revision is the revision of the store that a snapshot was read at.
-		Revision      uint64
+		// Position is the position of the store up to which the changes were read; zero if it is unknown.
+		Position      currantloom.StorePosition
 		Configuration *currantloom.Configuration
 		Upstreams     []UpstreamChange
 		Members       []MemberChange
@@ -56,13 +56,20 @@
 		Stamp
 		Reason string
 	}
+	// StoreEraChanged reports that the store answered in a later era: it came back from an older copy.
+	StoreEraChanged struct {
+		Stamp
+		Era currantloom.StoreEra
+	}
 	// StoreAnswered reports the result of a call to the store.
 	StoreAnswered struct {
 		Stamp
 		Call   CallID
 		Result StoreResult
-		// Value is the revision of the write, or the id of the granted lease.
-		Value uint64
+		// Position is that of a write, Lease the granted lease, Era the store's era if Result is StoreRestored.
+		Position currantloom.StorePosition
+		Lease    currantloom.StoreLease
+		Era      currantloom.StoreEra
 	}
 	// PromoteAnswered reports the result of Promote.
 	PromoteAnswered struct {
@@ -88,12 +95,14 @@
 	StoreLeaseExpired
 	// StoreUnavailable means that the call was not carried out.
 	StoreUnavailable
+	// StoreRestored means that the store answered in a later era than the call's.
+	StoreRestored
 )
 
 // UpstreamChange is a change of an upstream's registration.
 type UpstreamChange struct {
 	Upstream currantloom.Upstream
-	Revision uint64
+	Position currantloom.StorePosition
 	Deleted  bool
 }
 
@@ -101,7 +110,7 @@
 type MemberChange struct {
 	VM          currantloom.VM
 	Incarnation uint64
-	Revision    uint64
+	Position    currantloom.StorePosition
 	Deleted     bool
 }
 
@@ -109,7 +118,7 @@
 type FailoverLeaseChange struct {
 	Holder      currantloom.VMName
 	Incarnation uint64
-	Revision    uint64
+	Position    currantloom.StorePosition
 	Deleted     bool
 }
 
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -85,7 +85,7 @@
 	paused         map[currantloom.UpstreamName]bool
 	commandPending map[currantloom.UpstreamName]bool
 	candidate      currantloom.UpstreamName
-	fence          uint64
+	fence          currantloom.StorePosition
 	promotionID    uint64
 	probePending   bool
 	probedAt       time.Duration
@@ -122,8 +122,8 @@
 	}
 	s.coordinator.failovers[g.name] = f
 	s.log(Decision{
-		Event: "failover", Service: g.name, Upstream: f.oldPrimary, Version: s.coordinator.leaseKey.revision, Reason: reason,
-		Age: s.now - g.primaryProvenAt, Outcome: "started",
+		Event: "failover", Service: g.name, Upstream: f.oldPrimary, Age: s.now - g.primaryProvenAt, Reason: reason,
+		Version: s.coordinator.leaseKey.position.Revision(), Outcome: "started",
 	})
 	switch {
 	case planned:
@@ -140,8 +140,8 @@
 	f.step, f.stepStartedAt = step, s.now
 	f.epoch++
 	s.log(Decision{
-		Event: "failover", Service: f.group.name, Upstream: f.candidate, Age: s.now - f.startedAt, Version: f.fence,
-		Reason: f.reason, Outcome: step.String(),
+		Event: "failover", Service: f.group.name, Upstream: f.candidate, Age: s.now - f.startedAt,
+		Version: f.fence.Revision(), Reason: f.reason, Outcome: step.String(),
 	})
 	switch step {
 	case stepVerify:
@@ -149,7 +149,7 @@
 	case stepDrain:
 		s.broadcastBlockWrites(f, false)
 	case stepFence:
-		f.fence = 0
+		f.fence = currantloom.StorePosition{}
 	case stepPause:
 		s.pauseReplicas(f)
 	case stepPromote:
@@ -282,16 +282,16 @@
 func (s *State) tickFence(f *failover) {
 	c := &s.coordinator
 	switch {
-	case f.fence == 0 && s.catalog.storeUnavailable:
+	case f.fence.IsZero() && s.catalog.storeUnavailable:
 		s.reuseFence(f)
-	case f.fence == 0:
+	case f.fence.IsZero():
 		if c.requestFence(s) {
-			f.fence = c.leaseKey.revision
+			f.fence = c.leaseKey.position
 		} else if s.now-f.stepStartedAt > stepTimeout {
 			s.reuseFence(f)
 		}
-	case c.leaseKey.revision > f.fence:
-		f.fence = c.leaseKey.revision
+	case c.leaseKey.position.After(f.fence):
+		f.fence = c.leaseKey.position
 		s.enterStep(f, stepPause)
 	case c.leaseKey.pendingKind == pendingWrite && s.now-f.stepStartedAt <= stepTimeout:
 	default:
@@ -302,12 +302,12 @@
 // reuseFence continues with the node's current fence, unless a promotion under it is pending.
 func (s *State) reuseFence(f *failover) {
 	c := &s.coordinator
-	if s.hasPendingPromotion(f.group) || c.leaseKey.revision == 0 {
+	if s.hasPendingPromotion(f.group) || c.leaseKey.position.IsZero() {
 		s.enterStep(f, stepFence)
 		f.retryAt = s.now + failoverRetryPause
 		return
 	}
-	f.fence = c.leaseKey.revision
+	f.fence = c.leaseKey.position
 	s.enterStep(f, stepPause)
 }
 
--- a/loomfleet/fixture_test.go
+++ b/loomfleet/fixture_test.go
@@ -52,11 +52,16 @@
 // the primary.
 func (f *fixture) configure(policy currantloom.ReadPolicy) {
 	f.reduce(CatalogChanged{
-		Stamp: f.stamp(), Snapshot: true, Revision: 10, Configuration: testConfiguration(1, policy),
+		Stamp: f.stamp(), Snapshot: true, Position: testStorePosition(10), Configuration: testConfiguration(1, policy),
 		Upstreams: []UpstreamChange{testUpstream("a", true), testUpstream("b", false), testUpstream("c", false)},
 	})
 }
 
+// testStorePosition returns a position in the first era of the store.
+func testStorePosition(revision uint64) currantloom.StorePosition {
+	return currantloom.NewStorePosition(1, revision)
+}
+
 func testConfiguration(version uint64, policy currantloom.ReadPolicy) *currantloom.Configuration {
 	return &currantloom.Configuration{
 		Version: version, IdleTransactionTimeout: 3 * time.Second,
@@ -71,7 +76,7 @@
 }
 
 func testUpstream(name currantloom.UpstreamName, primary bool) UpstreamChange {
-	return UpstreamChange{Revision: 5, Upstream: currantloom.Upstream{
+	return UpstreamChange{Position: testStorePosition(5), Upstream: currantloom.Upstream{
 		Name: name, Service: testService, Address: "10.0.1.1:1", Location: testLocation, Slots: 2, Primary: primary,
 		Incarnation: 1,
 	}}
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -101,7 +101,7 @@
 		if !u.Primary || !u.isUsable(s) || u.notPrimaryAt > 0 && s.now-u.notPrimaryAt < notPrimaryTTL {
 			continue
 		}
-		if newest == nil || u.revision > newest.revision {
+		if newest == nil || u.storePosition.After(newest.storePosition) {
 			newest = u
 		}
 	}
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -29,10 +29,14 @@
 
 // member is another node as this node sees it.
 type member struct {
-	vm           currantloom.VM
-	incarnation  uint64
-	revision     uint64
-	deletedAt    time.Duration
+	vm          currantloom.VM
+	incarnation uint64
+	position    currantloom.StorePosition
+	deletedAt   time.Duration
+	// missingSince is when a store that came back from a copy turned out not to have the registration; zero if it has it.
+	missingSince time.Duration
+	// returned says that the member had left and that the copy of the store has its registration.
+	returned     bool
 	shuttingDown bool
 	// alive says that the member has answered a ping and is not suspected; suspected says that it does not answer. A
 	// member that has not been pinged yet is neither.
@@ -70,13 +74,13 @@
 	}
 	peer, ok := m.byName[name]
 	if e.Deleted {
-		if ok && e.Revision > peer.revision && peer.deletedAt == 0 {
-			peer.deletedAt, peer.revision = s.now, e.Revision
-			s.log(Decision{Event: "vm", VM: name, Version: e.Revision, Outcome: "unregistered"})
+		if ok && e.Position.After(peer.position) && peer.deletedAt == 0 {
+			peer.deletedAt, peer.missingSince, peer.position = s.now, 0, e.Position
+			s.log(Decision{Event: "vm", VM: name, Version: e.Position.Revision(), Outcome: "unregistered"})
 		}
 		return
 	}
-	if ok && e.Revision <= peer.revision {
+	if ok && !e.Position.After(peer.position) {
 		return
 	}
 	if !ok {
@@ -84,24 +88,25 @@
 		m.byName[name] = peer
 		m.sorted = append(m.sorted, peer)
 		slices.SortFunc(m.sorted, func(a, b *member) int { return cmp.Compare(a.vm.Name(), b.vm.Name()) })
-		s.log(Decision{Event: "vm", VM: name, Version: e.Revision, Outcome: "registered"})
+		s.log(Decision{Event: "vm", VM: name, Version: e.Position.Revision(), Outcome: "registered"})
 	}
 	if peer.incarnation != e.Incarnation {
 		peer.shuttingDown, peer.pongPending, peer.alive, peer.suspected = false, false, false, false
 	}
-	peer.vm, peer.incarnation, peer.revision, peer.deletedAt = e.VM, e.Incarnation, e.Revision, 0
+	peer.vm, peer.incarnation, peer.position = e.VM, e.Incarnation, e.Position
+	peer.deletedAt, peer.missingSince = 0, 0
 	m.epoch++
 }
 
 // markAbsent marks the members that a snapshot of the store does not contain as deleted.
-func (m *members) markAbsent(s *State, present map[currantloom.VMName]bool, revision uint64) {
+func (m *members) markAbsent(s *State, present map[currantloom.VMName]bool, position currantloom.StorePosition) {
 	for _, peer := range m.sorted {
-		if !present[peer.vm.Name()] && peer.deletedAt == 0 && peer.revision < revision {
+		if !present[peer.vm.Name()] && peer.deletedAt == 0 && position.After(peer.position) {
 			peer.deletedAt = s.now
 		}
 	}
 	if !present[s.config.Self] {
-		s.coordinator.handleOwnMemberChange(s, MemberChange{Deleted: true, Revision: revision})
+		s.coordinator.handleOwnMemberChange(s, MemberChange{Deleted: true, Position: position})
 	}
 }
 
@@ -149,7 +154,7 @@
 			targets[m.vm.Name()] = pingInterval
 		}
 	}
-	if s.coordinator.leaseKey.revision > 0 {
+	if !s.coordinator.leaseKey.position.IsZero() {
 		for _, u := range s.catalog.upstreams {
 			s.addOwnerTarget(targets, u, largeFleetPingInterval)
 		}
@@ -241,9 +246,7 @@
 		Number: p.Number, ShuttingDown: s.shutdown.requested,
 		StoreReachable: !s.catalog.storeUnavailable && s.catalog.storeReachedAt > 0,
 		Upstreams:      s.owner.healthReports(s), Samples: s.owner.primarySamples(s),
-	}
-	if c := s.catalog.configuration; c != nil {
-		pong.ConfigurationVersion = c.Version
+		ConfigurationVersion: s.configurationVersion(),
 	}
 	for _, g := range s.catalog.sortedGroups {
 		if !g.ackedPosition.IsZero() && (g.name == p.Service || s.owner.pools[g.primary] != nil) {
@@ -267,11 +270,16 @@
 		s.markMemberShuttingDown(from)
 	}
 	m.suspected = false
+	if m.returned {
+		m.returned, m.deletedAt = false, 0
+		s.members.epoch++
+	}
 	if !m.alive {
 		m.alive = true
 		s.log(Decision{Event: "vm", VM: from, Age: s.now - m.pingSentAt, Outcome: "answers"})
 		s.deferCall(s.retryParkedRequests)
 	}
+	s.compareConfiguration(m)
 	for _, r := range p.Upstreams {
 		if u, ok := s.catalog.upstreams[r.Name]; ok {
 			u.observePosition(r.Position, m.pingSentAt)
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -29,7 +29,7 @@
 	c := &s.coordinator
 	pending, ok := c.pendingPromotions[g.name]
 	if ok && (g.primary == pending.upstream ||
-		c.leaseKey.revision > pending.fence && s.now-pending.sentAt > promoteTimeout) {
+		c.leaseKey.position.After(pending.fence) && s.now-pending.sentAt > promoteTimeout) {
 		delete(c.pendingPromotions, g.name)
 		ok = false
 	}
--- a/loomfleet/registration.go
+++ b/loomfleet/registration.go
@@ -17,9 +17,9 @@
 	kind RegistrationKind
 	// ttl is the time to live of the lease, renewInterval the time between two renewals.
 	ttl, renewInterval time.Duration
-	leaseID            uint64
-	// revision is the revision of the key as this node wrote it; 0 if the node does not hold the key.
-	revision uint64
+	lease              currantloom.StoreLease
+	// position is the position of the key as this node wrote it; zero if the node does not hold the key.
+	position currantloom.StorePosition
 	// validUntil is the earliest time at which the lease can expire.
 	validUntil time.Duration
 	renewAt    time.Duration
@@ -27,8 +27,10 @@
 	pendingCall   CallID
 	pendingKind   pendingKind
 	pendingSentAt time.Duration
-	retryAt       time.Duration
-	backoff       time.Duration
+	// pendingExpected is the position that the key must have for the pending write.
+	pendingExpected currantloom.StorePosition
+	retryAt         time.Duration
+	backoff         time.Duration
 }
 
 func newRegistration(kind RegistrationKind, ttl time.Duration, renewals int) registration {
@@ -45,7 +47,9 @@
 )
 
 // isHeld reports whether the node wrote the key and its lease cannot have expired.
-func (r *registration) isHeld(now time.Duration) bool { return r.revision > 0 && now < r.validUntil }
+func (r *registration) isHeld(now time.Duration) bool {
+	return !r.position.IsZero() && now < r.validUntil
+}
 
 // canCall reports whether no call is pending and the backoff after the last failure is over.
 func (r *registration) canCall(now time.Duration) bool {
@@ -59,20 +63,21 @@
 
 // requestLease requests a lease.
 func (r *registration) requestLease(s *State) {
-	s.emit(StoreGrantLease{Call: r.startCall(s, pendingGrant), TTL: r.ttl})
+	s.emit(StoreGrantLease{Call: r.startCall(s, pendingGrant), Era: s.storeEra, TTL: r.ttl})
 }
 
 // renewIfDue renews the lease if it is time.
 func (r *registration) renewIfDue(s *State) {
 	if s.now >= r.renewAt {
-		s.emit(StoreRenewLease{Call: r.startCall(s, pendingRenew), Lease: r.leaseID})
+		s.emit(StoreRenewLease{Call: r.startCall(s, pendingRenew), Lease: r.lease})
 	}
 }
 
-// write writes the key, if conditional only if it has the expected revision.
-func (r *registration) write(s *State, conditional bool, expected uint64) {
+// write writes the key, if conditional only if it has the expected position.
+func (r *registration) write(s *State, conditional bool, expected currantloom.StorePosition) {
+	r.pendingExpected = expected
 	s.emit(StoreCommit{Call: r.startCall(s, pendingWrite), Txn: StoreTxn{
-		Kind: r.kind, Lease: r.leaseID, Conditional: conditional, ExpectedRevision: expected,
+		Kind: r.kind, Lease: r.lease, Conditional: conditional, Expected: expected,
 	}})
 }
 
@@ -86,11 +91,11 @@
 	switch e.Result {
 	case StoreSucceeded:
 		r.backoff = 0
-		r.recordSuccess(s, kind, e.Value)
+		r.recordSuccess(s, kind, e)
 	case StoreLeaseExpired:
-		r.leaseID, r.revision, r.validUntil = 0, 0, 0
+		r.forget()
 	case StoreConflict:
-		r.revision = 0
+		r.position = currantloom.StorePosition{}
 		r.backOff(s)
 	default:
 		r.backOff(s)
@@ -98,16 +103,16 @@
 	return true
 }
 
-func (r *registration) recordSuccess(s *State, kind pendingKind, value uint64) {
+func (r *registration) recordSuccess(s *State, kind pendingKind, e StoreAnswered) {
 	switch kind {
 	case pendingGrant:
-		r.leaseID = value
+		r.lease = e.Lease
 		r.extendValidity(r.pendingSentAt)
 	case pendingRenew:
 		r.extendValidity(r.pendingSentAt)
 	case pendingWrite:
-		r.revision = value
-		s.log(Decision{Event: "registration", Version: value, Outcome: r.kind.String()})
+		r.position = e.Position
+		s.log(Decision{Event: "registration", Version: e.Position.Revision(), Outcome: r.kind.String()})
 	}
 }
 
@@ -129,25 +134,33 @@
 	r.retryAt = s.now + r.backoff/2 + time.Duration(s.random%uint64(r.backoff/2))
 }
 
-// release revokes the lease, which deletes the key.
+// forget drops the lease and the key, and the call that has not been answered. Nothing is sent to the store.
+func (r *registration) forget() {
+	*r = registration{kind: r.kind, ttl: r.ttl, renewInterval: r.renewInterval, backoff: r.backoff, retryAt: r.retryAt}
+}
+
+// release deletes the key, unless another node has written it since. The lease is left to expire: if the store has come
+// back from a copy in the meantime, its number may belong to another node.
 func (r *registration) release(s *State) {
-	if r.leaseID > 0 {
-		s.emit(StoreRevokeLease{Lease: r.leaseID})
+	if !r.position.IsZero() {
+		s.emit(StoreCommit{Call: CallID(s.nextNumber()), Txn: StoreTxn{
+			Kind: r.kind, Lease: r.lease, Conditional: true, Expected: r.position, Delete: true,
+		}})
 	}
-	*r = registration{kind: r.kind, ttl: r.ttl, renewInterval: r.renewInterval}
+	r.forget()
 }
 
 // tickMemberKey maintains the registration of the node.
 func (c *coordinator) tickMemberKey(s *State) {
 	r := &c.memberKey
-	if !r.canCall(s.now) || s.shutdown.requested {
+	if !r.canCall(s.now) || s.shutdown.requested || !s.catalog.hasSnapshot {
 		return
 	}
 	switch {
-	case r.leaseID == 0:
+	case r.lease.IsZero():
 		r.requestLease(s)
-	case r.revision == 0:
-		r.write(s, false, 0)
+	case r.position.IsZero():
+		r.write(s, false, currantloom.StorePosition{})
 	default:
 		r.renewIfDue(s)
 	}
@@ -158,12 +171,14 @@
 	r := &c.memberKey
 	switch {
 	case e.Deleted:
-		if r.revision > 0 && e.Revision > r.revision && r.pendingKind != pendingWrite {
-			s.log(Decision{Event: "registration", Version: e.Revision, Reason: "key deleted", Outcome: "again"})
-			r.revision = 0
+		if !r.position.IsZero() && e.Position.After(r.position) && r.pendingKind != pendingWrite {
+			s.log(Decision{
+				Event: "registration", Version: e.Position.Revision(), Reason: "key deleted", Outcome: "again",
+			})
+			r.position = currantloom.StorePosition{}
 		}
-	case e.Incarnation == s.config.Incarnation:
-		r.revision = max(r.revision, e.Revision)
+	case e.Incarnation == s.config.Incarnation && e.Position.After(r.position) && !r.lease.IsZero():
+		r.position = e.Position
 	}
 }
 
@@ -171,7 +186,7 @@
 type leaseHolder struct {
 	name        currantloom.VMName
 	incarnation uint64
-	revision    uint64
+	position    currantloom.StorePosition
 	// vacantSince is when the lease became vacant; zero if it is held or its state is unknown.
 	vacantSince time.Duration
 }
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -96,6 +96,7 @@
 	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{TransactionStatus: currantloom.TransactionIdle}})
 }
 
+// configurationVersion returns the version of the configuration in effect, 0 without one.
 func (s *State) configurationVersion() uint64 {
 	if c := s.catalog.configuration; c != nil {
 		return c.Version
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -38,6 +38,8 @@
 	// deferred holds calls between the parts of this node, so that none runs while another is in progress.
 	deferred   []func()
 	lastNumber uint64
+	// storeEra is the newest era of the store that this node has heard of.
+	storeEra currantloom.StoreEra
 
 	catalog  catalog
 	members  members
@@ -107,6 +109,8 @@
 		s.tick()
 	case CatalogChanged:
 		s.handleCatalogChange(e)
+	case StoreEraChanged:
+		s.enterStoreEra(e.Era)
 	case StoreWatchSucceeded:
 		s.handleStoreWatchSucceeded()
 	case StoreWatchFailed:
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -56,25 +56,24 @@
 func (n *Node) executePlatformEffect(e loomfleet.Effect) {
 	switch e := e.(type) {
 	case loomfleet.StoreCommit:
-		n.callStore(e.Call, func(ctx context.Context) (uint64, error) {
-			return n.config.Store.Commit(ctx, n.storeCache.registrationTxn(e.Txn))
+		n.callStore(e.Call, func(ctx context.Context, a *loomfleet.StoreAnswered) (err error) {
+			a.Position, err = n.config.Store.Commit(ctx, n.storeCache.registrationTxn(e.Txn))
+			return err
 		})
 	case loomfleet.StoreGrantLease:
-		n.callStore(e.Call, func(ctx context.Context) (uint64, error) { return n.config.Store.Grant(ctx, e.TTL) })
-	case loomfleet.StoreRenewLease:
-		n.callStore(e.Call, func(ctx context.Context) (uint64, error) {
-			return e.Lease, n.config.Store.Renew(ctx, e.Lease)
+		n.callStore(e.Call, func(ctx context.Context, a *loomfleet.StoreAnswered) (err error) {
+			a.Lease, err = n.config.Store.Grant(ctx, e.Era, e.TTL)
+			return err
 		})
-	case loomfleet.StoreRevokeLease:
-		n.tasks.Go(func() {
-			// A lease that is not revoked expires by itself.
-			if err := n.config.Store.Revoke(n.runCtx, e.Lease); err != nil {
-				n.log.Enqueue(loomlog.Line{Event: "lease", Fields: []any{"lease", e.Lease, "outcome", "left", "reason", err}})
-			}
+	case loomfleet.StoreRenewLease:
+		n.callStore(e.Call, func(ctx context.Context, _ *loomfleet.StoreAnswered) error {
+			return n.config.Store.Renew(ctx, e.Lease)
 		})
+	case loomfleet.FetchConfiguration:
+		n.tasks.Go(func() { n.storeCache.fetchConfiguration(e.VM) })
 	case loomfleet.Promote:
 		n.tasks.Go(func() {
-			result := n.config.Promoter.Promote(n.runCtx, e.Service, e.Upstream, n.config.Reducer.Self, e.Fence)
+			result := n.config.Promoter.Promote(n.runCtx, e.Service, e.Upstream, n.config.Reducer.Self, e.Fence.Fence())
 			n.submit(loomfleet.PromoteAnswered{
 				Stamp: n.stamp(), Service: e.Service, PromotionID: e.PromotionID, Result: result,
 			})
@@ -82,26 +81,44 @@
 	}
 }
 
-// callStore calls the store in a new goroutine and reports the outcome to the reducer.
-func (n *Node) callStore(id loomfleet.CallID, call func(context.Context) (uint64, error)) {
+// callStore calls the store in a new goroutine and reports the outcome to the reducer. The call adds its results to the
+// answer.
+func (n *Node) callStore(id loomfleet.CallID, call func(context.Context, *loomfleet.StoreAnswered) error) {
 	n.tasks.Go(func() {
-		value, err := call(n.runCtx)
+		answer := loomfleet.StoreAnswered{Call: id}
+		err := call(n.runCtx, &answer)
 		if err != nil {
 			n.log.Enqueue(loomlog.Line{Event: "store_call", Warn: true, Fields: []any{"call", uint64(id), "reason", err}})
 		}
-		n.submit(loomfleet.StoreAnswered{Stamp: n.stamp(), Call: id, Result: storeResult(err), Value: value})
+		if currantloom.IsStoreEra(err) {
+			n.reportUnknownEra(err)
+		}
+		answer.Stamp, answer.Result = n.stamp(), storeResult(err)
+		answer.Era, _ = currantloom.RestoredEraOf(err)
+		n.submit(answer)
 	})
 }
 
+// reportUnknownEra logs and counts an answer or a push whose era is unknown or has passed, and which is therefore not
+// used.
+func (n *Node) reportUnknownEra(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.executeEffect(loomfleet.Decision{Event: "store_era", Reason: err.Error(), Outcome: "ignored", Routine: true})
+}
+
 func storeResult(err error) loomfleet.StoreResult {
+	_, restored := currantloom.RestoredEraOf(err)
 	switch {
 	case err == nil:
 		return loomfleet.StoreSucceeded
+	case restored:
+		return loomfleet.StoreRestored
 	case currantloom.IsConflict(err):
 		return loomfleet.StoreConflict
 	case currantloom.IsInput(err):
 		return loomfleet.StoreLeaseExpired
-	case errors.Is(err, context.DeadlineExceeded):
+	case currantloom.IsStoreEra(err), errors.Is(err, context.DeadlineExceeded):
 		return loomfleet.StoreUnknown
 	default:
 		return loomfleet.StoreUnavailable
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -237,7 +237,7 @@
 func (n *Node) MessageReceived(from currantloom.VMName, link uint64, m currantloom.Message) {
 	switch m := m.(type) {
 	case currantloom.StoreItemsRequest:
-		n.mesh.Respond(link, currantloom.StoreItems{Items: n.storeCache.snapshot()})
+		n.mesh.Respond(link, n.storeCache.storeItems())
 		return
 	case currantloom.StoreItems:
 		n.storeCache.enqueuePush(m)
--- a/loomhost/push.go
+++ b/loomhost/push.go
@@ -26,7 +26,7 @@
 	// pushTimeout is how long a follower waits for a push before it calls the store itself.
 	pushTimeout = 2500 * time.Millisecond
 	// maxQueuedPushes bounds the queue of received pushes. A push that is dropped is noticed by the gap between the
-	// revisions of its neighbours.
+	// positions of its neighbours.
 	maxQueuedPushes = 64
 )
 
@@ -89,15 +89,15 @@
 	return false
 }
 
-// recordRevision records that this node has read the store from the base revision up to the revision.
-func (c *storeCache) recordRevision(base, revision uint64) {
+// recordPosition records that this node has read the store from the base up to the position.
+func (c *storeCache) recordPosition(base, position currantloom.StorePosition) {
 	c.mu.Lock()
-	c.revision, c.storeReachable = revision, true
+	c.position, c.storeReachable = position, true
 	c.mu.Unlock()
-	if base == 0 {
+	if base.IsZero() {
 		// The whole store was read, so the changes before it are not pushed. A follower that lacks them sees a gap and
 		// reads them from the store.
-		c.pushToFollowers(currantloom.StoreItems{Delta: true, BaseRevision: revision, Revision: revision})
+		c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: position, Position: position})
 	}
 }
 
@@ -116,15 +116,15 @@
 	}
 }
 
-// pushHeartbeats regularly pushes the current revision without changes, as long as this node can reach the store.
+// pushHeartbeats regularly pushes the current position without changes, as long as this node can reach the store.
 func (c *storeCache) pushHeartbeats(ctx context.Context) error {
 	for ctx.Err() == nil {
 		loomtask.Sleep(ctx, heartbeatInterval)
 		c.mu.Lock()
-		revision, reachable := c.revision, c.storeReachable
+		position, reachable := c.position, c.storeReachable
 		c.mu.Unlock()
 		if reachable {
-			c.pushToFollowers(currantloom.StoreItems{Delta: true, BaseRevision: revision, Revision: revision})
+			c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: position, Position: position})
 		}
 	}
 	return nil
@@ -138,29 +138,45 @@
 	}
 }
 
-// awaitPush waits for a push and applies it. It returns the new revision, and false if no push arrived in time or if
-// changes between the revision and the push are missing.
-func (c *storeCache) awaitPush(ctx context.Context, revision uint64) (uint64, bool) {
+// awaitPush waits for a push and applies it. It returns the new position, and false if no push arrived in time or if
+// changes between the position and the push are missing. The error says that the store came back from a copy.
+func (c *storeCache) awaitPush(
+	ctx context.Context, position currantloom.StorePosition,
+) (currantloom.StorePosition, bool, error) {
 	select {
 	case m := <-c.pushes:
-		if !m.Delta || m.BaseRevision > revision {
-			return revision, false
-		}
-		// Items that this node has already read are skipped: they may have been deleted since, and merge would restore
-		// them.
-		items := slices.DeleteFunc(m.Items, func(i currantloom.StoreItem) bool { return i.Revision <= revision })
-		if newer := c.merge(items); len(newer) > 0 {
-			c.node.submit(c.decodeChanges(newer, false, m.Revision))
-		}
-		revision = max(revision, m.Revision)
-		c.mu.Lock()
-		c.revision, c.storeReachable = revision, true
-		c.mu.Unlock()
-		c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
-		return revision, true
+		return c.applyPush(m, position)
 	case <-time.After(pushTimeout):
-		return revision, false
+		return position, false, nil
 	case <-ctx.Done():
-		return revision, true
+		return position, true, nil
 	}
 }
+
+// applyPush applies a push for awaitPush. A push of an earlier era is ignored.
+func (c *storeCache) applyPush(
+	m currantloom.StoreItems, position currantloom.StorePosition,
+) (currantloom.StorePosition, bool, error) {
+	switch era := m.Position.Era(); {
+	case era > position.Era():
+		return position, false, currantloom.NewRestoredError(era)
+	case era < position.Era():
+		c.node.reportUnknownEra(currantloom.ErrStoreEra.New("push of era %d after era %d", era, position.Era()))
+		return position, true, nil
+	case !m.Delta || m.Base.After(position):
+		return position, false, nil
+	}
+	// Items that this node has already read are skipped: they may have been deleted since, and merge would restore them.
+	items := slices.DeleteFunc(m.Items, func(i currantloom.StoreItem) bool { return !i.Position.After(position) })
+	if newer := c.merge(items); len(newer) > 0 {
+		c.node.submit(c.decodeChanges(newer, false, m.Position))
+	}
+	if m.Position.After(position) {
+		position = m.Position
+	}
+	c.mu.Lock()
+	c.position, c.storeReachable = position, true
+	c.mu.Unlock()
+	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
+	return position, true, nil
+}
--- a/loomhost/push_test.go
+++ b/loomhost/push_test.go
@@ -29,7 +29,8 @@
 	for i := range nodes {
 		key := fmt.Sprintf("%svm-%d", nodeKeyPrefix, i+1)
 		n.storeCache.items[key] = currantloom.StoreItem{
-			Key: key, Value: []byte(`{"address":"a","domain":"linz","region":"ost"}`), Revision: uint64(i + 1),
+			Key: key, Value: []byte(`{"address":"a","domain":"linz","region":"ost"}`),
+			Position: currantloom.NewStorePosition(1, uint64(i+1)),
 		}
 	}
 	return n.storeCache
@@ -54,37 +55,42 @@
 // TestFollowerPushes guards against pushed changes that a follower misses, applies twice, or undoes because an older
 // push arrives late.
 func TestFollowerPushes(t *testing.T) {
+	at := func(revision uint64) currantloom.StorePosition { return currantloom.NewStorePosition(1, revision) }
 	item := func(key string, revision uint64, deleted bool) currantloom.StoreItem {
-		return currantloom.StoreItem{Key: key, Value: []byte("v"), Revision: revision, Deleted: deleted}
+		return currantloom.StoreItem{Key: key, Value: []byte("v"), Position: at(revision), Deleted: deleted}
 	}
 	c := newTestStoreCache("vm-1", 20)
 	push := func(revision uint64, m currantloom.StoreItems) (uint64, bool) {
 		m.Delta = true
 		c.enqueuePush(m)
-		return c.awaitPush(context.Background(), revision)
+		got, ok, err := c.awaitPush(context.Background(), at(revision))
+		if err != nil {
+			t.Errorf("push to %d: %v", revision, err)
+		}
+		return got.Revision(), ok
 	}
 	if got, ok := push(100, currantloom.StoreItems{
-		Items: []currantloom.StoreItem{item("k", 101, false)}, BaseRevision: 100, Revision: 102,
+		Items: []currantloom.StoreItem{item("k", 101, false)}, Base: at(100), Position: at(102),
 	}); !ok || got != 102 {
 		t.Errorf("next changes: %d %v, want revision 102", got, ok)
 	}
 	if got, ok := push(102, currantloom.StoreItems{
-		Items: []currantloom.StoreItem{item("k", 105, true)}, BaseRevision: 102, Revision: 105,
+		Items: []currantloom.StoreItem{item("k", 105, true)}, Base: at(102), Position: at(105),
 	}); !ok || got != 105 {
 		t.Errorf("deletion: %d %v, want revision 105", got, ok)
 	}
 	if got, ok := push(105, currantloom.StoreItems{
-		Items: []currantloom.StoreItem{item("k", 101, false)}, BaseRevision: 100, Revision: 102,
+		Items: []currantloom.StoreItem{item("k", 101, false)}, Base: at(100), Position: at(102),
 	}); !ok || got != 105 {
 		t.Errorf("late push: %d %v, want revision 105", got, ok)
 	}
 	if _, exists := c.items["k"]; exists {
 		t.Error("a late push restored a deleted key")
 	}
-	if _, ok := push(105, currantloom.StoreItems{BaseRevision: 110, Revision: 112}); ok {
+	if _, ok := push(105, currantloom.StoreItems{Base: at(110), Position: at(112)}); ok {
 		t.Error("a push after a gap was accepted")
 	}
-	if _, ok := c.awaitPush(context.Background(), 105); ok {
+	if _, ok, _ := c.awaitPush(context.Background(), at(105)); ok {
 		t.Error("the wait for a push did not time out")
 	}
 }
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -32,6 +32,8 @@
 	// wait is 0.5 to 1.5 times the delay, at random.
 	minRetryDelay = 150 * time.Millisecond
 	maxRetryDelay = time.Second
+	// rereadSpread is the time over which the nodes read the store again after it came back from a copy.
+	rereadSpread = 300 * time.Millisecond
 	// seedRequestTimeout bounds the request to another node for its copy of the store.
 	seedRequestTimeout = time.Second
 )
@@ -51,9 +53,11 @@
 
 	mu    sync.Mutex
 	items map[string]currantloom.StoreItem
-	// revision is the revision of the store up to which the items are complete. storeReachable says that the node's last
+	// configurationVersion is the version of the configuration among the items.
+	configurationVersion uint64
+	// position is the position of the store up to which the items are complete. storeReachable says that the node's last
 	// call to the store succeeded, or that another node has pushed its changes since.
-	revision       uint64
+	position       currantloom.StorePosition
 	storeReachable bool
 }
 
@@ -92,34 +96,36 @@
 	if err != nil {
 		c.node.log.Enqueue(loomlog.Line{Event: "record", Warn: true, Fields: []any{"key", key, "reason", err}})
 	}
-	txn := currantloom.StoreTxn{Set: []currantloom.StoreItem{{Key: key, Value: value, Lease: t.Lease}}}
+	txn := currantloom.StoreTxn{Era: t.Lease.Era()}
+	if t.Delete {
+		txn.Delete = []string{key}
+	} else {
+		txn.Set = []currantloom.StoreItem{{Key: key, Value: value, Lease: t.Lease}}
+	}
 	if t.Conditional {
-		txn.Expected = map[string]uint64{key: t.ExpectedRevision}
+		txn.Expected = map[string]uint64{key: t.Expected.Revision()}
 	}
 	return txn
 }
 
 // run keeps the copy up to date until the context ends.
 func (c *storeCache) run(ctx context.Context) error {
-	var revision uint64
+	var position currantloom.StorePosition
 	delay := minRetryDelay
 	for ctx.Err() == nil {
-		if revision > 0 && c.isFollower() {
-			if next, ok := c.awaitPush(ctx, revision); ok {
-				revision = next
-				continue
-			}
-		}
-		next, err := c.readChanges(ctx, revision)
+		next, err := c.advance(ctx, position)
+		era, restored := currantloom.RestoredEraOf(err)
 		switch {
 		case err == nil:
-			c.recordRevision(revision, next)
-			revision, delay = next, minRetryDelay
+			position, delay = next, minRetryDelay
+		case restored:
+			c.reportRestored(ctx, era)
+			position = currantloom.StorePosition{}
 		case currantloom.IsInput(err):
-			// The store no longer has the history after the revision: read everything again.
-			revision = 0
+			// The store no longer has the history after the position: read everything again.
+			position = currantloom.StorePosition{}
 		case ctx.Err() == nil:
-			c.reportStoreLost(revision, err)
+			c.reportStoreLost(position, err)
 			loomtask.Sleep(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxRetryDelay)
 		}
@@ -127,25 +133,56 @@
 	return nil
 }
 
+// advance waits for changes after the position, from other nodes or from the store, and returns the position up to
+// which the copy is complete.
+func (c *storeCache) advance(
+	ctx context.Context, position currantloom.StorePosition,
+) (currantloom.StorePosition, error) {
+	if !position.IsZero() && c.isFollower() {
+		if next, ok, err := c.awaitPush(ctx, position); ok || err != nil {
+			return next, err
+		}
+	}
+	next, err := c.readChanges(ctx, position)
+	if err == nil {
+		c.recordPosition(position, next)
+	}
+	return next, err
+}
+
+// reportRestored tells the reducer and the followers that the store came back from a copy, and waits for a random time,
+// so that not all nodes read the store at once.
+func (c *storeCache) reportRestored(ctx context.Context, era currantloom.StoreEra) {
+	c.node.submit(loomfleet.StoreEraChanged{Stamp: c.node.stamp(), Era: era})
+	restored := currantloom.NewStorePosition(era, 0)
+	c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: restored, Position: restored})
+	loomtask.Sleep(ctx, rand.N(rereadSpread))
+}
+
 // reportStoreLost reports a failed call. A node that has not read the store yet asks other nodes for their copies.
-func (c *storeCache) reportStoreLost(revision uint64, err error) {
+func (c *storeCache) reportStoreLost(position currantloom.StorePosition, err error) {
 	c.mu.Lock()
 	c.storeReachable = false
 	c.mu.Unlock()
+	if currantloom.IsStoreEra(err) {
+		c.node.reportUnknownEra(err)
+	}
 	c.node.submit(loomfleet.StoreWatchFailed{Stamp: c.node.stamp(), Reason: err.Error()})
-	if revision == 0 {
+	if position.IsZero() {
 		c.loadFromSeeds()
 	}
 }
 
-// readChanges waits for changes after the revision, or reads the whole store if the revision is 0. It returns the
-// revision up to which the node has read.
-func (c *storeCache) readChanges(ctx context.Context, revision uint64) (uint64, error) {
+// readChanges waits for changes after the position, or reads the whole store if the position is zero. It returns the
+// position up to which the node has read.
+func (c *storeCache) readChanges(
+	ctx context.Context, position currantloom.StorePosition,
+) (currantloom.StorePosition, error) {
 	store := c.node.config.Store
-	if revision == 0 {
+	if position.IsZero() {
 		items, next, err := store.Range(ctx, "")
 		if err != nil {
-			return 0, err
+			return currantloom.StorePosition{}, err
 		}
 		c.replace(items)
 		c.node.submit(c.decodeChanges(items, true, next))
@@ -156,13 +193,13 @@
 	if c.isFollower() || !c.isStoreReachable() {
 		wait = shortWatchWait
 	}
-	items, next, err := store.Watch(ctx, "", revision, wait)
+	items, next, err := store.Watch(ctx, "", position, wait)
 	if err != nil {
-		return 0, err
+		return currantloom.StorePosition{}, err
 	}
 	c.merge(items)
 	if len(items) > 0 {
-		c.pushToFollowers(currantloom.StoreItems{Items: items, Delta: true, BaseRevision: revision, Revision: next})
+		c.pushToFollowers(currantloom.StoreItems{Items: items, Delta: true, Base: position, Position: next})
 		c.node.submit(c.decodeChanges(items, false, next))
 	}
 	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
@@ -179,25 +216,77 @@
 	return c.storeReachable
 }
 
-// loadFromSeeds merges the copies of other nodes, so that a node that starts while the store is unreachable can serve.
+// loadFromSeeds takes over the newest copy of the seed nodes, so that a node that starts while the store is unreachable
+// can serve. Copies are not merged: an older one holds keys that were deleted since.
 func (c *storeCache) loadFromSeeds() {
+	var newest currantloom.StoreItems
 	for _, seed := range c.node.config.SeedAddresses {
 		if seed == c.node.config.Reducer.Address {
 			continue
 		}
-		items, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, seed, seedRequestTimeout)
+		m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, seed, seedRequestTimeout)
 		if err != nil {
 			c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{"address", seed, "reason", err}})
 			continue
 		}
-		items = c.merge(items)
-		c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{"address", seed, "items", len(items)}})
-		c.node.submit(c.decodeChanges(items, false, 0))
+		c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{
+			"address", seed, "items", len(m.Items), "version", m.Position,
+		}})
+		if m.Position.After(newest.Position) {
+			newest = m
+		}
 	}
+	c.mu.Lock()
+	isNewer := newest.Position.After(c.position)
+	c.mu.Unlock()
+	if !isNewer {
+		return
+	}
+	c.replace(newest.Items)
+	c.mu.Lock()
+	c.position = newest.Position
+	c.mu.Unlock()
+	c.node.submit(c.decodeChanges(newest.Items, true, newest.Position))
 }
 
-// snapshot returns all items, sorted by key.
-func (c *storeCache) snapshot() []currantloom.StoreItem {
+// fetchConfiguration takes over the configuration of another node, if it is newer.
+func (c *storeCache) fetchConfiguration(vm currantloom.VM) {
+	m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, vm.LinkAddress(), seedRequestTimeout)
+	if err != nil {
+		c.node.log.Enqueue(loomlog.Line{Event: "configuration", Warn: true, Fields: []any{
+			"vm", string(vm.Name()), "reason", err, "outcome", "missing",
+		}})
+		return
+	}
+	for _, item := range m.Items {
+		version, ok := c.versionOf(item)
+		if !ok || !c.keepNewest(item, version) {
+			continue
+		}
+		c.node.submit(c.decodeChanges([]currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
+	}
+}
+
+// versionOf returns the version of the configuration that an item holds; it reports false if it holds none.
+func (c *storeCache) versionOf(item currantloom.StoreItem) (uint64, bool) {
+	configuration, ok, err := c.node.config.Catalog.Configuration(item)
+	return configuration.Version, ok && err == nil
+}
+
+// keepNewest stores an item with a configuration unless the one that the node has is newer. A store that came back from
+// a copy may hold an older configuration until the operator has written it again.
+func (c *storeCache) keepNewest(item currantloom.StoreItem, version uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version < c.configurationVersion {
+		return false
+	}
+	c.items[item.Key], c.configurationVersion = item, version
+	return true
+}
+
+// storeItems returns all items, sorted by key, for another node.
+func (c *storeCache) storeItems() currantloom.StoreItems {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	items := make([]currantloom.StoreItem, 0, len(c.items))
@@ -205,44 +294,61 @@
 		items = append(items, item)
 	}
 	slices.SortFunc(items, func(a, b currantloom.StoreItem) int { return strings.Compare(a.Key, b.Key) })
-	return items
+	return currantloom.StoreItems{Items: items, Position: c.position}
 }
 
-// replace replaces all items.
+// replace replaces all items, except a configuration that is newer than the new one.
 func (c *storeCache) replace(items []currantloom.StoreItem) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	clear(c.items)
-	for _, item := range items {
-		c.items[item.Key] = item
+	kept := make(map[string]currantloom.StoreItem)
+	for key, item := range c.items {
+		if _, ok := c.versionOf(item); ok {
+			kept[key] = item
+		}
 	}
+	c.items = kept
+	c.mu.Unlock()
+	c.merge(items)
 }
 
 // merge applies the items that are newer than the cached ones, and returns them.
 func (c *storeCache) merge(items []currantloom.StoreItem) []currantloom.StoreItem {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	var newer []currantloom.StoreItem
 	for _, item := range items {
-		if current, ok := c.items[item.Key]; ok && current.Revision >= item.Revision {
+		if version, ok := c.versionOf(item); ok {
+			if c.keepNewest(item, version) {
+				newer = append(newer, item)
+			}
 			continue
 		}
-		if item.Deleted {
-			delete(c.items, item.Key)
-		} else {
-			c.items[item.Key] = item
+		if c.mergeItem(item) {
+			newer = append(newer, item)
 		}
-		newer = append(newer, item)
 	}
 	return newer
 }
 
+// mergeItem applies an item if it is newer than the cached one.
+func (c *storeCache) mergeItem(item currantloom.StoreItem) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current, ok := c.items[item.Key]; ok && !item.Position.After(current.Position) {
+		return false
+	}
+	if item.Deleted {
+		delete(c.items, item.Key)
+	} else {
+		c.items[item.Key] = item
+	}
+	return true
+}
+
 // decodeChanges decodes items into an event. An item that cannot be decoded is logged; if it is the registration of an
 // upstream, the upstream is reported as gone.
 func (c *storeCache) decodeChanges(
-	items []currantloom.StoreItem, snapshot bool, revision uint64,
+	items []currantloom.StoreItem, snapshot bool, position currantloom.StorePosition,
 ) loomfleet.CatalogChanged {
-	e := loomfleet.CatalogChanged{Stamp: c.node.stamp(), Snapshot: snapshot, Revision: revision}
+	e := loomfleet.CatalogChanged{Stamp: c.node.stamp(), Snapshot: snapshot, Position: position}
 	for _, item := range items {
 		switch name, isNode := strings.CutPrefix(item.Key, nodeKeyPrefix); {
 		case isNode:
@@ -259,7 +365,7 @@
 func (c *storeCache) addNode(e *loomfleet.CatalogChanged, item currantloom.StoreItem, name currantloom.VMName) {
 	change := loomfleet.MemberChange{
 		VM:       currantloom.NewVM(name, currantloom.Location{}, "", "", currantloom.VMLive),
-		Revision: item.Revision, Deleted: item.Deleted,
+		Position: item.Position, Deleted: item.Deleted,
 	}
 	if !item.Deleted {
 		var record nodeRecord
@@ -276,7 +382,7 @@
 }
 
 func (c *storeCache) addFailoverLease(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
-	change := loomfleet.FailoverLeaseChange{Revision: item.Revision, Deleted: item.Deleted}
+	change := loomfleet.FailoverLeaseChange{Position: item.Position, Deleted: item.Deleted}
 	if !item.Deleted {
 		var record failoverLeaseRecord
 		if err := json.Unmarshal(item.Value, &record); err != nil {
@@ -302,7 +408,7 @@
 	}
 	if ok {
 		e.Upstreams = append(e.Upstreams, loomfleet.UpstreamChange{
-			Upstream: u, Revision: item.Revision, Deleted: item.Deleted || err != nil,
+			Upstream: u, Position: item.Position, Deleted: item.Deleted || err != nil,
 		})
 	}
 }
@@ -310,6 +416,6 @@
 // logIgnoredItem logs an item that cannot be decoded.
 func (c *storeCache) logIgnoredItem(item currantloom.StoreItem, err error) {
 	c.node.log.Enqueue(loomlog.Line{Event: "item", Warn: true, Fields: []any{
-		"key", item.Key, "version", item.Revision, "reason", err, "outcome", "ignored",
+		"key", item.Key, "version", item.Position, "reason", err, "outcome", "ignored",
 	}})
 }
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -57,9 +57,11 @@
 		currantloom.PrimaryChanged{Service: "s", Upstream: "u", Term: 4},
 		currantloom.StoreItemsRequest{},
 		currantloom.StoreItems{
-			Items: []currantloom.StoreItem{{Key: "k", Value: []byte("v"), Revision: 8, Deleted: true}}, Delta: true,
-			BaseRevision: 7,
-			Revision:     8,
+			Items: []currantloom.StoreItem{{
+				Key: "k", Value: []byte("v"), Position: currantloom.NewStorePosition(2, 8), Deleted: true,
+			}},
+			Delta: true,
+			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8),
 		},
 	}
 }
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -122,7 +122,9 @@
 	case kindStoreItemsRequest:
 		return currantloom.StoreItemsRequest{}
 	case kindStoreItems:
-		return currantloom.StoreItems{Items: d.storeItems(), Delta: d.flag(), BaseRevision: d.number(), Revision: d.number()}
+		return currantloom.StoreItems{
+			Items: d.storeItems(), Delta: d.flag(), Base: d.storePosition(), Position: d.storePosition(),
+		}
 	default:
 		if d.err == nil {
 			d.err = currantloom.ErrInput.New("message of kind %d", k)
@@ -210,10 +212,17 @@
 	}
 }
 
+func (d *decoder) storePosition() currantloom.StorePosition {
+	era := currantloom.StoreEra(d.number())
+	return currantloom.NewStorePosition(era, d.number())
+}
+
 func (d *decoder) storeItems() []currantloom.StoreItem {
 	var items []currantloom.StoreItem
 	for range d.listLength() {
-		items = append(items, currantloom.StoreItem{Key: d.text(), Value: d.bytes(), Revision: d.number(), Deleted: d.flag()})
+		items = append(items, currantloom.StoreItem{
+			Key: d.text(), Value: d.bytes(), Position: d.storePosition(), Deleted: d.flag(),
+		})
 	}
 	return items
 }
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -127,8 +127,8 @@
 		e.number(uint64(kindStoreItems))
 		e.storeItems(m.Items)
 		e.flag(m.Delta)
-		e.number(m.BaseRevision)
-		e.number(m.Revision)
+		e.storePosition(m.Base)
+		e.storePosition(m.Position)
 	}
 }
 
@@ -237,12 +237,17 @@
 	e.position(u.Position)
 }
 
+func (e *encoder) storePosition(p currantloom.StorePosition) {
+	e.number(uint64(p.Era()))
+	e.number(p.Revision())
+}
+
 func (e *encoder) storeItems(items []currantloom.StoreItem) {
 	e.listLength(len(items))
 	for _, item := range items {
 		e.text(item.Key)
 		e.bytes(item.Value)
-		e.number(item.Revision)
+		e.storePosition(item.Position)
 		e.flag(item.Deleted)
 	}
 }
--- a/loommesh/mesh.go
+++ b/loommesh/mesh.go
@@ -299,29 +299,30 @@
 // RequestStoreItems asks the node at an address for its copy of the store, over a connection of its own.
 func RequestStoreItems(
 	self currantloom.VMName, address string, timeout time.Duration,
-) ([]currantloom.StoreItem, error) {
+) (currantloom.StoreItems, error) {
+	var none currantloom.StoreItems
 	conn, err := dial(address)
 	if err != nil {
-		return nil, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
+		return none, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(timeout))
 	data, err := encode(currantloom.StoreItemsRequest{})
 	if err != nil {
-		return nil, err
+		return none, err
 	}
 	if _, err := conn.Write(append([]byte(string(self)+"\n"), data...)); err != nil {
-		return nil, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
+		return none, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
 	}
 	m, err := readMessage(bufio.NewReader(conn))
 	if err != nil {
-		return nil, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
+		return none, currantloom.ErrUnavailable.Wrap(err, "node at %s", address)
 	}
 	items, ok := m.(currantloom.StoreItems)
 	if !ok {
-		return nil, currantloom.ErrInput.New("node at %s sent another message", address)
+		return none, currantloom.ErrInput.New("node at %s sent another message", address)
 	}
-	return items.Items, nil
+	return items, nil
 }
 
 // Close closes all links and waits for their goroutines. The listener must be closed first.
--- a/loommodel/fault.go
+++ b/loommodel/fault.go
@@ -28,6 +28,7 @@
 	LateWrites
 	DelayPromotions
 	Reconfigure
+	RestoreStore
 	faultCount
 )
 
@@ -37,7 +38,7 @@
 		"kill node", "freeze node", "stop node", "partition node", "partition store", "store down", "revoke leases",
 		"kill lease holder", "crash primary", "hang primary", "crash replica", "lag replica", "stop replication",
 		"partition primary", "partition primary one way", "drain primary", "drain replica", "lose replies", "late writes",
-		"delay promotions", "reconfigure",
+		"delay promotions", "reconfigure", "restore store",
 	}
 	return names[f]
 }
@@ -110,6 +111,8 @@
 		sim.after(duration, func() { sim.DelayPromotions(0) })
 	case Reconfigure:
 		sim.Reconfigure()
+	case RestoreStore:
+		sim.RestoreStore(duration, 300*time.Millisecond+sim.randomDuration(1500*time.Millisecond))
 	}
 }
 
--- a/loommodel/node.go
+++ b/loommodel/node.go
@@ -34,6 +34,8 @@
 	outboundLinks map[string]bool
 	lastLinkID    loomfleet.LinkID
 	sessions      map[loomfleet.SessionID]*client
+	// configuration is the newest configuration that the process has read; nil before the first.
+	configuration *currantloom.Configuration
 }
 
 func newNode(sim *Simulation, i int) *node {
@@ -44,6 +46,7 @@
 	n.incarnation++
 	n.alive, n.paused, n.ready, n.deferred, n.startedAt = true, false, false, nil, n.sim.now
 	n.inboundLinks, n.linkSources = make(map[string]loomfleet.LinkID), make(map[loomfleet.LinkID]string)
+	n.configuration = nil
 	n.outboundLinks, n.sessions = make(map[string]bool), make(map[loomfleet.SessionID]*client)
 	n.state = loomfleet.New(loomfleet.Config{
 		Self: currantloom.VMName(n.name), Location: n.location, Address: n.name, Incarnation: uint64(n.incarnation),
@@ -84,6 +87,10 @@
 }
 
 func (n *node) reduce(e loomfleet.Event) {
+	if c, ok := e.(loomfleet.CatalogChanged); ok && c.Configuration != nil &&
+		(n.configuration == nil || c.Configuration.Version > n.configuration.Version) {
+		n.configuration = c.Configuration
+	}
 	for _, effect := range slices.Clone(n.state.Reduce(e)) {
 		n.execute(effect)
 	}
@@ -117,6 +124,8 @@
 		n.ready = e.Ready
 	case loomfleet.ShutdownFinished:
 		n.terminateAfterReplies()
+	case loomfleet.FetchConfiguration:
+		n.fetchConfiguration(string(e.VM.Name()))
 	case loomfleet.Promote:
 		sim.cloud.promote(n, e)
 	case loomfleet.Decision:
@@ -153,6 +162,17 @@
 	})
 }
 
+// fetchConfiguration delivers the configuration of another node, if that node can be reached.
+func (n *node) fetchConfiguration(from string) {
+	peer := n.sim.node(from)
+	if peer == nil || !peer.alive || peer.paused || !n.sim.reaches(n.name, from) || !n.sim.reaches(from, n.name) {
+		return
+	}
+	n.deliver(2*n.sim.networkDelay(from, n.name), func() loomfleet.Event {
+		return loomfleet.CatalogChanged{Stamp: n.stamp(), Configuration: peer.configuration}
+	})
+}
+
 // inboundLink returns the id of the link that another node opened, and assigns one to a new link.
 func (n *node) inboundLink(from string) loomfleet.LinkID {
 	if id, ok := n.inboundLinks[from]; ok {
--- a/loommodel/oracle.go
+++ b/loommodel/oracle.go
@@ -16,7 +16,9 @@
 	StatementsRun int
 	Commits       int
 	Promotions    int
-	Timeouts      int
+	// Restores is the number of times that the store came back from a copy.
+	Restores int
+	Timeouts int
 	// MaxLatency is the longest time from a statement to its reply.
 	MaxLatency time.Duration
 }
--- a/loommodel/replication.go
+++ b/loommodel/replication.go
@@ -108,6 +108,11 @@
 		}
 	}
 	u.service.term++
+	if u.sim.promotionEndsPauses {
+		for _, other := range u.service.upstreams {
+			other.replicationPaused = false
+		}
+	}
 	u.sim.oracle.checkPromotion(u)
 	u.term, u.primary, u.replicationPaused, u.applied = u.service.term, true, false, len(u.log)
 	for _, e := range u.log {
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -235,3 +235,79 @@
 		t.Errorf("%d of %d statements failed while nodes were stopped in turn: %v", failed, total, fmt.Sprint(replies))
 	}
 }
+
+// TestRestoredStore guards against a store that comes back from an older copy and stops the fleet: a primary that
+// crashes afterwards must still be replaced, although the revisions that fences are made of are lower than before and
+// the failover lease is gone. Before the drill another primary is replaced, so that the platform has seen a fence.
+func TestRestoredStore(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
+		sim.Run(time.Second)
+		for range 50 {
+			sim.Reconfigure()
+		}
+		sim.Kill(sim.Nodes()[seed%4], 300*time.Millisecond)
+		sim.Crash(sim.Primary(0), false, time.Second)
+		sim.Run(3 * time.Second)
+		sim.RestoreStore(4*time.Second, 300*time.Millisecond+time.Duration(seed)*150*time.Millisecond)
+		sim.Run(4 * time.Second)
+		if sim.Stats().Restores != 1 {
+			t.Fatalf("seed %d: the store came back from a copy %d times, want once", seed, sim.Stats().Restores)
+		}
+		promotions := sim.Stats().Promotions
+		sim.Crash(sim.Primary(0), false, 20*time.Second)
+		sim.Run(maxFailoverTime)
+		if sim.Stats().Promotions == promotions {
+			t.Errorf("seed %d: no primary was promoted within %s", seed, maxFailoverTime)
+		}
+		assertNoViolations(t, sim)
+		assertServing(t, sim)
+	}
+}
+
+// TestLeaseHoldersOfTwoEras guards against orders of two holders of the failover lease that undo each other, or that are
+// refused for good. The holder cannot reach the store while it is away and comes back from a copy, changes the primary
+// on its own meanwhile, and its order takes effect late. Another node becomes the holder in the next era.
+func TestLeaseHoldersOfTwoEras(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
+		sim.Run(2 * time.Second)
+		old := sim.FailoverLeaseHolder()
+		sim.Partition(old, "store", true)
+		sim.RestoreStore(time.Second, 2*time.Second)
+		sim.Run(300 * time.Millisecond)
+		sim.DelayPromotions(100)
+		sim.Crash(sim.Primary(0), false, 30*time.Second)
+		sim.Run(1500 * time.Millisecond)
+		sim.DelayPromotions(0)
+		sim.Run(maxFailoverTime - 1500*time.Millisecond)
+		if sim.Stats().Promotions == 0 {
+			t.Errorf("seed %d: no primary was promoted within %s", seed, maxFailoverTime)
+		}
+		if holder := sim.FailoverLeaseHolder(); holder == old || holder == "" {
+			t.Errorf("seed %d: holder %q after the store came back, want another than %q", seed, holder, old)
+		}
+		sim.Heal()
+		sim.Run(10 * time.Second)
+		assertNoViolations(t, sim)
+		assertServing(t, sim)
+	}
+}
+
+// TestHolderStopsDuringFailover guards against a planned stop of the holder of the failover lease, in the middle of a
+// failover, after which two nodes change the same primary or none does.
+func TestHolderStopsDuringFailover(t *testing.T) {
+	for seed := range uint64(30) {
+		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
+		sim.Run(2 * time.Second)
+		sim.Crash(sim.Primary(0), seed%3 == 0, 30*time.Second)
+		sim.Run(time.Duration(seed) * 60 * time.Millisecond)
+		sim.Stop(sim.FailoverLeaseHolder(), 500*time.Millisecond)
+		sim.Run(5 * time.Second)
+		if got := sim.Stats().Promotions; got != 1 {
+			t.Errorf("seed %d: %d promotions, want one", seed, got)
+		}
+		assertNoViolations(t, sim)
+		assertServing(t, sim)
+	}
+}
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -71,8 +71,11 @@
 type Simulation struct {
 	options Options
 	random  *rand.Rand
-	now     time.Duration
-	timers  timerHeap
+	// promotionEndsPauses says that a promotion ends the pauses of all replicas of the service, not only that of the
+	// new primary. Nodes must cope with both.
+	promotionEndsPauses bool
+	now                 time.Duration
+	timers              timerHeap
 	// sequence numbers timers, sessions and statements.
 	sequence uint64
 
@@ -95,7 +98,7 @@
 	o = o.withDefaults()
 	sim := &Simulation{
 		options: o, random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), partitions: make(map[[2]string]bool),
-		lastArrivals: make(map[[2]string]time.Duration),
+		lastArrivals: make(map[[2]string]time.Duration), promotionEndsPauses: seed%2 == 1,
 	}
 	sim.oracle = newOracle(sim)
 	sim.store = newStore(sim)
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -24,6 +24,7 @@
 // and the failover lease.
 type store struct {
 	sim       *Simulation
+	era       currantloom.StoreEra
 	revision  uint64
 	down      bool
 	lastLease uint64
@@ -35,6 +36,8 @@
 	failoverLease *failoverLeaseRecord
 	// missedChanges holds the nodes that may have missed a change and need a snapshot.
 	missedChanges map[string]bool
+	// copies are earlier states, the oldest first. See restore.go.
+	copies []storeCopy
 }
 
 // memberRecord is the registration of a node and the lease that it depends on.
@@ -51,10 +54,11 @@
 
 func newStore(sim *Simulation) *store {
 	s := &store{
-		sim: sim, leaseEnds: make(map[uint64]time.Duration), upstreams: make(map[string]loomfleet.UpstreamChange),
+		sim: sim, era: 1, leaseEnds: make(map[uint64]time.Duration), upstreams: make(map[string]loomfleet.UpstreamChange),
 		members: make(map[string]memberRecord), missedChanges: make(map[string]bool),
 	}
 	sim.after(100*time.Millisecond, s.expireLeases)
+	sim.after(copyInterval, s.keepCopy)
 	return s
 }
 
@@ -134,7 +138,7 @@
 // sendSnapshot sends the whole content of the store to a node.
 func (s *store) sendSnapshot(n *node) {
 	configuration := s.configuration
-	snapshot := loomfleet.CatalogChanged{Snapshot: true, Revision: s.revision, Configuration: &configuration}
+	snapshot := loomfleet.CatalogChanged{Snapshot: true, Position: s.position(), Configuration: &configuration}
 	for _, name := range sortedKeys(s.upstreams) {
 		snapshot.Upstreams = append(snapshot.Upstreams, s.upstreams[name])
 	}
@@ -160,8 +164,14 @@
 	return keys
 }
 
+// position returns the current position of the store.
+func (s *store) position() currantloom.StorePosition {
+	return currantloom.NewStorePosition(s.era, s.revision)
+}
+
 // publish sends a change to all nodes that the store reaches.
 func (s *store) publish(change loomfleet.CatalogChanged) {
+	change.Position = s.position()
 	for _, n := range s.sim.nodes {
 		if !n.alive || s.missedChanges[n.name] {
 			continue
@@ -181,10 +191,10 @@
 // register writes the registration of an upstream.
 func (s *store) register(u *upstream) {
 	s.revision++
-	change := loomfleet.UpstreamChange{Revision: s.revision, Upstream: currantloom.Upstream{
+	change := loomfleet.UpstreamChange{Position: s.position(), Upstream: currantloom.Upstream{
 		Name: currantloom.UpstreamName(u.name), Service: u.service.name, Address: u.name, Location: u.location,
 		Slots:    u.slots,
-		Draining: u.draining, Primary: u.primary, Incarnation: u.incarnation,
+		Draining: u.draining, Primary: u.primary, Incarnation: u.incarnation, Sequence: u.nextReport(),
 	}}
 	s.upstreams[u.name] = change
 	s.publish(loomfleet.CatalogChanged{Upstreams: []loomfleet.UpstreamChange{change}})
@@ -198,7 +208,7 @@
 	s.revision++
 	delete(s.upstreams, u.name)
 	s.publish(loomfleet.CatalogChanged{Upstreams: []loomfleet.UpstreamChange{{
-		Revision: s.revision, Deleted: true, Upstream: currantloom.Upstream{
+		Position: s.position(), Deleted: true, Upstream: currantloom.Upstream{
 			Name: currantloom.UpstreamName(u.name), Service: u.service.name,
 		},
 	}}})
@@ -243,7 +253,7 @@
 func (s *store) removeMember(name string) {
 	s.revision++
 	change := s.members[name].change
-	change.Deleted, change.Revision = true, s.revision
+	change.Deleted, change.Position = true, s.position()
 	delete(s.members, name)
 	s.publish(loomfleet.CatalogChanged{Members: []loomfleet.MemberChange{change}})
 }
@@ -251,7 +261,8 @@
 func (s *store) removeFailoverLease() {
 	s.revision++
 	s.failoverLease = nil
-	s.publish(loomfleet.CatalogChanged{FailoverLease: &loomfleet.FailoverLeaseChange{Deleted: true, Revision: s.revision}})
+	change := loomfleet.FailoverLeaseChange{Deleted: true, Position: s.position()}
+	s.publish(loomfleet.CatalogChanged{FailoverLease: &change})
 }
 
 // RevokeLeases ends a node's leases and removes its keys at once.
@@ -275,9 +286,10 @@
 	return string(sim.store.failoverLease.change.Holder)
 }
 
-// call performs a node's store call. A call to an unreachable store, and one in 200 of the others, gets no reply.
+// call performs a node's store call. A call to an unreachable store, and one in 200 of the others, gets no reply. A
+// call of an earlier era is carried out like any other, because the store does not know the era of a call.
 func (s *store) call(n *node, e loomfleet.Effect) {
-	id, operation := s.operationOf(n, e)
+	id, era, operation := s.operationOf(n, e)
 	if operation == nil {
 		return
 	}
@@ -292,79 +304,102 @@
 			replyTimeout()
 			return
 		}
-		result, value := operation()
+		answer := operation()
 		if s.sim.random.IntN(200) == 0 {
 			replyTimeout()
 			return
 		}
+		if era != s.era {
+			answer = loomfleet.StoreAnswered{Result: loomfleet.StoreRestored, Era: s.era}
+		}
 		n.deliver(storeDelay, func() loomfleet.Event {
-			return loomfleet.StoreAnswered{Stamp: n.stamp(), Call: id, Result: result, Value: value}
+			answer.Stamp, answer.Call = n.stamp(), id
+			return answer
 		})
 	})
 }
 
-// operationOf returns the id of a store call and the operation that performs it; nil if the effect is no store call.
-func (s *store) operationOf(n *node, e loomfleet.Effect) (loomfleet.CallID, func() (loomfleet.StoreResult, uint64)) {
+// operationOf returns the id and the era of a store call and the operation that performs it; nil if the effect is no
+// store call.
+func (s *store) operationOf(
+	n *node, e loomfleet.Effect,
+) (loomfleet.CallID, currantloom.StoreEra, func() loomfleet.StoreAnswered) {
 	switch e := e.(type) {
 	case loomfleet.StoreGrantLease:
-		return e.Call, func() (loomfleet.StoreResult, uint64) {
+		return e.Call, e.Era, func() loomfleet.StoreAnswered {
 			s.lastLease++
 			s.leaseEnds[s.lastLease] = s.sim.now + e.TTL
-			return loomfleet.StoreSucceeded, s.lastLease
+			lease := currantloom.NewStoreLease(s.era, s.lastLease)
+			return loomfleet.StoreAnswered{Result: loomfleet.StoreSucceeded, Lease: lease}
 		}
 	case loomfleet.StoreRenewLease:
-		return e.Call, func() (loomfleet.StoreResult, uint64) {
-			if s.leaseExpired(e.Lease) {
-				return loomfleet.StoreLeaseExpired, 0
-			}
-			ttl := 8 * time.Second
-			if s.failoverLease != nil && s.failoverLease.lease == e.Lease {
-				ttl = 2 * time.Second
-			}
-			s.leaseEnds[e.Lease] = s.sim.now + ttl
-			return loomfleet.StoreSucceeded, e.Lease
-		}
-	case loomfleet.StoreRevokeLease:
-		return 0, func() (loomfleet.StoreResult, uint64) {
-			delete(s.leaseEnds, e.Lease)
-			return loomfleet.StoreSucceeded, 0
-		}
+		return e.Call, e.Lease.Era(), func() loomfleet.StoreAnswered { return s.renew(e.Lease.Number()) }
 	case loomfleet.StoreCommit:
-		return e.Call, func() (loomfleet.StoreResult, uint64) { return s.commit(n, e.Txn) }
+		return e.Call, e.Txn.Lease.Era(), func() loomfleet.StoreAnswered { return s.commit(n, e.Txn) }
 	default:
-		return 0, nil
+		return 0, 0, nil
 	}
 }
 
-// commit writes a node's registration or the failover lease, if the given store lease is valid.
-func (s *store) commit(n *node, t loomfleet.StoreTxn) (loomfleet.StoreResult, uint64) {
-	if s.leaseExpired(t.Lease) {
-		return loomfleet.StoreLeaseExpired, 0
+func (s *store) renew(lease uint64) loomfleet.StoreAnswered {
+	if s.leaseExpired(lease) {
+		return loomfleet.StoreAnswered{Result: loomfleet.StoreLeaseExpired}
 	}
-	if t.Kind == loomfleet.RegistrationMember {
-		s.revision++
-		change := loomfleet.MemberChange{
-			VM:          currantloom.NewVM(currantloom.VMName(n.name), n.location, n.name, "", currantloom.VMLive),
-			Incarnation: uint64(n.incarnation), Revision: s.revision,
-		}
-		s.members[n.name] = memberRecord{change: change, lease: t.Lease}
-		s.publish(loomfleet.CatalogChanged{Members: []loomfleet.MemberChange{change}})
-		return loomfleet.StoreSucceeded, s.revision
+	ttl := 8 * time.Second
+	if s.failoverLease != nil && s.failoverLease.lease == lease {
+		ttl = 2 * time.Second
 	}
-	var currentRevision uint64
-	if s.failoverLease != nil {
-		currentRevision = s.failoverLease.change.Revision
+	s.leaseEnds[lease] = s.sim.now + ttl
+	return loomfleet.StoreAnswered{Result: loomfleet.StoreSucceeded}
+}
+
+// commit writes or deletes a node's registration or the failover lease, if the given store lease is valid.
+func (s *store) commit(n *node, t loomfleet.StoreTxn) loomfleet.StoreAnswered {
+	switch current := s.keyPosition(n, t.Kind); {
+	case !t.Delete && s.leaseExpired(t.Lease.Number()):
+		return loomfleet.StoreAnswered{Result: loomfleet.StoreLeaseExpired}
+	case t.Conditional && current.Revision() != t.Expected.Revision():
+		return loomfleet.StoreAnswered{Result: loomfleet.StoreConflict}
+	case t.Delete && t.Kind == loomfleet.RegistrationMember:
+		s.removeMember(n.name)
+	case t.Delete:
+		s.removeFailoverLease()
+	case t.Kind == loomfleet.RegistrationMember:
+		s.writeMember(n, t.Lease.Number())
+	default:
+		s.writeFailoverLease(n, t.Lease.Number())
+	}
+	return loomfleet.StoreAnswered{Result: loomfleet.StoreSucceeded, Position: s.position()}
+}
+
+// keyPosition returns the position of a node's registration or of the failover lease; zero if the key does not exist.
+func (s *store) keyPosition(n *node, kind loomfleet.RegistrationKind) currantloom.StorePosition {
+	if kind == loomfleet.RegistrationMember {
+		return s.members[n.name].change.Position
+	}
+	if s.failoverLease == nil {
+		return currantloom.StorePosition{}
 	}
-	if t.Conditional && currentRevision != t.ExpectedRevision {
-		return loomfleet.StoreConflict, 0
+	return s.failoverLease.change.Position
+}
+
+func (s *store) writeMember(n *node, lease uint64) {
+	s.revision++
+	change := loomfleet.MemberChange{
+		VM:          currantloom.NewVM(currantloom.VMName(n.name), n.location, n.name, "", currantloom.VMLive),
+		Incarnation: uint64(n.incarnation), Position: s.position(),
 	}
+	s.members[n.name] = memberRecord{change: change, lease: lease}
+	s.publish(loomfleet.CatalogChanged{Members: []loomfleet.MemberChange{change}})
+}
+
+func (s *store) writeFailoverLease(n *node, lease uint64) {
 	s.revision++
 	change := loomfleet.FailoverLeaseChange{
-		Holder: currantloom.VMName(n.name), Incarnation: uint64(n.incarnation), Revision: s.revision,
+		Holder: currantloom.VMName(n.name), Incarnation: uint64(n.incarnation), Position: s.position(),
 	}
-	s.failoverLease = &failoverLeaseRecord{change: change, lease: t.Lease}
+	s.failoverLease = &failoverLeaseRecord{change: change, lease: lease}
 	s.publish(loomfleet.CatalogChanged{FailoverLease: &change})
-	return loomfleet.StoreSucceeded, s.revision
 }
 
 // cloud is the platform's API that promotes upstreams.
@@ -409,10 +444,10 @@
 // execute refuses a request whose fence is lower than that of an accepted one, and promotes the upstream otherwise.
 func (c *cloud) execute(e loomfleet.Promote) currantloom.PromoteResult {
 	u := c.sim.upstream(string(e.Upstream))
-	if e.Fence < c.fences[e.Service] || u == nil || !u.alive {
+	if e.Fence.Fence() < c.fences[e.Service] || u == nil || !u.alive {
 		return currantloom.PromoteRefused
 	}
-	c.fences[e.Service] = e.Fence
+	c.fences[e.Service] = e.Fence.Fence()
 	if !u.primary {
 		c.sim.after(promoteDelay, func() { u.promote() })
 	}
--- a/loommodel/upstream.go
+++ b/loommodel/upstream.go
@@ -94,12 +94,20 @@
 	// lostReplyPercent is the percentage of statements whose reply is lost, lateWritePercent that of writes outside a
 	// transaction that take effect seconds later and without a reply.
 	lostReplyPercent, lateWritePercent int
+	// reports counts the registrations that the process has written.
+	reports uint64
 	// generation counts crashes and restarts; the work of an earlier generation is dropped.
 	generation int
 }
 
 func (u *upstream) responsive() bool { return u.alive && !u.hung }
 
+// nextReport returns the number of the next registration that the process writes.
+func (u *upstream) nextReport() uint64 {
+	u.reports++
+	return u.reports
+}
+
 // appliedPosition returns the position of the last applied entry.
 func (u *upstream) appliedPosition() currantloom.LogPosition {
 	last := u.log[u.applied-1]
--- a/message.go
+++ b/message.go
@@ -197,12 +197,12 @@
 // StoreItemsRequest asks a node for its copy of the platform's store.
 type StoreItemsRequest struct{}
 
-// StoreItems holds items of the store as a node read them: the answer to a StoreItemsRequest or, with Delta, the
-// changes after BaseRevision up to Revision.
+// StoreItems holds items of the store as a node read them: all items up to Position, as the answer to a
+// StoreItemsRequest, or with Delta the changes after Base up to Position.
 type StoreItems struct {
-	Items                  []StoreItem
-	Delta                  bool
-	BaseRevision, Revision uint64
+	Items          []StoreItem
+	Delta          bool
+	Base, Position StorePosition
 }
 
 func (Call) message()                {}
--- a/upstream.go
+++ b/upstream.go
@@ -20,6 +20,8 @@
 	Primary bool
 	// Incarnation distinguishes successive processes that register under the same name.
 	Incarnation int64
+	// Sequence counts the reports of the process; a report with a lower number is older.
+	Sequence uint64
 }
 
 // CommandKind classifies the commands to upstreams.
