--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -47,12 +47,6 @@
 		s.handleNoCandidate(f, best)
 		return
 	}
-	if s.hasPendingPromotion(f.group) && s.coordinator.pendingPromotions[f.group.name].upstream != best.Name {
-		// A pending promotion of another upstream could still take effect after this one; only a new fence prevents that.
-		s.enterStep(f, stepFence)
-		f.retryAt = s.now + failoverRetryPause
-		return
-	}
 	f.candidate = best.Name
 	s.enterStep(f, stepPromote)
 }
@@ -78,9 +72,16 @@
 	clear(f.statuses)
 }
 
-// compareCandidates orders candidates: the longest log first, then upstreams that are not terminating, then the nearest
-// to this node.
+// compareCandidates orders candidates: the longest log first, then the one that an earlier request may still promote,
+// then upstreams that are not terminating, then the nearest to this node.
 func (s *State) compareCandidates(f *failover, a, b *upstream) int {
+	target := s.coordinator.promotionsOf(f.group.name).target(s.now, f.group.primary)
+	requested := func(u *upstream) int {
+		if u.Name == target {
+			return 1
+		}
+		return 0
+	}
 	terminating := func(u *upstream) int {
 		if u.isTerminating() {
 			return 1
@@ -89,6 +90,7 @@
 	}
 	return cmp.Or(
 		f.statuses[b.Name].Received.Compare(f.statuses[a.Name].Received),
+		cmp.Compare(requested(b), requested(a)),
 		cmp.Compare(terminating(a), terminating(b)),
 		cmp.Compare(s.config.Location.Distance(a.Location), s.config.Location.Distance(b.Location)),
 		cmp.Compare(a.Name, b.Name),
--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -14,6 +14,7 @@
 	pausedFailover := func(t *testing.T, logLost bool) (*fixture, *failover) {
 		f := newFixture(t)
 		f.configure(currantloom.ReadLatest)
+		f.state.coordinator.leaseKey.position = testStorePosition(11)
 		f.addMember("vm-2")
 		f.wait(pingInterval)
 		f.answerPings()
@@ -63,6 +64,7 @@
 	awaitingPromotion := func(t *testing.T) (*fixture, *failover) {
 		f := newFixture(t)
 		f.configure(currantloom.ReadLatest)
+		f.state.coordinator.leaseKey.position = testStorePosition(11)
 		f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
 		fo := f.state.coordinator.failovers[testService]
 		fo.paused["b"], fo.paused["c"] = true, true
@@ -136,6 +138,7 @@
 		t.Run(result.String(), func(t *testing.T) {
 			f := newFixture(t)
 			f.configure(currantloom.ReadLatest)
+			f.state.coordinator.leaseKey.position = testStorePosition(11)
 			f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
 			fo := f.state.coordinator.failovers[testService]
 			fo.candidate = "b"
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -29,20 +29,17 @@
 	memberKey registration
 	leaseKey  registration
 	holder    leaseHolder
+	// previousHolder is the last node that held the lease; empty if none did yet.
+	previousHolder currantloom.VMName
 	// failovers are the failovers in progress, by service.
 	failovers map[currantloom.ServiceName]*failover
-	// pendingPromotions holds, for each service, the last promotion that may still take effect.
-	pendingPromotions map[currantloom.ServiceName]pendingPromotion
-	lastPromotionID   uint64
-	acting            bool
-}
-
-// pendingPromotion is a request for promotion that the platform may have accepted, and that may not have taken effect
-// yet.
-type pendingPromotion struct {
-	fence    currantloom.StorePosition
-	upstream currantloom.UpstreamName
-	sentAt   time.Duration
+	// promotions holds the requests for promotion that this node has sent, by service.
+	promotions map[currantloom.ServiceName]*promotions
+	lastFence  currantloom.Fence
+	// tookOverAt is when this node took the failover lease over from another one; zero if it did not.
+	tookOverAt      time.Duration
+	lastPromotionID uint64
+	acting          bool
 }
 
 func (c *coordinator) init(s *State) {
@@ -51,7 +48,7 @@
 		RegistrationFailoverLease, max(failoverLeaseTTL, s.config.MinLeaseTTL), failoverLeaseRenewals,
 	)
 	c.failovers = make(map[currantloom.ServiceName]*failover)
-	c.pendingPromotions = make(map[currantloom.ServiceName]pendingPromotion)
+	c.promotions = make(map[currantloom.ServiceName]*promotions)
 }
 
 // handleLeaseChange records what the store says about the failover lease.
@@ -76,6 +73,12 @@
 	case !r.position.IsZero() && r.pendingKind != pendingWrite && e.Position.After(r.position):
 		r.position = currantloom.StorePosition{}
 	}
+	if c.isHolder(s) && before.name != s.config.Self && c.previousHolder != "" && c.previousHolder != s.config.Self {
+		c.tookOverAt = s.now
+	}
+	if c.holder.name != "" {
+		c.previousHolder = c.holder.name
+	}
 	if before.name != c.holder.name {
 		s.log(Decision{Event: "duty", VM: c.holder.name, Version: c.holder.position.Revision(), Outcome: "holder"})
 	}
--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -74,7 +74,7 @@
 	Promote struct {
 		Service     currantloom.ServiceName
 		Upstream    currantloom.UpstreamName
-		Fence       currantloom.StorePosition
+		Fence       currantloom.Fence
 		PromotionID uint64
 	}
 )
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -42,6 +42,9 @@
 // reasonLeaseLost is the reason for ending a failover at a node that no longer holds the failover lease.
 const reasonLeaseLost = "failover lease lost"
 
+// reasonShutdown is the reason for ending a failover at a node that shuts down.
+const reasonShutdown = "shutdown"
+
 type failoverStep uint8
 
 const (
@@ -57,10 +60,12 @@
 	stepPromote
 	// stepAwaitPrimary: wait until the candidate acts as primary.
 	stepAwaitPrimary
+	// stepVoid: make sure that no earlier request for promotion takes effect.
+	stepVoid
 )
 
 func (f failoverStep) String() string {
-	return [...]string{"verify", "drain", "fence", "pause", "order", "await"}[f]
+	return [...]string{"verify", "drain", "fence", "pause", "order", "await", "void"}[f]
 }
 
 // failover is a failover or a planned change of primary in progress.
@@ -87,9 +92,12 @@
 	candidate      currantloom.UpstreamName
 	fence          currantloom.StorePosition
 	promotionID    uint64
-	probePending   bool
-	probedAt       time.Duration
-	retryAt        time.Duration
+	// voidReason is why the failover leaves the primary as it is, voidedAt is when earlier requests were voided.
+	voidReason   string
+	voidedAt     time.Duration
+	probePending bool
+	probedAt     time.Duration
+	retryAt      time.Duration
 }
 
 // tickFailovers starts and continues failovers while this node holds the failover lease.
@@ -179,6 +187,8 @@
 		}
 	case stepAwaitPrimary:
 		s.tickAwaitPrimary(f)
+	case stepVoid:
+		s.tickVoid(f)
 	}
 }
 
@@ -277,8 +287,8 @@
 	}
 }
 
-// tickFence writes a new fence, so that a promotion whose result is unknown cannot be carried out after the next one.
-// If the store is unreachable, the old fence is reused unless a promotion under it is pending.
+// tickFence writes the key of the failover lease again: this proves that the node still holds it, and gives its
+// requests a higher fence than those of earlier holders. If the store is unreachable, the old position is used.
 func (s *State) tickFence(f *failover) {
 	c := &s.coordinator
 	switch {
@@ -299,10 +309,10 @@
 	}
 }
 
-// reuseFence continues with the node's current fence, unless a promotion under it is pending.
+// reuseFence continues with the key as the node wrote it last.
 func (s *State) reuseFence(f *failover) {
 	c := &s.coordinator
-	if s.hasPendingPromotion(f.group) || c.leaseKey.position.IsZero() {
+	if c.leaseKey.position.IsZero() {
 		s.enterStep(f, stepFence)
 		f.retryAt = s.now + failoverRetryPause
 		return
@@ -444,9 +454,14 @@
 	}
 }
 
-// endFailover announces the primary and resumes replication at the paused replicas.
+// endFailover announces the primary and resumes replication at the paused replicas, after earlier requests for
+// promotion were voided.
 func (s *State) endFailover(f *failover, reason string) {
 	g := f.group
+	if reason != reasonLeaseLost && reason != reasonShutdown && s.mustVoidPromotions(f) {
+		s.voidPromotions(f, reason)
+		return
+	}
 	delete(s.coordinator.failovers, g.name)
 	f.epoch++
 	s.log(Decision{
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -13,27 +13,34 @@
 	primaryProbeInterval = 120 * time.Millisecond
 )
 
-// requestPromotion asks the platform to promote the candidate.
+// requestPromotion asks the platform to promote the candidate. Each request has a higher fence than the ones before, so
+// that the platform refuses those that it has not carried out yet.
 func (s *State) requestPromotion(f *failover) {
 	c := &s.coordinator
+	fence, ok := c.nextFence()
+	if !ok {
+		s.enterStep(f, stepFence)
+		return
+	}
 	c.lastPromotionID++
 	f.promotionID = c.lastPromotionID
-	c.pendingPromotions[f.group.name] = pendingPromotion{fence: f.fence, upstream: f.candidate, sentAt: s.now}
-	s.emit(Promote{Service: f.group.name, Upstream: f.candidate, Fence: f.fence, PromotionID: f.promotionID})
+	c.promotionsOf(f.group.name).recordSent(f.promotionID, f.candidate, fence)
+	s.emit(Promote{Service: f.group.name, Upstream: f.candidate, Fence: fence, PromotionID: f.promotionID})
 }
 
-// hasPendingPromotion reports whether a promotion in the group may still take effect. Until it does, every acknowledged
-// commit must be in the log of its upstream, so the replicas stay paused. A newer fence makes the platform refuse a
-// promotion, but not one that it accepted before; that one counts as pending for promoteTimeout.
-func (s *State) hasPendingPromotion(g *group) bool {
-	c := &s.coordinator
-	pending, ok := c.pendingPromotions[g.name]
-	if ok && (g.primary == pending.upstream ||
-		c.leaseKey.position.After(pending.fence) && s.now-pending.sentAt > promoteTimeout) {
-		delete(c.pendingPromotions, g.name)
-		ok = false
+// nextFence returns the fence of the next request. It reports false if the key of the failover lease must be written
+// first.
+func (c *coordinator) nextFence() (currantloom.Fence, bool) {
+	position := c.leaseKey.position
+	order := uint8(1)
+	if c.lastFence.Position() == position {
+		if c.lastFence.Order() == currantloom.MaxFenceOrder {
+			return currantloom.Fence{}, false
+		}
+		order = c.lastFence.Order() + 1
 	}
-	return ok
+	c.lastFence = currantloom.NewFence(position, order)
+	return c.lastFence, !position.IsZero()
 }
 
 func (s *State) handlePromoteAnswered(e PromoteAnswered) {
@@ -41,17 +48,26 @@
 	s.log(Decision{
 		Event: "order", Service: e.Service, Version: e.PromotionID, Outcome: e.Result.String(),
 	})
-	if f == nil || f.promotionID != e.PromotionID || f.step != stepPromote {
+	s.coordinator.promotionsOf(e.Service).recordResult(s.now, e.PromotionID, e.Result)
+	if f == nil || f.promotionID != e.PromotionID {
 		return
 	}
-	switch e.Result {
+	switch f.step {
+	case stepPromote:
+		s.handlePromoteResult(f, e.Result)
+	case stepVoid:
+		s.handleVoidResult(f, e.Result)
+	}
+}
+
+func (s *State) handlePromoteResult(f *failover, result currantloom.PromoteResult) {
+	switch result {
 	case currantloom.PromoteAccepted:
 		s.enterStep(f, stepAwaitPrimary)
 	case currantloom.PromoteRefused:
 		s.enterStep(f, stepFence)
 		f.retryAt = s.now + failoverRetryPause
 	case currantloom.PromoteNotDone:
-		delete(s.coordinator.pendingPromotions, e.Service)
 		f.stepStartedAt = s.now - stepTimeout + failoverRetryPause
 	default:
 		s.enterStep(f, stepPause)
--- /dev/null
+++ b/loomfleet/promotions.go
@@ -0,0 +1,132 @@
+package loomfleet
+
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	// voidSettleTime is how long a promotion that the platform carried out just before it was voided may take to show.
+	voidSettleTime = 2 * time.Second
+	// lateRequestTime is how long a request of an earlier holder of the failover lease may take to be carried out.
+	lateRequestTime = 15 * time.Second
+)
+
+// promotionRequest is a request to the platform to promote an upstream.
+type promotionRequest struct {
+	id       uint64
+	upstream currantloom.UpstreamName
+	fence    currantloom.Fence
+}
+
+// promotions records the requests for promotion of a service that may still take effect. A request without an answer
+// may be carried out seconds later, and then makes an upstream the primary that lacks the commits acknowledged since.
+// Until it cannot any more, every acknowledged commit must be in the log of its upstream, so the replicas stay paused.
+type promotions struct {
+	// inFlight is the request whose answer is still expected, unanswered the last one that got none, accepted the last one
+	// that the platform has accepted; it refuses every lower fence from then on. Each is zero if there is none.
+	inFlight, unanswered, accepted promotionRequest
+	acceptedAt                     time.Duration
+}
+
+func (c *coordinator) promotionsOf(service currantloom.ServiceName) *promotions {
+	p, ok := c.promotions[service]
+	if !ok {
+		p = &promotions{}
+		c.promotions[service] = p
+	}
+	return p
+}
+
+func (p *promotions) recordSent(id uint64, upstream currantloom.UpstreamName, fence currantloom.Fence) {
+	if p.inFlight.id != 0 {
+		p.unanswered = p.inFlight
+	}
+	p.inFlight = promotionRequest{id: id, upstream: upstream, fence: fence}
+}
+
+// recordResult records the result of a request. That of an earlier request than the last one changes nothing: it counts
+// as unanswered.
+func (p *promotions) recordResult(now time.Duration, id uint64, result currantloom.PromoteResult) {
+	if p.inFlight.id != id {
+		return
+	}
+	switch result {
+	case currantloom.PromoteAccepted:
+		p.accepted, p.acceptedAt = p.inFlight, now
+	case currantloom.PromoteRefused, currantloom.PromoteNotDone:
+	default:
+		p.unanswered = p.inFlight
+	}
+	p.inFlight = promotionRequest{}
+}
+
+// target returns the upstream that a request may still promote; empty if none. For the present primary the platform
+// changes nothing.
+func (p *promotions) target(now time.Duration, primary currantloom.UpstreamName) currantloom.UpstreamName {
+	switch {
+	case p.inFlight.id != 0 && p.inFlight.upstream != primary:
+		return p.inFlight.upstream
+	case p.unanswered.fence.After(p.accepted.fence) && p.unanswered.upstream != primary:
+		return p.unanswered.upstream
+	case p.accepted.id != 0 && p.accepted.upstream != primary && now-p.acceptedAt <= promoteTimeout:
+		return p.accepted.upstream
+	default:
+		return ""
+	}
+}
+
+// hasPendingPromotion reports whether a promotion in the group may still take effect.
+func (s *State) hasPendingPromotion(g *group) bool {
+	return s.coordinator.promotionsOf(g.name).target(s.now, g.primary) != ""
+}
+
+// mustVoidPromotions reports whether a failover that leaves the primary as it is must first make sure that no earlier
+// request takes effect: one of this node, or one of an earlier holder, which this node does not know of.
+func (s *State) mustVoidPromotions(f *failover) bool {
+	c, g := &s.coordinator, f.group
+	if g.primary == "" || f.step == stepVoid {
+		return false
+	}
+	tookOver := c.tookOverAt > 0 && s.now-c.tookOverAt < lateRequestTime && len(f.paused) > 0
+	return s.hasPendingPromotion(g) || tookOver && c.promotionsOf(g.name).accepted.id == 0
+}
+
+// voidPromotions ends a failover that leaves the primary as it is with a request to promote that same primary. The
+// platform changes nothing for it, but refuses all earlier requests from then on.
+func (s *State) voidPromotions(f *failover, reason string) {
+	f.voidReason, f.voidedAt = reason, 0
+	s.enterStep(f, stepVoid)
+	s.pauseReplicas(f)
+	f.candidate = f.group.primary
+	s.requestPromotion(f)
+}
+
+func (s *State) handleVoidResult(f *failover, result currantloom.PromoteResult) {
+	switch result {
+	case currantloom.PromoteAccepted:
+		f.voidedAt = max(s.now, 1)
+	case currantloom.PromoteRefused:
+		s.enterStep(f, stepFence)
+		f.retryAt = s.now + failoverRetryPause
+	default:
+		f.retryAt = s.now + failoverRetryPause
+	}
+}
+
+// tickVoid ends the failover once no earlier request can take effect. If one has, its upstream is the primary now. If
+// the primary is lost meanwhile, the failover starts over.
+func (s *State) tickVoid(f *failover) {
+	g := f.group
+	switch {
+	case g.primary == "":
+		s.enterStep(f, stepFence)
+	case g.primary != f.candidate:
+		s.endFailover(f, "promoted")
+	case f.voidedAt == 0 && s.coordinator.promotionsOf(g.name).inFlight.id == 0:
+		s.requestPromotion(f)
+	case f.voidedAt > 0 && s.now-f.voidedAt > voidSettleTime:
+		s.endFailover(f, f.voidReason)
+	}
+}
--- /dev/null
+++ b/loomfleet/promotions_test.go
@@ -0,0 +1,89 @@
+package loomfleet
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// TestPromotionsThatMayTakeEffect guards against a request without an answer that is forgotten because a later one was
+// answered, although the platform may still carry it out.
+func TestPromotionsThatMayTakeEffect(t *testing.T) {
+	const (
+		unknown  = currantloom.PromoteUnknown
+		accepted = currantloom.PromoteAccepted
+		refused  = currantloom.PromoteRefused
+		notDone  = currantloom.PromoteNotDone
+		noAnswer = currantloom.PromoteResult(255)
+	)
+	type request struct {
+		upstream currantloom.UpstreamName
+		result   currantloom.PromoteResult
+	}
+	for _, c := range []struct {
+		name     string
+		requests []request
+		after    time.Duration
+		want     currantloom.UpstreamName
+	}{
+		{"none", nil, 0, ""},
+		{"no answer yet", []request{{"b", noAnswer}}, time.Hour, "b"},
+		{"unanswered", []request{{"b", unknown}}, time.Hour, "b"},
+		{"unanswered, then not done", []request{{"b", unknown}, {"b", notDone}}, time.Hour, "b"},
+		{"unanswered, then refused", []request{{"b", unknown}, {"c", refused}}, time.Hour, "b"},
+		{"unanswered, then another in flight", []request{{"b", unknown}, {"c", noAnswer}}, time.Hour, "c"},
+		{"two in flight, the last one not done", []request{{"b", noAnswer}, {"c", notDone}}, time.Hour, "b"},
+		{"unanswered, then voided", []request{{"b", unknown}, {"a", accepted}}, 0, ""},
+		{"accepted", []request{{"b", accepted}}, promoteTimeout, "b"},
+		{"accepted long ago", []request{{"b", accepted}}, promoteTimeout + 1, ""},
+		{"of the primary", []request{{"a", unknown}}, 0, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var p promotions
+			for i, r := range c.requests {
+				id := uint64(i + 1)
+				p.recordSent(id, r.upstream, currantloom.NewFence(testStorePosition(9), uint8(id)))
+				if r.result != noAnswer {
+					p.recordResult(0, id, r.result)
+				}
+			}
+			if got := p.target(c.after, "a"); got != c.want {
+				t.Errorf("target %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// TestVoidPromotions guards against replicas that resume while a request without an answer may still take effect: the
+// failover that leaves the primary as it is must first make the platform refuse that request.
+func TestVoidPromotions(t *testing.T) {
+	f := newFixture(t)
+	f.now = time.Second
+	f.configure(currantloom.ReadLatest)
+	f.holdLease()
+	g := f.state.groupOf(testService)
+	f.state.startFailover(g, reasonCommitsStalled, false)
+	fo := f.state.coordinator.failovers[testService]
+	fo.candidate = "b"
+	f.state.enterStep(fo, stepPromote)
+	f.reduce(PromoteAnswered{Stamp: f.stamp(), Service: testService, PromotionID: fo.promotionID})
+	f.state.effects = nil
+	f.state.endFailover(fo, "a replica does not report")
+	f.effects = append([]Effect(nil), f.state.effects...)
+	requests := effectsOf[Promote](f)
+	if len(requests) != 1 || requests[0].Upstream != g.primary || !fo.paused["b"] || !fo.paused["c"] {
+		t.Fatalf("requests %+v, paused %v, want one request for %s with both replicas paused", requests, fo.paused, g.primary)
+	}
+	f.reduce(PromoteAnswered{
+		Stamp: f.stamp(), Service: testService, PromotionID: requests[0].PromotionID, Result: currantloom.PromoteAccepted,
+	})
+	if f.state.hasPendingPromotion(g) || f.state.coordinator.failovers[testService] != fo {
+		t.Error("the failover ended before an earlier promotion could show")
+	}
+	f.state.now += voidSettleTime + 1
+	f.state.tickVoid(fo)
+	if f.state.coordinator.failovers[testService] != nil {
+		t.Error("the failover did not end")
+	}
+}
--- a/loomfleet/restore_test.go
+++ b/loomfleet/restore_test.go
@@ -111,21 +111,23 @@
 }
 
 // TestFenceGrowsOverEras guards against a fence of a later era that the platform refuses because the revisions were
-// given out again.
+// given out again, and against two requests of one holder with the same fence.
 func TestFenceGrowsOverEras(t *testing.T) {
-	positions := []currantloom.StorePosition{
-		{}, currantloom.NewStorePosition(0, 9), currantloom.NewStorePosition(1, 1), currantloom.NewStorePosition(1, 1<<39),
-		currantloom.NewStorePosition(2, 1), currantloom.NewStorePosition(2, 2),
-		currantloom.NewStorePosition(currantloom.MaxStoreEra, 1<<40-1),
+	fence := func(era currantloom.StoreEra, revision uint64, order uint8) currantloom.Fence {
+		return currantloom.NewFence(currantloom.NewStorePosition(era, revision), order)
 	}
-	for i, p := range positions[1:] {
-		if before := positions[i]; p.Fence() <= before.Fence() || !p.After(before) || before.After(p) {
-			t.Errorf("fence %d of %s after fence %d of %s", p.Fence(), p, before.Fence(), before)
-		}
-		if p.Fence() >= 1<<53 {
-			t.Errorf("fence %d of %s is not exact as a floating-point number", p.Fence(), p)
+	fences := []currantloom.Fence{
+		{}, fence(0, 9, 1), fence(0, 9, 2), fence(1, 1, 1), fence(1, 1, currantloom.MaxFenceOrder), fence(1, 2, 1),
+		fence(1, 1<<39, 1), fence(2, 1, 1), fence(2, 2, 1), fence(currantloom.MaxStoreEra, 1<<40-1, 255),
+	}
+	for i, after := range fences[1:] {
+		if before := fences[i]; after.Number() <= before.Number() || !after.After(before) || before.After(after) {
+			t.Errorf("fence %+v is not after %+v", after, before)
 		}
 	}
+	if n := fence(31, 1<<40-1, 255).Number(); n >= 1<<53 {
+		t.Errorf("fence %d of an early era is not exact as a floating-point number", n)
+	}
 }
 
 // TestUpstreamsInNewEra guards against work that a live upstream loses because the copy lacks its registration, and
--- a/loomfleet/shutdown.go
+++ b/loomfleet/shutdown.go
@@ -34,7 +34,7 @@
 	s.broadcast(currantloom.ShutdownNotice{})
 	for _, g := range s.catalog.sortedGroups {
 		if f := s.coordinator.failovers[g.name]; f != nil {
-			s.endFailover(f, "shutdown")
+			s.endFailover(f, reasonShutdown)
 		}
 	}
 	s.coordinator.leaseKey.release(s)
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -73,7 +73,7 @@
 		n.tasks.Go(func() { n.storeCache.fetchConfiguration(e.VM) })
 	case loomfleet.Promote:
 		n.tasks.Go(func() {
-			result := n.config.Promoter.Promote(n.runCtx, e.Service, e.Upstream, n.config.Reducer.Self, e.Fence.Fence())
+			result := n.config.Promoter.Promote(n.runCtx, e.Service, e.Upstream, n.config.Reducer.Self, e.Fence)
 			n.submit(loomfleet.PromoteAnswered{
 				Stamp: n.stamp(), Service: e.Service, PromotionID: e.PromotionID, Result: result,
 			})
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -265,9 +265,9 @@
 	}
 }
 
-// TestLeaseHoldersOfTwoEras guards against orders of two holders of the failover lease that undo each other, or that are
-// refused for good. The holder cannot reach the store while it is away and comes back from a copy, changes the primary
-// on its own meanwhile, and its order takes effect late. Another node becomes the holder in the next era.
+// TestLeaseHoldersOfTwoEras guards against orders of two holders of the failover lease that undo each other, or that
+// are refused for good. The holder cannot reach the store while it is away and comes back from a copy, changes the
+// primary on its own meanwhile, and its order takes effect late. Another node becomes the holder in the next era.
 func TestLeaseHoldersOfTwoEras(t *testing.T) {
 	for seed := range uint64(10) {
 		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
@@ -311,3 +311,28 @@
 		assertServing(t, sim)
 	}
 }
+
+// TestLateOrders guards against a promotion that got no answer, takes effect seconds later, and loses commits that were
+// acknowledged in the meantime: the failover that asked for it found no candidate afterwards and let the old primary
+// continue.
+func TestLateOrders(t *testing.T) {
+	faults := []loommodel.Fault{
+		loommodel.PartitionPrimary, loommodel.LagReplica, loommodel.StopReplication, loommodel.CrashReplica,
+		loommodel.HangPrimary, loommodel.KillLeaseHolder,
+	}
+	for seed := range uint64(60) {
+		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 32, ThinkTime: 20 * time.Millisecond})
+		sim.Run(time.Second)
+		sim.DelayPromotions(60)
+		for i := range uint64(5) {
+			sim.ScheduleFault(faults[(seed+i*i)%uint64(len(faults))], time.Duration(i)*700*time.Millisecond)
+		}
+		sim.Run(9 * time.Second)
+		sim.DelayPromotions(0)
+		sim.Run(14 * time.Second)
+		if len(sim.Violations()) > 0 {
+			t.Errorf("seed %d", seed)
+		}
+		assertNoViolations(t, sim)
+	}
+}
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -444,10 +444,10 @@
 // execute refuses a request whose fence is lower than that of an accepted one, and promotes the upstream otherwise.
 func (c *cloud) execute(e loomfleet.Promote) currantloom.PromoteResult {
 	u := c.sim.upstream(string(e.Upstream))
-	if e.Fence.Fence() < c.fences[e.Service] || u == nil || !u.alive {
+	if e.Fence.Number() < c.fences[e.Service] || u == nil || !u.alive {
 		return currantloom.PromoteRefused
 	}
-	c.fences[e.Service] = e.Fence.Fence()
+	c.fences[e.Service] = e.Fence.Number()
 	if !u.primary {
 		c.sim.after(promoteDelay, func() { u.promote() })
 	}
--- a/storeposition.go
+++ b/storeposition.go
@@ -9,16 +9,6 @@
 // loses nothing that it has acknowledged. A store that does not report its era is in era 0.
 type StoreEra uint64
 
-// MaxStoreEra is the highest era that a fence can hold.
-const MaxStoreEra = StoreEra(1)<<(fenceBits-fenceRevisionBits) - 1
-
-const (
-	// fenceBits is the size of a fence: every number of this size is exact as a floating-point number too.
-	fenceBits = 53
-	// fenceRevisionBits is the part of a fence that holds the revision; the era is above it.
-	fenceRevisionBits = 40
-)
-
 // StorePosition is a point in the history of the platform's store. A store that came back from a copy gives out the
 // same revisions again, so a revision means nothing without its era.
 type StorePosition struct {
@@ -48,11 +38,6 @@
 // After reports whether the position is later than the other one.
 func (p StorePosition) After(other StorePosition) bool { return p.Compare(other) > 0 }
 
-// Fence returns the position as a number that increases with it, also from one era to the next.
-func (p StorePosition) Fence() uint64 {
-	return uint64(p.era)<<fenceRevisionBits | p.revision&(1<<fenceRevisionBits-1)
-}
-
 // String returns the position as "era/revision".
 func (p StorePosition) String() string { return fmt.Sprintf("%d/%d", p.era, p.revision) }
 
--- a/upstream.go
+++ b/upstream.go
@@ -103,9 +103,9 @@
 
 // Promoter asks the platform to change the primary of a service.
 type Promoter interface {
-	// Promote asks the platform to make the upstream the primary of its service. The fence increases with each holder
-	// of the failover lease; the platform refuses a call with a lower fence than it has seen.
-	Promote(ctx context.Context, service ServiceName, upstream UpstreamName, holder VMName, fence uint64) PromoteResult
+	// Promote asks the platform to make the upstream the primary of its service. The platform refuses a call with a
+	// lower fence than it has seen for the service.
+	Promote(ctx context.Context, service ServiceName, upstream UpstreamName, holder VMName, fence Fence) PromoteResult
 }
 
 // PromoteResult is the outcome of a request for promotion.
