One node at a time claims the failover lease; fewer calls at a fleet's start

Cause: the rank by which nodes stagger their claims counted only VMs that have answered a ping. Also, a watch that returned only registrations of nodes is renewed after 0.7 s, in small fleets too.

--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -16,8 +16,6 @@
 	memberLeaseRenewals, failoverLeaseRenewals = 2, 3
 	// campaignDelay staggers the nodes that want the failover lease, so that usually only one of them asks for it.
 	campaignDelay = 150 * time.Millisecond
-	// maxCampaignRank limits the delay to maxCampaignRank times campaignDelay.
-	maxCampaignRank = 6
 	// settleTime is how long a node observes the fleet before it claims the failover lease, and before it acts again
 	// after a pause of the process.
 	settleTime = time.Second
@@ -155,16 +153,17 @@
 	return s.now-c.holder.vacantSince >= time.Duration(c.campaignRank(s))*campaignDelay
 }
 
-// campaignRank is the number of live VMs that claim the failover lease before this one.
+// campaignRank is the number of VMs that claim the failover lease before this one. It counts all registered VMs that
+// are not known to fail: in a large fleet a node has pinged only some of them, and all others would claim at once.
 func (c *coordinator) campaignRank(s *State) int {
 	own := rendezvousWeight(s.config.Self, "")
 	rank := 0
 	for _, m := range s.members.sorted {
-		if m.alive && !m.shuttingDown && rendezvousWeight(m.vm.Name(), "") > own {
+		if s.isEligibleOwner(m.vm.Name()) && rendezvousWeight(m.vm.Name(), "") > own {
 			rank++
 		}
 	}
-	return min(rank, maxCampaignRank)
+	return rank
 }
 
 // isActing reports whether this node may run failovers. While no VM reaches the store, nobody else can have acquired
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -23,9 +23,9 @@
 	// shortWatchWait replaces watchWait on a follower that has missed changes, and after a failed call: a call that was
 	// sent while the store did not respond may never get a response, even after the store is back.
 	shortWatchWait = 300 * time.Millisecond
-	// largeFleetSize is the largest number of nodes that all watch the store without a pause. In a larger fleet only some
-	// nodes watch it (see push.go), and these wait for watchBatchDelay after each response with changes, so that the next
-	// response holds all changes of that time.
+	// largeFleetSize is the largest number of nodes that all watch the store. In a larger fleet only some nodes watch it
+	// (see push.go), and these wait for watchBatchDelay after each response with changes, so that the next response holds
+	// all changes of that time. In a small fleet nodes wait only after changes that are not urgent.
 	largeFleetSize  = 16
 	watchBatchDelay = 700 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure. The actual
@@ -203,12 +203,20 @@
 		c.node.submit(c.decodeChanges(items, false, next))
 	}
 	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
-	if len(items) > 0 && c.isLargeFleet() && !c.isFollower() {
+	if len(items) > 0 && (isOnlyNodes(items) || c.isLargeFleet() && !c.isFollower()) {
 		loomtask.Sleep(ctx, watchBatchDelay)
 	}
 	return next, nil
 }
 
+// isOnlyNodes reports whether all items are registrations of nodes. These are not urgent, and at the start of a fleet
+// each of them would end the watches of all nodes.
+func isOnlyNodes(items []currantloom.StoreItem) bool {
+	return !slices.ContainsFunc(items, func(i currantloom.StoreItem) bool {
+		return !strings.HasPrefix(i.Key, nodeKeyPrefix)
+	})
+}
+
 // isStoreReachable returns storeReachable.
 func (c *storeCache) isStoreReachable() bool {
 	c.mu.Lock()
