--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -415,8 +415,8 @@
 func (sim *Simulation) DelayPromotions(percent int) { sim.cloud.delayedPercent = percent }
 
 const (
-	// promoteDelay is the time an upstream takes to become the primary.
-	promoteDelay = 600 * time.Millisecond
+	// PromotionTime is the time an upstream takes to become the primary.
+	PromotionTime = 600 * time.Millisecond
 	// promoteTimeout is the time after which a node gives up a promotion request without a reply.
 	promoteTimeout = 800 * time.Millisecond
 )
@@ -449,7 +449,7 @@
 	}
 	c.fences[e.Service] = e.Fence.Number()
 	if !u.primary {
-		c.sim.after(promoteDelay, func() { u.promote() })
+		c.sim.after(PromotionTime, func() { u.promote() })
 	}
 	return currantloom.PromoteAccepted
 }
