--- a/loommodel/restore_test.go
+++ b/loommodel/restore_test.go
@@ -14,8 +14,8 @@
 	restoreSeeds = flag.Int("model.restore.seeds", 10, "number of seeds of TestRestoreTime")
 )
 
-// maxRestoreTime is the longest accepted time from the return of the store to an accepted promotion: the time to live of
-// the failover lease, 2 s, and 1 s more.
+// maxRestoreTime is the longest accepted time from the return of the store to an accepted promotion: the time to live
+// of the failover lease, 2 s, and 1 s more.
 const maxRestoreTime = 3 * time.Second
 
 // TestRestoreTime guards against a fleet that cannot change primaries for long after the store came back from a copy. A
