Sessions end with a notice at a planned stop

A statement that was on its way, 3 ms, met a closed connection and got a reset; about one for each planned stop. A session closed after its reply had the same race.

Now the session ends with an error, BUSY with the time to come back or ABORTED in a transaction. An idle client closes on it; a statement that was on its way is answered by it and does not run. New sessions are refused alike until the process ends. A node that stops while no other VM takes calls serves its own sessions until then; their statements waited 3.5 s and were refused.

TestStatementsDuringShutdown, 20 clients behind 2 ms: before, 12 and 11 got no reply to a statement (2 runs); after, none (4 runs). Ruled out: waiting for idle clients (they may be idle for minutes).

--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -16,8 +16,12 @@
 		Session SessionID
 		Reply   currantloom.Reply
 	}
-	// CloseSession closes a session after the replies before it were written.
-	CloseSession struct{ Session SessionID }
+	// CloseSession closes a session after the replies before it were written. Unless its code is ReplyOK, the reply tells
+	// the client why, and answers a statement that is on its way.
+	CloseSession struct {
+		Session SessionID
+		Reply   currantloom.Reply
+	}
 	// OpenConn opens a connection to an upstream.
 	OpenConn struct {
 		Conn     ConnID
@@ -44,8 +48,6 @@
 	ResetLink struct{ VM currantloom.VMName }
 	// SetReady tells the load balancer whether this node accepts new connections.
 	SetReady struct{ Ready bool }
-	// StopAccepting stops accepting client connections.
-	StopAccepting struct{}
 	// ShutdownFinished reports that the graceful shutdown has finished.
 	ShutdownFinished struct{}
 )
@@ -137,7 +139,6 @@
 func (Respond) effect()            {}
 func (ResetLink) effect()          {}
 func (SetReady) effect()           {}
-func (StopAccepting) effect()      {}
 func (ShutdownFinished) effect()   {}
 func (StoreCommit) effect()        {}
 func (StoreGrantLease) effect()    {}
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -103,7 +103,7 @@
 	case !ok:
 		s.rejectJob(j, currantloom.ReasonUnknownUpstream)
 		return
-	case s.shutdown.requested && m.Mode < currantloom.CallVerifyPrimary:
+	case s.shutdown.requested && m.Mode < currantloom.CallVerifyPrimary && link != 0:
 		s.rejectJob(j, currantloom.ReasonShuttingDown)
 		return
 	}
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -88,7 +88,8 @@
 			return vm, true
 		}
 	}
-	return "", false
+	// A node that shuts down still serves its own sessions if no other node can.
+	return s.config.Self, s.shutdown.requested && u.avoidOwnerUntil[s.config.Self] <= s.now
 }
 
 // awaitsFirstPong pings a VM that has not answered yet, and reports whether its pong may still arrive within
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -46,6 +46,13 @@
 // handleSessionOpened answers the startup of a client. Before the first configuration no route is known, so the client
 // has to wait.
 func (s *State) handleSessionOpened(e SessionOpened) {
+	if s.shutdown.closingSessions {
+		s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
+			Code: currantloom.ReplyBusy, Detail: "shutdown, retry after 0 ms", TransactionStatus: currantloom.TransactionIdle,
+		}})
+		s.emit(CloseSession{Session: e.Session})
+		return
+	}
 	if s.catalog.configuration == nil {
 		s.startups = append(s.startups, startup{event: e, arrivedAt: s.now})
 		return
--- a/loomfleet/shutdown.go
+++ b/loomfleet/shutdown.go
@@ -48,11 +48,8 @@
 		return
 	}
 	elapsed := s.now - s.shutdown.requestedAt
-	if elapsed >= loadBalancerDelay && !s.shutdown.closingSessions {
-		s.shutdown.closingSessions = true
-		s.emit(StopAccepting{})
-	}
 	if elapsed >= loadBalancerDelay {
+		s.shutdown.closingSessions = true
 		s.closeIdleSessions(elapsed >= s.config.GracePeriod/2)
 	}
 	busy := len(s.sessions) > 0 || len(s.owner.jobs) > 0 || len(s.owner.pinned) > 0
@@ -92,7 +89,7 @@
 func (s *State) closeAfterReply(sn *session) {
 	if s.shutdown.closingSessions && sn.status == currantloom.TransactionIdle {
 		delete(s.sessions, sn.id)
-		s.emit(CloseSession{Session: sn.id})
+		s.emit(CloseSession{Session: sn.id, Reply: shutdownNotice(sn)})
 	}
 }
 
@@ -103,8 +100,22 @@
 		return sn.request == nil && (sn.status == currantloom.TransactionIdle || transactions)
 	})
 	for _, sn := range closing {
+		notice := shutdownNotice(sn)
 		s.endTransaction(sn)
 		delete(s.sessions, sn.id)
-		s.emit(CloseSession{Session: sn.id})
+		s.emit(CloseSession{Session: sn.id, Reply: notice})
+	}
+}
+
+// shutdownNotice returns the reply that tells an idle client that its session ends. Nothing of an open transaction is
+// kept, and a statement that is on its way does not run.
+func shutdownNotice(sn *session) currantloom.Reply {
+	if sn.status != currantloom.TransactionIdle {
+		return currantloom.Reply{
+			Code: currantloom.ReplyAborted, Detail: reasonShutdown, TransactionStatus: currantloom.TransactionFailed,
+		}
+	}
+	return currantloom.Reply{
+		Code: currantloom.ReplyBusy, Detail: "shutdown, retry after 0 ms", TransactionStatus: currantloom.TransactionIdle,
 	}
 }
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -19,7 +19,7 @@
 		}
 	case loomfleet.CloseSession:
 		if s, ok := n.sessions[e.Session]; ok {
-			s.closeAfterReply()
+			s.closeAfterReply(e.Reply)
 		}
 	case loomfleet.OpenConn:
 		n.openConn(e)
@@ -40,8 +40,6 @@
 		n.mesh.Reset(e.VM)
 	case loomfleet.SetReady:
 		n.ready.Store(e.Ready)
-	case loomfleet.StopAccepting:
-		n.tasks.Go(func() { _ = n.config.Sessions.Close() })
 	case loomfleet.ShutdownFinished:
 		close(n.shutdownFinished)
 	case loomfleet.Decision:
--- a/loomhost/session.go
+++ b/loomhost/session.go
@@ -16,6 +16,8 @@
 	// finalReplyTimeout bounds the wait for outstanding replies at shutdown, drainPollInterval is the time between two
 	// checks.
 	finalReplyTimeout = 300 * time.Millisecond
+	// sessionEndTimeout is how long a client may take to close a session that the node ends; some round trips.
+	sessionEndTimeout = 200 * time.Millisecond
 	drainPollInterval = 5 * time.Millisecond
 )
 
@@ -25,8 +27,9 @@
 	replies chan currantloom.Reply
 
 	mu sync.Mutex
-	// closing says that no further statement is read.
+	// closing says that no further statement is read. notice tells the client why; there is none if its code is ReplyOK.
 	closing bool
+	notice  currantloom.Reply
 }
 
 // serveSession starts the goroutine of a session.
@@ -58,9 +61,14 @@
 		return
 	}
 	n.submit(loomfleet.SessionOpened{Stamp: n.stamp(), Session: id, Database: database})
-	for s.writeNextReply(n) && s.prepareNextRead() {
+	for s.writeNextReply(n) {
+		if !s.prepareNextRead() {
+			s.end()
+			return
+		}
 		st, err := s.client.Next()
 		if err != nil {
+			s.end()
 			return
 		}
 		n.submit(loomfleet.StatementReceived{Stamp: n.stamp(), Session: id, Statement: st})
@@ -90,6 +98,18 @@
 	return true
 }
 
+// end tells the client why the session ends, if the session is closing. A client that does not close its connection, or
+// cannot be written to, is not waited for any longer.
+func (s *session) end() {
+	s.mu.Lock()
+	closing, notice := s.closing, s.notice
+	s.mu.Unlock()
+	if closing && notice.Code != currantloom.ReplyOK {
+		_ = s.client.SetWriteDeadline(time.Now().Add(sessionEndTimeout))
+		_ = s.client.End(notice, sessionEndTimeout)
+	}
+}
+
 // deliverReply passes a reply to the goroutine of the session, which expects one reply per statement. It never blocks.
 func (s *session) deliverReply(r currantloom.Reply) {
 	select {
@@ -100,10 +120,13 @@
 
 // closeAfterReply ends the session after the outstanding reply, or at once if there is none. A statement that was
 // already read still gets its reply.
-func (s *session) closeAfterReply() {
+func (s *session) closeAfterReply(notice currantloom.Reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.closing = true
+	if s.closing {
+		return
+	}
+	s.closing, s.notice = true, notice
 	_ = s.client.SetReadDeadline(time.Now())
 }
 
@@ -111,7 +134,7 @@
 func (n *Node) drainSessions() {
 	n.mu.Lock()
 	for _, s := range n.sessions {
-		s.closeAfterReply()
+		s.closeAfterReply(currantloom.Reply{})
 	}
 	n.mu.Unlock()
 	for limit := time.Now().Add(finalReplyTimeout); time.Now().Before(limit); time.Sleep(drainPollInterval) {
--- a/session.go
+++ b/session.go
@@ -10,6 +10,10 @@
 	Next() (Statement, error)
 	// WriteReply writes the reply to the startup or to the last statement.
 	WriteReply(Reply) error
+	// End tells the client that its session ends, and why. A statement that was on its way is answered with the same
+	// reply and is not returned by Next. End returns after that, when the client has closed the session, or after the
+	// wait time.
+	End(reply Reply, wait time.Duration) error
 	// SetReadDeadline bounds Startup and Next, SetWriteDeadline bounds WriteReply. The zero time means no bound.
 	SetReadDeadline(at time.Time) error
 	SetWriteDeadline(at time.Time) error
