Count the status of a replica only if its pause took effect (LOST)

Cause: the term of a pause was one above the newest term that the holder knew. After a change of primary that it had learnt from a registration only, which names no term, that was the newest term itself. The replicas ignored the pause and reported, their reports counted, and the one that acknowledged commits meanwhile was not the one promoted.

Now a status counts only if its term is below that of the command; otherwise all replicas are paused again above it (TestPauseWithOldTerm). The term is the next one exactly, so a pause that arrives late has no effect on the term after. Ruled out: the new pauses while a promotion is awaited (same term, no effect).

--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -162,3 +162,32 @@
 		})
 	}
 }
+
+// TestPauseWithOldTerm guards against a replica that ignores the pause, because its term is newer than this node knows,
+// and whose status is taken for final although it still receives commits.
+func TestPauseWithOldTerm(t *testing.T) {
+	f := newFixture(t)
+	f.configure(currantloom.ReadLatest)
+	g := f.state.groupOf(testService)
+	g.term = 2
+	f.state.startFailover(g, reasonCommitsStalled, false)
+	fo := f.state.coordinator.failovers[testService]
+	f.state.enterStep(fo, stepPause)
+	answer := func(name currantloom.UpstreamName, command, reported currantloom.Term) {
+		f.state.recordStatus(fo, g.find(name), currantloom.Command{Term: command}, currantloom.Reply{
+			ReplicationStatus: &currantloom.ReplicationStatus{
+				Term: reported, Received: currantloom.NewLogPosition(reported, 7),
+			},
+		})
+	}
+	answer("b", 3, 2)
+	answer("c", 3, 3)
+	if len(fo.statuses) != 0 || fo.term != 4 {
+		t.Errorf("%d statuses and term %d after a replica reported term 3, want none and 4", len(fo.statuses), fo.term)
+	}
+	answer("b", 4, 3)
+	answer("c", 4, 3)
+	if len(fo.statuses) != 2 {
+		t.Errorf("%d statuses of replicas that stopped receiving, want 2", len(fo.statuses))
+	}
+}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -83,7 +83,8 @@
 	pendingVerifications int
 	primaryConfirmed     bool
 	oldPrimary           currantloom.UpstreamName
-	term                 currantloom.Term
+	// newestTerm is the newest term that an upstream reported, term is that of the commands, which is above it.
+	newestTerm, term currantloom.Term
 	// statuses are the replication statuses of the upstreams that stopped receiving. paused holds the upstreams that may
 	// have been paused, commandPending those with an unanswered replication command.
 	statuses       map[currantloom.UpstreamName]currantloom.ReplicationStatus
@@ -324,7 +325,7 @@
 // pauseReplicas pauses replication at all replicas, so that no later commit can be acknowledged without being in the
 // statuses.
 func (s *State) pauseReplicas(f *failover) {
-	f.term = max(f.term, f.group.term) + 1
+	f.term = max(f.newestTerm, f.group.term) + 1
 	clear(f.statuses)
 	for _, m := range s.members.sorted {
 		if !m.suspected {
@@ -361,7 +362,7 @@
 			u.avoidOwnerUntil[vm] = s.now + avoidDuration
 		}
 		if f.epoch == epoch && result.Verdict == currantloom.Ran && result.Reply.Code == currantloom.ReplyOK {
-			s.recordStatus(f, u, result.Reply)
+			s.recordStatus(f, u, command, result.Reply)
 		}
 	})
 }
@@ -378,21 +379,33 @@
 	s.sendCall(u, vm, m).onResult = onResult
 }
 
-// recordStatus records the status of an upstream that stopped receiving.
-func (s *State) recordStatus(f *failover, u *upstream, reply currantloom.Reply) {
+// recordStatus records the status of an upstream that stopped receiving. An upstream ignores a command whose term is
+// not above the newest one. If that term is newer than this node knew, all statuses so far may be of upstreams that
+// still receive.
+func (s *State) recordStatus(f *failover, u *upstream, command currantloom.Command, reply currantloom.Reply) {
 	if reply.ReplicationStatus == nil {
 		return
 	}
 	status := *reply.ReplicationStatus
-	f.statuses[u.Name] = status
-	f.term = max(f.term, status.Term)
+	outcome := "paused"
+	if status.Term >= command.Term {
+		outcome = "ignored"
+	}
 	s.log(Decision{
 		Event: "failover", Service: f.group.name, Upstream: u.Name, Position: status.Received, Version: uint64(status.Term),
-		Age: s.now - f.startedAt, Outcome: "paused",
+		Age: s.now - f.startedAt, Outcome: outcome,
 	})
 	if status.Primary && status.Term > f.group.term {
 		f.group.recordPrimary(s, u.Name, currantloom.NewLogPosition(status.Term, status.Received.Index()), s.now)
 	}
+	f.newestTerm = max(f.newestTerm, status.Term)
+	switch {
+	case status.Term < command.Term:
+		f.statuses[u.Name] = status
+	case f.step == stepPause:
+		f.term = f.newestTerm + 1
+		clear(f.statuses)
+	}
 }
 
 // tickPause selects the candidate once the statuses cover every acknowledged commit.
--- a/loommodel/simulation_test.go
+++ b/loommodel/simulation_test.go
@@ -101,9 +101,25 @@
 	}
 }
 
+// playRandomFaults plays the faults of a seed, with the numbers of nodes, services and faults that the size determines.
+func playRandomFaults(t *testing.T, seed uint64, size int) {
+	t.Helper()
+	sim := startSimulation(t, seed, loommodel.Options{Nodes: 3 + size%3, Services: 1 + size%2, Clients: 16})
+	faults := sim.ScheduleRandomFaults(2+size%6, 20*time.Second)
+	sim.Run(32 * time.Second)
+	sim.Heal()
+	sim.SetStoreDown(false)
+	sim.Run(8 * time.Second)
+	assertNoViolations(t, sim)
+	assertServing(t, sim)
+	if t.Failed() {
+		t.Log(faults)
+	}
+}
+
 // TestRandomFaults guards against wrong results under several faults at a time: stale reads, lost or repeated writes,
 // writes that take effect after the client was told that nothing is kept, and mixed-up sessions. The seed determines
-// the sizes and the faults, and the run up to the first crash or restart.
+// the sizes, the faults and the whole run.
 func TestRandomFaults(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
@@ -112,16 +128,20 @@
 			if *fixedSize >= 0 {
 				size = *fixedSize
 			}
-			sim := startSimulation(t, seed, loommodel.Options{Nodes: 3 + size%3, Services: 1 + size%2, Clients: 16})
-			faults := sim.ScheduleRandomFaults(2+size%6, 20*time.Second)
-			sim.Run(32 * time.Second)
-			sim.Heal()
-			sim.SetStoreDown(false)
-			sim.Run(8 * time.Second)
-			assertNoViolations(t, sim)
-			assertServing(t, sim)
+			playRandomFaults(t, seed, size)
+		})
+	}
+}
+
+// TestFoundSeeds plays the seeds of TestRandomFaults that once failed.
+func TestFoundSeeds(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		5603: "replicas ignored a pause whose term was not newer than theirs, and their statuses counted",
+	} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			playRandomFaults(t, seed, int(seed))
 			if t.Failed() {
-				t.Log(faults)
+				t.Log(cause)
 			}
 		})
 	}
