--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -35,9 +35,11 @@
 	hasSnapshot bool
 	era         currantloom.StoreEra
 	check       configurationCheck
-	// departed and returned are used when the store comes back from a copy, see restore.go.
-	departed map[currantloom.UpstreamName]departedUpstream
-	returned map[currantloom.UpstreamName]returnedUpstream
+	// The following are used when the store comes back from a copy, see restore.go. restoring says that registrations may
+	// still be missing.
+	departed  map[currantloom.UpstreamName]departedUpstream
+	returned  map[currantloom.UpstreamName]returnedUpstream
+	restoring bool
 	// storeReachedAt is when the watch on the store last succeeded; storeUnavailable says that it has failed since.
 	storeReachedAt   time.Duration
 	storeUnavailable bool
@@ -291,6 +293,7 @@
 		u := s.catalog.upstreams[name]
 		if u.deletedAt > 0 && !s.catalog.storeUnavailable && s.now-u.deletedAt > forgetUpstreamAfter {
 			s.catalog.departed[name] = departedUpstream{incarnation: u.Incarnation, at: s.now}
+			s.catalog.restoring = true
 			s.forgetUpstream(u)
 		}
 	}
--- a/loomfleet/restore.go
+++ b/loomfleet/restore.go
@@ -85,6 +85,7 @@
 		}
 	}
 	s.applyRestoredMembers(e.Members)
+	c.restoring = true
 	s.log(Decision{
 		Event: "store_era", Version: uint64(e.Position.Era()), Age: s.now - c.storeReachedAt,
 		Reason:  fmt.Sprintf("upstreams: %d kept, %d had left, %d awaited", kept, ignored, missing),
@@ -154,16 +155,20 @@
 // back from a copy.
 func (s *State) tickRestoredCatalog() {
 	c := &s.catalog
-	if c.storeUnavailable {
+	if !c.restoring || c.storeUnavailable {
 		return
 	}
+	c.restoring = len(c.returned) > 0 || len(c.departed) > 0
 	for _, name := range c.upstreamNames() {
-		if u := c.upstreams[name]; u.missingSince > 0 && s.now-u.missingSince > deletionGrace {
+		u := c.upstreams[name]
+		c.restoring = c.restoring || u.missingSince > 0
+		if u.missingSince > 0 && s.now-u.missingSince > deletionGrace {
 			s.markUpstreamDeleted(u)
 			u.deletedAt, u.missingSince = u.missingSince, 0
 		}
 	}
 	for _, peer := range s.members.sorted {
+		c.restoring = c.restoring || peer.missingSince > 0
 		if peer.missingSince > 0 && s.now-peer.missingSince > memberReturnTime {
 			peer.deletedAt, peer.missingSince = s.now, 0
 		}
