Queues of links grow with their messages

Cause: each end of a link had a channel with room for 4,096 messages, 64 KB, although most links carry few.

The queue is a slice now, with the same limit.

--- a/loommesh/mesh.go
+++ b/loommesh/mesh.go
@@ -59,12 +59,17 @@
 
 // link is one connection between two nodes.
 type link struct {
-	queue chan currantloom.Message
 	// done is closed when the link ends.
 	done    chan struct{}
 	endOnce sync.Once
 	conn    net.Conn
-	mu      sync.Mutex
+	// wake tells the writer that messages are queued.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// queued are the messages to be written. The slice grows with them, because a node has links to most others and few
+	// messages on most of them.
+	queued []currantloom.Message
 	// suppressReport says that the handler is not told of the end of the link, because the node reset the link itself.
 	suppressReport bool
 	// sent says that a message was taken from the queue to be written.
@@ -72,17 +77,33 @@
 }
 
 func newLink() *link {
-	return &link{queue: make(chan currantloom.Message, maxQueuedMessages), done: make(chan struct{})}
+	return &link{done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a message; it reports false if the queue is full.
 func (l *link) enqueue(m currantloom.Message) bool {
+	l.mu.Lock()
+	if len(l.queued) >= maxQueuedMessages {
+		l.mu.Unlock()
+		return false
+	}
+	l.queued = append(l.queued, m)
+	l.mu.Unlock()
 	select {
-	case l.queue <- m:
-		return true
+	case l.wake <- struct{}{}:
 	default:
-		return false
 	}
+	return true
+}
+
+// takeQueued returns the queued messages and empties the queue.
+func (l *link) takeQueued() []currantloom.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	taken := l.queued
+	l.queued = nil
+	l.sent = l.sent || len(taken) > 0
+	return taken
 }
 
 // end closes the link. The first call decides whether the handler is told.
@@ -211,21 +232,18 @@
 		select {
 		case <-l.done:
 			return
-		case message := <-l.queue:
-			l.mu.Lock()
-			l.sent = true
-			l.mu.Unlock()
-			if writeMessages(conn, out, l, message) != nil {
+		case <-l.wake:
+			if writeMessages(conn, out, l.takeQueued()) != nil {
 				return
 			}
 		}
 	}
 }
 
-// writeMessages writes the first message and all that are queued behind it, then flushes the buffer.
-func writeMessages(conn net.Conn, out *bufio.Writer, l *link, first currantloom.Message) error {
+// writeMessages writes the messages, then flushes the buffer.
+func writeMessages(conn net.Conn, out *bufio.Writer, messages []currantloom.Message) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	for message := first; message != nil; {
+	for _, message := range messages {
 		data, err := encode(message)
 		if err != nil {
 			return err
@@ -233,11 +251,6 @@
 		if _, err := out.Write(data); err != nil {
 			return err
 		}
-		select {
-		case message = <-l.queue:
-		default:
-			message = nil
-		}
 	}
 	return out.Flush()
 }
--- a/loommesh/mesh_test.go
+++ b/loommesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -147,3 +148,28 @@
 	case <-time.After(100 * time.Millisecond):
 	}
 }
+
+// TestIdleLinkMemory guards against links that take much memory while they are idle. A node of 1,200 has a link to and
+// from each other one. All of them may take 256 MB, and the heap grows to three times what is live.
+func TestIdleLinkMemory(t *testing.T) {
+	const (
+		links = 2 * 1199
+		limit = 256 << 20 / 3 / links
+	)
+	heapSize := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heapSize()
+	idle := make([]*link, links)
+	for i := range idle {
+		idle[i] = newLink()
+	}
+	size := int(heapSize()-before)/links + 2*bufferSize
+	runtime.KeepAlive(idle)
+	if size > limit {
+		t.Errorf("%d bytes for each idle link, want at most %d", size, limit)
+	}
+}
