A starting node takes the copy of any node that talks to it

Seeds may be down or have no copy either; 30 of 80 nodes were not ready for ten seconds although 50 had the copy.

A node without a copy asks each node that sends it a message for one, every 0.3 s at most, and goes on from the position of the copy, so that pushes reach it. Ruled out: shorter time-outs of the store (answers take 0.2 s when it is slow).

--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -120,6 +120,7 @@
 	addTask(n.log.Run)
 	addTask(n.tick)
 	addTask(n.storeCache.run)
+	addTask(n.storeCache.loadAtStart)
 	addTask(n.storeCache.pushHeartbeats)
 	addTask(n.metrics.run)
 	addTask(n.acceptSessions)
@@ -237,12 +238,14 @@
 func (n *Node) MessageReceived(from currantloom.VMName, link uint64, m currantloom.Message) {
 	switch m := m.(type) {
 	case currantloom.StoreItemsRequest:
-		n.mesh.Respond(link, n.storeCache.storeItems())
+		n.storeCache.sendCopy(from, link)
 		return
 	case currantloom.StoreItems:
+		n.storeCache.requestCopyIfMissing(link)
 		n.storeCache.enqueuePush(m)
 		return
 	}
+	n.storeCache.requestCopyIfMissing(link)
 	n.submit(loomfleet.MessageReceived{Stamp: n.stamp(), From: from, Link: loomfleet.LinkID(link), Message: m})
 }
 
--- a/loomhost/push.go
+++ b/loomhost/push.go
@@ -11,6 +11,7 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomlog"
 	"currantloom.example/currantloom/loomtask"
 )
 
@@ -131,8 +132,16 @@
 	return nil
 }
 
-// enqueuePush queues a push from another node, or drops it if the queue is full.
+// enqueuePush queues a push from another node, or drops it if the queue is full. A whole copy is adopted if this node
+// has none.
 func (c *storeCache) enqueuePush(m currantloom.StoreItems) {
+	if !m.Delta {
+		if !c.hasCopy() {
+			c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{"items", len(m.Items), "version", m.Position}})
+			c.adoptCopy(m)
+		}
+		return
+	}
 	select {
 	case c.pushes <- m:
 	default:
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -34,8 +34,6 @@
 	maxRetryDelay = time.Second
 	// rereadSpread is the time over which the nodes read the store again after it came back from a copy.
 	rereadSpread = 300 * time.Millisecond
-	// seedRequestTimeout bounds the request to another node for its copy of the store.
-	seedRequestTimeout = time.Second
 )
 
 // Keys that nodes write to the store: one for each node, and one for the failover lease, which is called "duty" there.
@@ -51,6 +49,9 @@
 	// pushes are changes of the store that other nodes of the failure domain have read.
 	pushes chan currantloom.StoreItems
 
+	// adopting is held while the copy of another node is taken over.
+	adopting sync.Mutex
+
 	mu    sync.Mutex
 	items map[string]currantloom.StoreItem
 	// configurationVersion is the version of the configuration among the items.
@@ -59,6 +60,10 @@
 	// call to the store succeeded, or that another node has pushed its changes since.
 	position       currantloom.StorePosition
 	storeReachable bool
+	// copyRequestedAt is when this node last asked another one for its copy. adopted is the position of a copy from
+	// another node that run has not taken over yet.
+	copyRequestedAt time.Time
+	adopted         currantloom.StorePosition
 }
 
 func newStoreCache(n *Node) *storeCache {
@@ -113,6 +118,9 @@
 	var position currantloom.StorePosition
 	delay := minRetryDelay
 	for ctx.Err() == nil {
+		if position.IsZero() {
+			position = c.takeAdopted()
+		}
 		next, err := c.advance(ctx, position)
 		era, restored := currantloom.RestoredEraOf(err)
 		switch {
@@ -224,39 +232,6 @@
 	return c.storeReachable
 }
 
-// loadFromSeeds takes over the newest copy of the seed nodes, so that a node that starts while the store is unreachable
-// can serve. Copies are not merged: an older one holds keys that were deleted since.
-func (c *storeCache) loadFromSeeds() {
-	var newest currantloom.StoreItems
-	for _, seed := range c.node.config.SeedAddresses {
-		if seed == c.node.config.Reducer.Address {
-			continue
-		}
-		m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, seed, seedRequestTimeout)
-		if err != nil {
-			c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{"address", seed, "reason", err}})
-			continue
-		}
-		c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{
-			"address", seed, "items", len(m.Items), "version", m.Position,
-		}})
-		if m.Position.After(newest.Position) {
-			newest = m
-		}
-	}
-	c.mu.Lock()
-	isNewer := newest.Position.After(c.position)
-	c.mu.Unlock()
-	if !isNewer {
-		return
-	}
-	c.replace(newest.Items)
-	c.mu.Lock()
-	c.position = newest.Position
-	c.mu.Unlock()
-	c.node.submit(c.decodeChanges(newest.Items, true, newest.Position))
-}
-
 // fetchConfiguration takes over the configuration of another node, if it is newer.
 func (c *storeCache) fetchConfiguration(vm currantloom.VM) {
 	m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, vm.LinkAddress(), seedRequestTimeout)
