loommodel: a connection that a node gave up is not kept by the upstream

An upstream of the model accepted connections that their node had closed while they were being opened, and kept them for ever; after the start of 200 nodes its 16 connections were used up, so a replica never reported. Real upstreams see the close.

--- a/loommodel/restore_test.go
+++ b/loommodel/restore_test.go
@@ -11,6 +11,7 @@
 
 var (
 	restoreNodes = flag.Int("model.restore.nodes", 8, "number of nodes of TestRestoreTime")
+	restoreSeed  = flag.Uint64("model.restore.seed", 0, "first seed of TestRestoreTime")
 	restoreSeeds = flag.Int("model.restore.seeds", 10, "number of seeds of TestRestoreTime")
 )
 
@@ -27,7 +28,8 @@
 		step = 20 * time.Millisecond
 	)
 	var times []time.Duration
-	for seed := range uint64(*restoreSeeds) {
+	for i := range *restoreSeeds {
+		seed := *restoreSeed + uint64(i)
 		sim := startSimulation(t, seed, loommodel.Options{Nodes: *restoreNodes, Clients: 24})
 		sim.Run(3 * time.Second)
 		sim.RestoreStore(age, down)
@@ -38,12 +40,13 @@
 			sim.Run(step)
 		}
 		times = append(times, took-loommodel.PromotionTime)
+		if accepted := times[len(times)-1]; accepted > maxRestoreTime {
+			t.Errorf("seed %d: promotion accepted %s after the return of the store, want at most %s", seed, accepted,
+				maxRestoreTime)
+		}
 		assertNoViolations(t, sim)
 	}
 	slices.Sort(times)
-	longest := times[len(times)-1]
-	t.Logf("%d nodes, %d seeds: median %s, longest %s", *restoreNodes, *restoreSeeds, times[len(times)/2], longest)
-	if longest > maxRestoreTime {
-		t.Errorf("promotion accepted %s after the return of the store, want at most %s", longest, maxRestoreTime)
-	}
+	t.Logf("%d nodes, %d seeds: median %s, longest %s", *restoreNodes, *restoreSeeds, times[len(times)/2],
+		times[len(times)-1])
 }
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -87,6 +87,8 @@
 	oracle    *oracle
 	// partitions holds the pairs {from, to} of components between which all messages are dropped.
 	partitions map[[2]string]bool
+	// abandonedConns holds the connections that a node closed before the upstream had accepted them.
+	abandonedConns map[connKey]bool
 	// lastArrivals holds the arrival time of the last message of each pair {from, to}.
 	lastArrivals map[[2]string]time.Duration
 	// Trace is called with every decision of every node, if it is set.
@@ -98,7 +100,8 @@
 	o = o.withDefaults()
 	sim := &Simulation{
 		options: o, random: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), partitions: make(map[[2]string]bool),
-		lastArrivals: make(map[[2]string]time.Duration), promotionEndsPauses: seed%2 == 1,
+		abandonedConns: make(map[connKey]bool),
+		lastArrivals:   make(map[[2]string]time.Duration), promotionEndsPauses: seed%2 == 1,
 	}
 	sim.oracle = newOracle(sim)
 	sim.store = newStore(sim)
--- a/loommodel/upstream.go
+++ b/loommodel/upstream.go
@@ -153,7 +153,8 @@
 	u.withSlot(func(release func()) {
 		u.sim.after(connectTime, func() {
 			release()
-			if u.generation != generation {
+			if u.generation != generation || u.sim.abandonedConns[key] {
+				delete(u.sim.abandonedConns, key)
 				return
 			}
 			u.conns[key] = &upstreamConn{
@@ -194,10 +195,12 @@
 
 func (n *node) closeConn(id loomfleet.ConnID) {
 	key := connKey{node: n.name, incarnation: n.incarnation, id: id}
+	n.sim.abandonedConns[key] = true
 	for _, u := range n.sim.upstreams {
 		if _, ok := u.conns[key]; !ok {
 			continue
 		}
+		delete(n.sim.abandonedConns, key)
 		d := n.sim.networkDelay(n.name, u.name)
 		if !n.sim.reaches(n.name, u.name) {
 			d = unreachableConnTimeout
