--- a/loomfleet/restore.go
+++ b/loomfleet/restore.go
@@ -39,7 +39,7 @@
 }
 
 // enterStoreEra drops what this node holds in an earlier era of the store: leases, keys, and calls without an answer.
-// The lease's numbers and the keys' revisions may now be those of other nodes.
+// Their numbers and revisions may now be those of other nodes.
 func (s *State) enterStoreEra(era currantloom.StoreEra) {
 	if era <= s.storeEra {
 		return
