--- /dev/null
+++ b/loomfleet/failoverend.go
@@ -0,0 +1,52 @@
+package loomfleet
+
+import "currantloom.example/currantloom"
+
+// endFailover announces the primary and resumes replication at the paused replicas, after earlier requests for
+// promotion were voided.
+func (s *State) endFailover(f *failover, reason string) {
+	g := f.group
+	if reason != reasonLeaseLost && reason != reasonShutdown && s.mustVoidPromotions(f) {
+		s.voidPromotions(f, reason)
+		return
+	}
+	delete(s.coordinator.failovers, g.name)
+	f.epoch++
+	s.log(Decision{
+		Event: "failover", Service: g.name, Upstream: g.primary, Version: uint64(g.term), Reason: reason,
+		Age: s.now - f.startedAt, Outcome: "ended",
+	})
+	g.writesBlockedUntil = 0
+	if g.primary != "" {
+		s.broadcast(currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
+	}
+	if reason == reasonLeaseLost || s.hasPendingPromotion(g) {
+		// The next holder of the failover lease may have paused the replicas, or a pending promotion needs them paused. If
+		// they stay paused without a failover, the holder notices the stalled commits.
+		return
+	}
+	for _, u := range g.upstreams {
+		if f.paused[u.Name] {
+			s.resumeReplica(u, resumeRetries)
+		}
+	}
+}
+
+// resumeReplica resumes replication at a replica. It retries until the replica confirms, but not once another node may
+// have paused it again.
+func (s *State) resumeReplica(u *upstream, retries int) {
+	vm, ok := s.ownerOf(u)
+	if !ok {
+		vm = s.config.Self
+	}
+	s.sendFailoverCall(u, vm, currantloom.CallFailover, currantloom.Command{Kind: currantloom.CommandResumeReplication},
+		func(result currantloom.CallResult) {
+			confirmed := result.Verdict == currantloom.Ran && result.Reply.Code == currantloom.ReplyOK
+			current := s.catalog.upstreams[u.Name] == u && s.coordinator.failovers[u.Service] == nil
+			if confirmed || retries == 0 || !current || !s.coordinator.isActing(s) {
+				return
+			}
+			u.avoidOwnerUntil[vm] = s.now + avoidDuration
+			s.resumeReplica(u, retries-1)
+		})
+}
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -238,7 +238,7 @@
 
 // TestRestoredStore guards against a store that comes back from an older copy and stops the fleet: a primary that
 // crashes afterwards must still be replaced, although the revisions that fences are made of are lower than before and
-// the failover lease is gone. Before the drill another primary is replaced, so that the platform has seen a fence.
+// the failover lease is gone. Before that another primary is replaced, so that the platform has seen a fence.
 func TestRestoredStore(t *testing.T) {
 	for seed := range uint64(5) {
 		sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
