--- a/configuration.go
+++ b/configuration.go
@@ -33,6 +33,8 @@
 	LatencyTarget time.Duration
 	// Priority is 0 for the most urgent work.
 	Priority int
+	// Public says that clients of the route need no key.
+	Public bool
 }
 
 // Service describes a replicated database that the platform registers: a group of upstreams under one name.
@@ -49,6 +51,8 @@
 	Version  uint64
 	Routes   map[DatabaseName]Route
 	Services map[ServiceName]Service
+	// Organisations are the organisations and their keys.
+	Organisations Organisations
 	// IdleTransactionTimeout is how long an open transaction may be idle.
 	IdleTransactionTimeout time.Duration
 }
--- a/loomfleet/arbitrary_test.go
+++ b/loomfleet/arbitrary_test.go
@@ -158,7 +158,7 @@
 			Kind: kind, ID: fmt.Sprint(a.Uint64()), Text: "t", Name: pick(a, "", "n"), Argument: "x",
 		}}
 	default:
-		return SessionOpened{Stamp: stamp, Session: SessionID(a.IntN(4)), Database: testDatabase}
+		return SessionOpened{Stamp: stamp, Session: SessionID(a.IntN(4)), Startup: testStartup}
 	}
 }
 
--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -35,10 +35,12 @@
 
 // conn is a connection to an upstream. It is used by one job or one transaction at a time.
 type conn struct {
-	id       ConnID
-	pool     *pool
-	state    connState
-	openedAt time.Duration
+	id   ConnID
+	pool *pool
+	// organisation is the organisation whose jobs the connection runs; empty for jobs of none.
+	organisation currantloom.OrganisationName
+	state        connState
+	openedAt     time.Duration
 	// settings and prepared are the session settings and prepared statements of this connection at the upstream. If
 	// dirty is set, the upstream may have others.
 	settings map[string]string
--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -22,10 +22,11 @@
 		Session SessionID
 		Reply   currantloom.Reply
 	}
-	// OpenConn opens a connection to an upstream.
+	// OpenConn opens a connection to an upstream for an organisation, or for none.
 	OpenConn struct {
-		Conn     ConnID
-		Upstream currantloom.Upstream
+		Conn         ConnID
+		Upstream     currantloom.Upstream
+		Organisation currantloom.OrganisationName
 	}
 	// SendCommands writes commands to an upstream.
 	SendCommands struct {
@@ -109,11 +110,13 @@
 type Decision struct {
 	Event string
 	// Request is the client's id of the statement.
-	Request  string
-	Session  SessionID
-	Service  currantloom.ServiceName
-	Upstream currantloom.UpstreamName
-	VM       currantloom.VMName
+	Request string
+	Session SessionID
+	// Organisation is the organisation that the decision is about; empty for none.
+	Organisation currantloom.OrganisationName
+	Service      currantloom.ServiceName
+	Upstream     currantloom.UpstreamName
+	VM           currantloom.VMName
 	// Position is the log position that the decision is about, PositionAge is how long before the request it was
 	// sampled.
 	Position    currantloom.LogPosition
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -127,8 +127,8 @@
 	// SessionOpened reports the startup of a client.
 	SessionOpened struct {
 		Stamp
-		Session  SessionID
-		Database currantloom.DatabaseName
+		Session SessionID
+		currantloom.Startup
 	}
 	// StatementReceived reports the next statement of a session whose previous statement was answered.
 	StatementReceived struct {
--- a/loomfleet/fixture_test.go
+++ b/loomfleet/fixture_test.go
@@ -21,6 +21,9 @@
 	testSelf     = currantloom.VMName("vm-1")
 )
 
+// testStartup is the startup of a client of a deployment without organisations.
+var testStartup = currantloom.Startup{Database: testDatabase}
+
 var testLocation = currantloom.NewLocation("ost", "linz")
 
 func newFixture(t *testing.T) *fixture {
@@ -83,7 +86,7 @@
 }
 
 func (f *fixture) openSession(id SessionID) {
-	f.reduce(SessionOpened{Stamp: f.stamp(), Session: id, Database: testDatabase})
+	f.reduce(SessionOpened{Stamp: f.stamp(), Session: id, Startup: testStartup})
 }
 
 // repliesTo returns the replies to a session among the last effects.
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -190,7 +190,7 @@
 	if p.isBlocked(s, j) || p.running >= p.slots()+extraJobs {
 		return false
 	}
-	return j.conn != nil || p.idleConn() != nil
+	return j.conn != nil || p.idleConnOf(j.call.Organisation) != nil
 }
 
 // idleConn returns the most recently used idle connection.
@@ -204,14 +204,29 @@
 	return best
 }
 
-// takeConn returns an idle connection, if possible one that already has the settings of the job's session.
+// idleConnOf returns the most recently used idle connection of an organisation.
+func (p *pool) idleConnOf(organisation currantloom.OrganisationName) *conn {
+	var best *conn
+	for _, cn := range p.conns {
+		if cn.isIdle() && cn.organisation == organisation && (best == nil || cn.idleSince > best.idleSince) {
+			best = cn
+		}
+	}
+	return best
+}
+
+// takeConn returns an idle connection of the job's organisation, if possible one that already has the settings of its
+// session. Commands of failovers run on any connection.
 func (p *pool) takeConn(j *job) *conn {
+	if j.call.Mode >= currantloom.CallVerifyPrimary {
+		return p.idleConn()
+	}
 	for _, cn := range p.conns {
-		if cn.isIdle() && cn.matches(j.call) {
+		if cn.isIdle() && cn.organisation == j.call.Organisation && cn.matches(j.call) {
 			return cn
 		}
 	}
-	return p.idleConn()
+	return p.idleConnOf(j.call.Organisation)
 }
 
 // openConnsForQueue opens connections for queued jobs.
@@ -220,6 +235,9 @@
 // of the upstream, so one connection for each of them would occupy the slots for seconds, and most connections could
 // not be used.
 func (p *pool) openConnsForQueue(s *State) {
+	if s.hasOrganisations() {
+		p.openConnsForOrganisations(s)
+	}
 	opening, idle, unpinned := 0, 0, 0
 	for _, cn := range p.conns {
 		switch {
@@ -234,6 +252,9 @@
 	}
 	usable := p.slots() + extraJobs + probeConnections
 	wanted := min(p.queue.countUnpinned()-opening-idle, usable-unpinned, max(1, p.slots()/2)-opening)
+	if s.hasOrganisations() {
+		wanted = 0
+	}
 	if s.isPreferredOwner(p.upstream) && len(p.conns) < warmConnections {
 		wanted = max(wanted, 1)
 	}
@@ -241,19 +262,19 @@
 		if p.unreachable && (opening > 0 || s.now-p.failedAt < reconnectPause) {
 			return
 		}
-		p.openConn(s)
+		p.openConn(s, "")
 		opening++
 	}
 }
 
-func (p *pool) openConn(s *State) {
+func (p *pool) openConn(s *State, organisation currantloom.OrganisationName) {
 	cn := &conn{
-		id: ConnID(s.nextNumber()), pool: p, state: connOpening, openedAt: s.now,
+		id: ConnID(s.nextNumber()), pool: p, organisation: organisation, state: connOpening, openedAt: s.now,
 		settings: make(map[string]string), prepared: make(map[string]bool),
 	}
 	p.conns = append(p.conns, cn)
 	s.owner.conns[cn.id] = cn
-	s.emit(OpenConn{Conn: cn.id, Upstream: p.upstream.Upstream})
+	s.emit(OpenConn{Conn: cn.id, Upstream: p.upstream.Upstream, Organisation: organisation})
 }
 
 // markUnreachable records that the upstream cannot be reached, and rejects the queued jobs.
@@ -364,7 +385,11 @@
 			oldest = cn
 		}
 	}
-	if idle > warmConnections && s.now-oldest.idleSince > surplusIdleTimeout {
+	limit := warmConnections
+	if s.hasOrganisations() {
+		limit = p.maxIdleConnections(s)
+	}
+	if idle > limit && s.now-oldest.idleSince > surplusIdleTimeout {
 		s.closeConn(oldest, currantloom.ReasonConnectionLost)
 	}
 }
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -41,11 +41,13 @@
 	session   *session
 	statement currantloom.Statement
 	route     currantloom.Route
-	group     *group
-	purpose   purpose
-	arrivedAt time.Duration
-	attempt   int
-	calls     []*call
+	// organisation is the organisation that the statement runs for; empty for none.
+	organisation currantloom.OrganisationName
+	group        *group
+	purpose      purpose
+	arrivedAt    time.Duration
+	attempt      int
+	calls        []*call
 	// avoidUntil holds the upstreams that are avoided after a failed attempt, and until when.
 	avoidUntil map[currantloom.UpstreamName]time.Duration
 	// parked says that the request waits for an upstream, until retryAt or until the group's epoch changes.
@@ -67,9 +69,12 @@
 func (r *requests) init() { r.calls = make(map[currantloom.RequestKey]*call) }
 
 // startRequest creates a request for a statement and dispatches it.
-func (s *State) startRequest(sn *session, st currantloom.Statement, route currantloom.Route, p purpose) {
+func (s *State) startRequest(
+	sn *session, st currantloom.Statement, route currantloom.Route, organisation currantloom.OrganisationName, p purpose,
+) {
 	r := &request{
-		session: sn, statement: st, route: route, group: s.groupOf(route.Service), purpose: p, arrivedAt: s.now,
+		session: sn, statement: st, route: route, organisation: organisation, group: s.groupOf(route.Service), purpose: p,
+		arrivedAt:  s.now,
 		avoidUntil: make(map[currantloom.UpstreamName]time.Duration),
 	}
 	if r.route.Timeout <= 0 {
@@ -105,7 +110,8 @@
 	timeout := r.route.Timeout
 	wait := max(0, r.giveUpAt()-s.now)
 	m := currantloom.Call{
-		Key: s.nextKey(), Service: r.group.name, Upstream: t.upstream.Name, Mode: t.mode, Command: command,
+		Key: s.nextKey(), Service: r.group.name, Upstream: t.upstream.Name, Mode: t.mode,
+		Organisation: r.organisation, Command: command,
 		Settings: r.session.sortedSettings(), Timeout: timeout, QueueTimeout: wait,
 		LatencyBudget:          max(0, r.arrivedAt+r.route.LatencyTarget-s.now),
 		Priority:               r.route.Priority,
@@ -369,8 +375,8 @@
 
 func (s *State) logRequest(r *request, reply currantloom.Reply, c *call) {
 	d := Decision{
-		Event: "statement", Request: r.statement.ID, Session: r.session.id, Service: r.group.name,
-		Age: s.now - r.arrivedAt, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.configurationVersion(),
+		Event: "statement", Request: r.statement.ID, Session: r.session.id, Organisation: r.organisation,
+		Service: r.group.name, Age: s.now - r.arrivedAt, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.configurationVersion(),
 		Routine: reply.Code == currantloom.ReplyOK && r.attempt == 1,
 	}
 	if r.lastFailure != currantloom.ReasonNone {
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -12,6 +12,7 @@
 type session struct {
 	id       SessionID
 	database currantloom.DatabaseName
+	key      currantloom.KeyDigest
 	status   currantloom.TransactionStatus
 	settings map[string]string
 	prepared map[string]currantloom.PreparedStatement
@@ -26,12 +27,13 @@
 // transaction is what the entry node knows about an open transaction. It is opened at an upstream by its first
 // statement.
 type transaction struct {
-	route    currantloom.Route
-	readOnly bool
-	opened   bool
-	key      currantloom.RequestKey
-	upstream *upstream
-	vm       currantloom.VMName
+	route        currantloom.Route
+	organisation currantloom.OrganisationName
+	readOnly     bool
+	opened       bool
+	key          currantloom.RequestKey
+	upstream     *upstream
+	vm           currantloom.VMName
 }
 
 // maxStartupWait is how long a session waits for the first configuration; clients wait 2 s.
@@ -85,24 +87,34 @@
 }
 
 func (s *State) startSession(e SessionOpened) {
-	if _, ok := s.route(e.Database); !ok {
-		s.log(Decision{
-			Event: "session", Session: e.Session, Version: s.configurationVersion(), Reason: string(e.Database),
-			Outcome: "no_route",
-		})
-		s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
-			Code: currantloom.ReplyNoDatabase, Detail: string(e.Database), TransactionStatus: currantloom.TransactionIdle,
-		}})
-		s.emit(CloseSession{Session: e.Session})
+	route, ok := s.route(e.Database)
+	if !ok {
+		s.refuseSession(e, currantloom.ReplyNoDatabase, "no_route")
+		return
+	}
+	if _, ok := s.authorise(e.Key, route); !ok {
+		s.refuseSession(e, currantloom.ReplyNotAuthorised, "not_authorised")
 		return
 	}
 	s.sessions[e.Session] = &session{
-		id: e.Session, database: e.Database, status: currantloom.TransactionIdle, lastActivityAt: s.now,
+		id: e.Session, database: e.Database, key: e.Key, status: currantloom.TransactionIdle, lastActivityAt: s.now,
 		settings: make(map[string]string), prepared: make(map[string]currantloom.PreparedStatement),
 	}
 	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{TransactionStatus: currantloom.TransactionIdle}})
 }
 
+// refuseSession answers a startup with an error and closes the session.
+func (s *State) refuseSession(e SessionOpened, code currantloom.ReplyCode, outcome string) {
+	s.log(Decision{
+		Event: "session", Session: e.Session, Version: s.configurationVersion(), Reason: string(e.Database),
+		Outcome: outcome,
+	})
+	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
+		Code: code, Detail: string(e.Database), TransactionStatus: currantloom.TransactionIdle,
+	}})
+	s.emit(CloseSession{Session: e.Session})
+}
+
 // configurationVersion returns the version of the configuration in effect, 0 without one.
 func (s *State) configurationVersion() uint64 {
 	if c := s.catalog.configuration; c != nil {
@@ -200,13 +212,14 @@
 		s.refuse(sn, st, currantloom.ReplyMalformed, "a transaction is open")
 		return
 	}
-	route, ok := s.route(sn.database)
+	route, organisation, ok := s.routeOf(sn, st)
 	if !ok {
-		s.refuse(sn, st, currantloom.ReplyNoDatabase, string(sn.database))
 		return
 	}
 	sn.status = currantloom.TransactionOpen
-	sn.transaction = &transaction{route: route, readOnly: st.Kind == currantloom.StatementBeginRead}
+	sn.transaction = &transaction{
+		route: route, organisation: organisation, readOnly: st.Kind == currantloom.StatementBeginRead,
+	}
 	s.groupOf(route.Service).usedAt = s.now
 	s.replyOK(sn)
 }
@@ -219,10 +232,27 @@
 	case sn.transaction == nil:
 		s.refuse(sn, st, currantloom.ReplyMalformed, "no transaction is open")
 	case sn.transaction.opened:
-		s.startRequest(sn, st, sn.transaction.route, purposeCommit)
+		s.startRequest(sn, st, sn.transaction.route, sn.transaction.organisation, purposeCommit)
 	default:
-		s.startRequest(sn, st, sn.transaction.route, purposeEmptyCommit)
+		s.startRequest(sn, st, sn.transaction.route, sn.transaction.organisation, purposeEmptyCommit)
+	}
+}
+
+// routeOf returns the route of a new operation and the organisation that it runs for. If there is none, it refuses the
+// statement and reports false.
+func (s *State) routeOf(
+	sn *session, st currantloom.Statement,
+) (currantloom.Route, currantloom.OrganisationName, bool) {
+	route, ok := s.route(sn.database)
+	if !ok {
+		s.refuse(sn, st, currantloom.ReplyNoDatabase, string(sn.database))
+		return route, "", false
 	}
+	organisation, ok := s.authorise(sn.key, route)
+	if !ok {
+		s.refuse(sn, st, currantloom.ReplyNotAuthorised, string(sn.database))
+	}
+	return route, organisation, ok
 }
 
 // execute starts a request for a read, a write or a prepared statement.
@@ -241,20 +271,19 @@
 		case t.readOnly && writes:
 			s.refuse(sn, st, currantloom.ReplyNotPrimary, "the transaction only reads")
 		case t.opened:
-			s.startRequest(sn, st, t.route, purposeInTransaction)
+			s.startRequest(sn, st, t.route, t.organisation, purposeInTransaction)
 		default:
-			s.startRequest(sn, st, t.route, purposeOpenTransaction)
+			s.startRequest(sn, st, t.route, t.organisation, purposeOpenTransaction)
 		}
 		return
 	}
-	route, ok := s.route(sn.database)
+	route, organisation, ok := s.routeOf(sn, st)
 	switch {
 	case !ok:
-		s.refuse(sn, st, currantloom.ReplyNoDatabase, string(sn.database))
 	case writes:
-		s.startRequest(sn, st, route, purposeWrite)
+		s.startRequest(sn, st, route, organisation, purposeWrite)
 	default:
-		s.startRequest(sn, st, route, purposeRead)
+		s.startRequest(sn, st, route, organisation, purposeRead)
 	}
 }
 
--- a/loomfleet/session_test.go
+++ b/loomfleet/session_test.go
@@ -28,7 +28,7 @@
 	t.Run("unknown database", func(t *testing.T) {
 		f := newFixture(t)
 		f.configure(currantloom.ReadLatest)
-		f.reduce(SessionOpened{Stamp: f.stamp(), Session: 1, Database: "other"})
+		f.reduce(SessionOpened{Stamp: f.stamp(), Session: 1, Startup: currantloom.Startup{Database: "other"}})
 		f.assertReply(1, currantloom.ReplyNoDatabase)
 	})
 }
--- a/loomhost/conn.go
+++ b/loomhost/conn.go
@@ -40,7 +40,7 @@
 func (n *Node) runConn(e loomfleet.OpenConn, c *upstreamConn) {
 	ctx, cancel := context.WithTimeout(n.runCtx, connectTimeout)
 	defer cancel()
-	conn, reply, err := n.config.Dialer.DialUpstream(ctx, e.Upstream)
+	conn, reply, err := n.config.Dialer.DialUpstream(ctx, e.Upstream, e.Organisation)
 	if err != nil {
 		n.removeConn(e.Conn, c)
 		n.submit(loomfleet.ConnOpened{
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -125,7 +125,7 @@
 
 // logLine returns the log line of a decision. Empty fields are left out.
 func logLine(d loomfleet.Decision) loomlog.Line {
-	fields := make([]any, 0, 24)
+	fields := make([]any, 0, 26)
 	add := func(name string, empty bool, value any) {
 		if !empty {
 			fields = append(fields, name, value)
@@ -133,6 +133,7 @@
 	}
 	add("request", d.Request == "", d.Request)
 	add("session", d.Session == 0, uint64(d.Session))
+	add("organisation", d.Organisation == "", string(d.Organisation))
 	add("service", d.Service == "", string(d.Service))
 	add("upstream", d.Upstream == "", string(d.Upstream))
 	add("vm", d.VM == "", string(d.VM))
--- a/loomhost/session.go
+++ b/loomhost/session.go
@@ -56,11 +56,11 @@
 
 func (n *Node) runSession(id loomfleet.SessionID, s *session) {
 	_ = s.client.SetReadDeadline(time.Now().Add(startupTimeout))
-	database, err := s.client.Startup()
+	startup, err := s.client.Startup()
 	if err != nil {
 		return
 	}
-	n.submit(loomfleet.SessionOpened{Stamp: n.stamp(), Session: id, Database: database})
+	n.submit(loomfleet.SessionOpened{Stamp: n.stamp(), Session: id, Startup: startup})
 	for s.writeNextReply(n) {
 		if !s.prepareNextRead() {
 			s.end()
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -16,7 +16,7 @@
 	sample := currantloom.PositionSample{Service: "s", Upstream: "u", Position: position, Age: 5 * time.Millisecond}
 	return []currantloom.Message{
 		currantloom.Call{
-			Key: key, Service: "s", Upstream: "u", Mode: currantloom.CallBeginRead, Transaction: key,
+			Key: key, Service: "s", Upstream: "u", Mode: currantloom.CallBeginRead, Organisation: "linz", Transaction: key,
 			Command: currantloom.Command{
 				Kind: currantloom.CommandExecute, ID: "id", Text: "text", MinPosition: position, Name: "n", Argument: "a",
 				Writes: true, Commits: true, Term: 4,
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -145,6 +145,7 @@
 	m.Prepared = currantloom.PreparedStatement{Writes: d.flag(), Definition: d.text()}
 	m.Timeout, m.QueueTimeout, m.LatencyBudget = d.duration(), d.duration(), d.duration()
 	m.Priority, m.IdleTransactionTimeout = int(d.number()), d.duration()
+	m.Organisation = currantloom.OrganisationName(d.text())
 	return m
 }
 
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -153,6 +153,7 @@
 	e.duration(m.LatencyBudget)
 	e.number(uint64(m.Priority))
 	e.duration(m.IdleTransactionTimeout)
+	e.text(string(m.Organisation))
 }
 
 func (e *encoder) command(c currantloom.Command) {
--- a/loommodel/client.go
+++ b/loommodel/client.go
@@ -81,7 +81,8 @@
 	n.sessions[id] = c
 	n.deliver(clientNetworkDelay, func() loomfleet.Event {
 		return loomfleet.SessionOpened{
-			Stamp: n.stamp(), Session: id, Database: databaseOf(c.serviceIndex, c.policy),
+			Stamp: n.stamp(), Session: id,
+			Startup: currantloom.Startup{Database: databaseOf(c.serviceIndex, c.policy)},
 		}
 	})
 	c.startTimeout()
--- a/message.go
+++ b/message.go
@@ -31,6 +31,9 @@
 	Service  ServiceName
 	Upstream UpstreamName
 	Mode     CallMode
+	// Organisation is the organisation that the command runs for; empty for none. The command runs on a connection of
+	// this organisation.
+	Organisation OrganisationName
 	// Transaction is the key of the call that opened the transaction to continue.
 	Transaction RequestKey
 	Command     Command
--- a/reply.go
+++ b/reply.go
@@ -32,6 +32,8 @@
 	ReplyInDoubt
 	// ReplyOther is any other error of an upstream.
 	ReplyOther
+	// ReplyNotAuthorised means that the client's key is not valid; nothing was run.
+	ReplyNotAuthorised
 )
 
 // String returns the name that logs use.
@@ -39,6 +41,7 @@
 	names := [...]string{
 		"ok", "busy", "aborted", "lagging", "not_primary", "misrouted", "no_connections", "no_statement", "malformed",
 		"no_database", "failed", "timeout", "in_doubt", "other",
+		"not_authorised",
 	}
 	if int(c) < len(names) {
 		return names[c]
--- a/session.go
+++ b/session.go
@@ -2,10 +2,17 @@
 
 import "time"
 
+// Startup is what a client says of itself at the start of its session.
+type Startup struct {
+	Database DatabaseName
+	// Key is the digest of the client's API key; zero if it gave none.
+	Key KeyDigest
+}
+
 // Session is the connection of a client: it reads statements and writes replies.
 type Session interface {
-	// Startup returns the database that the client asks for.
-	Startup() (DatabaseName, error)
+	// Startup returns the startup of the client.
+	Startup() (Startup, error)
 	// Next returns the client's next statement.
 	Next() (Statement, error)
 	// WriteReply writes the reply to the startup or to the last statement.
--- a/upstream.go
+++ b/upstream.go
@@ -96,9 +96,10 @@
 
 // UpstreamDialer opens connections to upstreams.
 type UpstreamDialer interface {
-	// DialUpstream opens a connection and verifies that it reached this upstream. The reply is the upstream's answer;
-	// its code is not ReplyOK if the upstream refuses. An error means that there was no answer.
-	DialUpstream(ctx context.Context, upstream Upstream) (UpstreamConn, Reply, error)
+	// DialUpstream opens a connection for an organisation, or for none if the name is empty, and verifies that it reached
+	// this upstream. The reply is the upstream's answer; its code is not ReplyOK if the upstream refuses. An error means
+	// that there was no answer.
+	DialUpstream(ctx context.Context, upstream Upstream, organisation OrganisationName) (UpstreamConn, Reply, error)
 }
 
 // Promoter asks the platform to change the primary of a service.
