--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -376,8 +376,8 @@
 func (s *State) logRequest(r *request, reply currantloom.Reply, c *call) {
 	d := Decision{
 		Event: "statement", Request: r.statement.ID, Session: r.session.id, Organisation: r.organisation,
-		Service: r.group.name, Age: s.now - r.arrivedAt, Attempt: r.attempt, Outcome: reply.Code.String(), Version: s.configurationVersion(),
-		Routine: reply.Code == currantloom.ReplyOK && r.attempt == 1,
+		Service: r.group.name, Age: s.now - r.arrivedAt, Attempt: r.attempt, Outcome: reply.Code.String(),
+		Version: s.configurationVersion(), Routine: reply.Code == currantloom.ReplyOK && r.attempt == 1,
 	}
 	if r.lastFailure != currantloom.ReasonNone {
 		d.Reason = r.lastFailure.String()
