A new holder of the failover lease asks the owners before it calls a primary quiet

Cause: a node that becomes the holder has no reports of most owners yet, so every primary of a large fleet looked unproven to it.

Change: quiet counts from when the node began to act as holder, and at most 8 failovers run at a time for that reason.

--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -37,7 +37,9 @@
 	// tookOverAt is when this node took the failover lease over from another one; zero if it did not.
 	tookOverAt      time.Duration
 	lastPromotionID uint64
-	acting          bool
+	// acting says that this node may run failovers, actingSince is since when.
+	acting      bool
+	actingSince time.Duration
 }
 
 func (c *coordinator) init(s *State) {
@@ -111,6 +113,7 @@
 		c.acting = acting
 		outcome := "stopped"
 		if acting {
+			c.actingSince = s.now
 			outcome = "acting"
 		}
 		s.log(Decision{Event: "duty", VM: s.config.Self, Version: c.leaseKey.position.Revision(), Outcome: outcome})
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -20,6 +20,29 @@
 	return primaryProofTimeout
 }
 
+// reasonQuiet is the reason of a failover whose only evidence is that no node has proven the primary.
+const reasonQuiet = "primary is quiet"
+
+// maxQuietFailovers bounds the failovers that run at a time because a primary is quiet. Each verifies its primary through
+// several VMs that may have to connect first, and if many primaries are quiet at once, more likely the reports are late.
+const maxQuietFailovers = 8
+
+// isPrimaryQuiet reports whether the primary has been unproven for too long. A node that becomes the holder of the
+// failover lease has asked the owners for their reports only since then.
+func (s *State) isPrimaryQuiet(g *group) bool {
+	c := &s.coordinator
+	if s.now-max(g.primaryProvenAt, c.actingSince) <= s.proofTimeout() {
+		return false
+	}
+	quiet := 0
+	for _, f := range c.failovers {
+		if f.reason == reasonQuiet {
+			quiet++
+		}
+	}
+	return quiet < maxQuietFailovers
+}
+
 // failoverReason returns why the primary of the group must be replaced or verified; empty if it need not be.
 func (s *State) failoverReason(g *group) (reason string, planned bool) {
 	if len(g.upstreams) == 0 || s.catalog.configuration == nil || !s.catalog.hasSnapshot {
@@ -40,8 +63,8 @@
 		return reasonCommitsStalled, false
 	case s.isReportedUnreachable(u):
 		return "primary is unreachable", false
-	case s.now-g.primaryProvenAt > s.proofTimeout():
-		return "primary is quiet", false
+	case s.isPrimaryQuiet(g):
+		return reasonQuiet, false
 	default:
 		return "", false
 	}
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfleet"
 	"currantloom.example/currantloom/loommodel"
 )
 
@@ -337,3 +339,25 @@
 		})
 	}
 }
+
+// TestNewLeaseHolderInLargeFleet guards against a new holder of the failover lease that takes all primaries for failed,
+// because it has not asked their owners yet, and verifies or replaces them all at once.
+func TestNewLeaseHolderInLargeFleet(t *testing.T) {
+	for seed := range uint64(3) {
+		sim := startSimulation(t, seed, loommodel.Options{Nodes: 24, Services: 24, Clients: 48})
+		started := 0
+		sim.Trace = func(_ time.Duration, _ currantloom.VMName, d loomfleet.Decision) {
+			if d.Event == "failover" && d.Outcome == "started" {
+				started++
+			}
+		}
+		sim.Run(3 * time.Second)
+		sim.Kill(sim.FailoverLeaseHolder(), 2*time.Second)
+		sim.Run(8 * time.Second)
+		if started > 0 || sim.Stats().Promotions > 0 {
+			t.Errorf("seed %d: %d failovers and %d promotions without a failed primary", seed, started,
+				sim.Stats().Promotions)
+		}
+		assertNoViolations(t, sim)
+	}
+}
