Sessions end with their keys; strict nodes prove their configuration

Cause: a configuration that withdraws or moves a key, or makes a route private, had no effect on open sessions beyond their next operation: open transactions, queued statements and idle sessions went on.

Change: when a configuration is put into effect, the reducer looks at each session once (revocation.go). Idle sessions are closed with a notice, open transactions are rolled back, queued statements are withdrawn. CancelCall can ask the owner for the result, so that an entry node knows whether a statement was sent. The startup's log line has the outcome auth_failed. With StrictRevocation a node refuses statements of organisations without a recent answer of the store (configurationproof.go). A running node fetches a newer configuration that others report for 1 s; before, only a starting node did.

--- a/configuration.go
+++ b/configuration.go
@@ -55,4 +55,34 @@
 	Organisations Organisations
 	// IdleTransactionTimeout is how long an open transaction may be idle.
 	IdleTransactionTimeout time.Duration
+	// Findings are what operators should correct. They have no effect but to be logged.
+	Findings []ConfigurationFinding
+}
+
+// FindingOutcome says what became of a part of a configuration that is invalid or unusual.
+type FindingOutcome uint8
+
+// The outcomes of findings.
+const (
+	// FindingDropped means that the part has no effect.
+	FindingDropped FindingOutcome = iota
+	// FindingAdjusted means that the part has an effect other than its literal one.
+	FindingAdjusted
+)
+
+// String returns the name that logs use.
+func (o FindingOutcome) String() string {
+	if o == FindingAdjusted {
+		return "adjusted"
+	}
+	return "dropped"
+}
+
+// ConfigurationFinding is an invalid or unusual part of a configuration that does not invalidate the rest of it. It
+// contains no key.
+type ConfigurationFinding struct {
+	// Organisation is the organisation that the finding is about; empty if it has no usable name.
+	Organisation OrganisationName
+	Reason       string
+	Outcome      FindingOutcome
 }
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -35,6 +35,7 @@
 	hasSnapshot bool
 	era         currantloom.StoreEra
 	check       configurationCheck
+	proof       configurationProof
 	// The following are used when the store comes back from a copy, see restore.go. restoring says that registrations may
 	// still be missing.
 	departed  map[currantloom.UpstreamName]departedUpstream
@@ -161,7 +162,10 @@
 		return
 	}
 	s.catalog.configuration = &c
+	s.catalog.check.clearBehind()
 	s.log(Decision{Event: "configuration", Version: c.Version, Outcome: "in_force"})
+	s.logFindings(c)
+	s.revokeSessions(old)
 }
 
 // upstreamNames returns the names of the known upstreams, sorted.
@@ -258,8 +262,9 @@
 	delete(s.catalog.upstreams, u.Name)
 }
 
-func (s *State) handleStoreWatchSucceeded() {
+func (s *State) handleStoreWatchSucceeded(e StoreWatchSucceeded) {
 	c := &s.catalog
+	s.recordConfigurationProof(e)
 	if c.storeUnavailable {
 		s.log(Decision{Event: "store", Outcome: "regained", Age: s.now - c.storeReachedAt})
 		s.catalog.restartDeletionGrace(s.now)
@@ -289,6 +294,7 @@
 // tickCatalog forgets upstreams that have been deleted for long, and completes the return of the store from a copy.
 func (s *State) tickCatalog() {
 	s.updateReadiness()
+	s.checkConfigurationProof()
 	for _, name := range s.catalog.upstreamNames() {
 		u := s.catalog.upstreams[name]
 		if u.deletedAt > 0 && !s.catalog.storeUnavailable && s.now-u.deletedAt > forgetUpstreamAfter {
--- a/loomfleet/configurationcheck.go
+++ b/loomfleet/configurationcheck.go
@@ -16,6 +16,14 @@
 	versionTimeout = 60 * time.Millisecond
 	// fetchTimeout is how long a starting node waits for a newer configuration that another node reported.
 	fetchTimeout = time.Second
+	// catchUpTime is how long a running node waits for a newer configuration to come from the store before it fetches the
+	// one of another node. It is longer than watchers of a large fleet gather changes.
+	catchUpTime = time.Second
+	// refetchInterval is the time between two such requests of a running node.
+	refetchInterval = 2 * time.Second
+	// forgetReportAfter is how long after the last report of a newer configuration the time since the first one no longer
+	// counts: in a large fleet the nodes that report it are pinged rarely.
+	forgetReportAfter = 10 * time.Second
 )
 
 // configurationCheck makes sure that a starting node does not serve with an older configuration than the fleet has: the
@@ -27,6 +35,17 @@
 	// fetching is when a newer configuration was requested; zero if none was.
 	fetching time.Duration
 	done     bool
+	// behindSince and behindSeenAt are when another node first and last reported a newer configuration than the one in
+	// effect; zero if none has.
+	behindSince, behindSeenAt time.Duration
+}
+
+// clearBehind forgets the reports of newer configurations. A node that still has one reports it again.
+func (k *configurationCheck) clearBehind() { k.behindSince, k.behindSeenAt = 0, 0 }
+
+// isBehindFor reports whether other nodes have reported a newer configuration for longer than d, lately too.
+func (k *configurationCheck) isBehindFor(now, d time.Duration) bool {
+	return k.behindSince > 0 && now-k.behindSince > d && now-k.behindSeenAt <= d
 }
 
 // isConfigurationCurrent reports whether no node that was asked reported a newer configuration than this node has.
@@ -77,10 +96,18 @@
 	})
 }
 
-// compareConfiguration requests the configuration of a member that reports a newer one while this node starts.
+// compareConfiguration requests the configuration of a member that reports a newer one: at once while this node starts,
+// and later if the store does not provide it within catchUpTime.
 func (s *State) compareConfiguration(m *member) {
 	k := &s.catalog.check
-	if k.done || !k.started || k.fetching > 0 || m.configurationVersion <= s.configurationVersion() {
+	if !k.started || m.configurationVersion <= s.configurationVersion() {
+		return
+	}
+	if k.behindSince == 0 || s.now-k.behindSeenAt > forgetReportAfter {
+		k.behindSince = max(s.now, 1)
+	}
+	k.behindSeenAt = s.now
+	if k.done && s.now-k.behindSince < catchUpTime || k.fetching > 0 && (!k.done || s.now-k.fetching < refetchInterval) {
 		return
 	}
 	k.fetching = max(s.now, 1)
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -49,8 +49,14 @@
 		Members       []MemberChange
 		FailoverLease *FailoverLeaseChange
 	}
-	// StoreWatchSucceeded reports that the watch on the store got an answer.
-	StoreWatchSucceeded struct{ Stamp }
+	// StoreWatchSucceeded reports that the watch on the store got an answer, whose changes were reported before. Pushed
+	// says that another node got the answer and passed it on.
+	StoreWatchSucceeded struct {
+		Stamp
+		// Age is the time since the store was asked for the answer.
+		Age    time.Duration
+		Pushed bool
+	}
 	// StoreWatchFailed reports that the watch on the store failed.
 	StoreWatchFailed struct {
 		Stamp
--- a/loomfleet/hedge.go
+++ b/loomfleet/hedge.go
@@ -26,7 +26,7 @@
 // hedge sends a read to a second upstream as well; the first answer counts.
 func (s *State) hedge(c *call) {
 	r := c.request
-	if r.purpose != purposeRead || r.hedged || s.requests.hedgeCredit < 100 {
+	if r.purpose != purposeRead || r.hedged || r.withdrawnBy != "" || s.requests.hedgeCredit < 100 {
 		return
 	}
 	r.avoidUntil[c.upstream.Name] = s.now + avoidDuration
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -57,6 +57,9 @@
 	hedged      bool
 	lastFailure currantloom.CallFailureReason
 	finished    bool
+	// withdrawnBy says why a configuration withdrew the request; empty if none did. A withdrawn request makes no further
+	// attempt.
+	withdrawnBy string
 }
 
 // requests holds the unanswered requests and calls.
@@ -88,7 +91,11 @@
 
 // dispatch sends the next attempt, or parks the request if there is no upstream for it.
 func (s *State) dispatch(r *request) {
-	if r.finished {
+	switch {
+	case r.finished:
+		return
+	case r.withdrawnBy != "":
+		s.finishWithdrawn(r)
 		return
 	}
 	if r.purpose == purposeInTransaction || r.purpose == purposeCommit {
@@ -232,7 +239,7 @@
 	if len(r.calls) > 0 {
 		return true
 	}
-	if r.attempt >= maxFastAttempts {
+	if r.attempt >= maxFastAttempts || r.withdrawnBy != "" {
 		return false
 	}
 	next, ok := s.selectTarget(r)
@@ -263,6 +270,8 @@
 	}
 	switch {
 	case len(r.calls) > 0:
+	case r.withdrawnBy != "":
+		s.finishWithdrawn(r)
 	case r.purpose == purposeInTransaction || r.purpose == purposeCommit:
 		s.finishLostTransaction(r, result)
 	case result.Reason == currantloom.ReasonQueueWait && !s.hasAlternative(r):
@@ -339,6 +348,7 @@
 	if s.sessions[sn.id] == sn {
 		s.emit(ReplyToSession{Session: sn.id, Reply: reply})
 		s.closeAfterReply(sn)
+		s.endIfRevoked(r)
 	}
 }
 
@@ -382,6 +392,9 @@
 	if r.lastFailure != currantloom.ReasonNone {
 		d.Reason = r.lastFailure.String()
 	}
+	if r.withdrawnBy != "" {
+		d.Reason = r.withdrawnBy
+	}
 	if c != nil {
 		d.Upstream, d.VM, d.Position, d.PositionAge = c.upstream.Name, c.vm, c.requiredPosition, c.requiredAge
 	}
--- /dev/null
+++ b/loomfleet/revocation_test.go
@@ -0,0 +1,489 @@
+package loomfleet
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+const (
+	testKey   = "key-of-acme"
+	testOther = "key-of-other"
+)
+
+// organisationConfiguration returns a configuration whose keys belong to the given organisations.
+func organisationConfiguration(version uint64, public bool, holders map[string]string) *currantloom.Configuration {
+	c := testConfiguration(version, currantloom.ReadLatest)
+	c.Organisations = currantloom.NewOrganisations()
+	for key, name := range holders {
+		c.Organisations.Add(
+			currantloom.Organisation{Name: currantloom.OrganisationName(name)}, currantloom.DigestKey(key))
+	}
+	r := c.Routes[testDatabase]
+	r.Public = public
+	c.Routes[testDatabase] = r
+	return c
+}
+
+// revocationFixture is a fixture with an upstream that answers everything but the statements of clients.
+type revocationFixture struct {
+	*fixture
+	// all holds the effects since configureNext, waiting the unanswered statements with the commands sent after them.
+	all     []Effect
+	waiting []SendCommands
+}
+
+// newRevocationFixture returns a node with a session 1 that has a valid key, on a public or a private route.
+func newRevocationFixture(t *testing.T, public bool) *revocationFixture {
+	t.Helper()
+	f := &revocationFixture{fixture: newFixture(t)}
+	f.apply(CatalogChanged{
+		Stamp: f.stamp(), Snapshot: true, Position: testStorePosition(10),
+		Configuration: organisationConfiguration(1, public, map[string]string{testKey: "acme"}),
+		Upstreams:     []UpstreamChange{testUpstream("a", true)},
+	})
+	f.apply(SessionOpened{
+		Stamp: f.stamp(), Session: 1,
+		Startup: currantloom.Startup{Database: testDatabase, Key: currantloom.DigestKey(testKey)},
+	})
+	return f
+}
+
+// apply reduces an event, and the upstream's answers to the effects.
+func (f *revocationFixture) apply(e Event) {
+	for _, effect := range f.reduce(e) {
+		f.all = append(f.all, effect)
+		switch effect := effect.(type) {
+		case OpenConn:
+			f.apply(ConnOpened{Stamp: f.stamp(), Conn: effect.Conn, Reply: currantloom.Reply{TransactionStatus: 'I'}})
+		case SendCommands:
+			f.answer(effect)
+		}
+	}
+}
+
+func (f *revocationFixture) answer(e SendCommands) {
+	for i, c := range e.Commands {
+		switch c.Kind {
+		case currantloom.CommandStatement, currantloom.CommandExecute:
+			f.waiting = append(f.waiting, SendCommands{Conn: e.Conn, Commands: e.Commands[i+1:]})
+			return
+		case currantloom.CommandBegin, currantloom.CommandBeginRead:
+			f.reply(e.Conn, currantloom.ReplyOK, currantloom.TransactionOpen)
+		default:
+			f.reply(e.Conn, currantloom.ReplyOK, currantloom.TransactionIdle)
+		}
+	}
+}
+
+func (f *revocationFixture) reply(c ConnID, code currantloom.ReplyCode, status currantloom.TransactionStatus) {
+	f.apply(ReplyReceived{Stamp: f.stamp(), Conn: c, Reply: currantloom.Reply{Code: code, TransactionStatus: status}})
+}
+
+// answerStatement answers the oldest statement at the upstream.
+func (f *revocationFixture) answerStatement(status currantloom.TransactionStatus) {
+	f.Helper()
+	if len(f.waiting) == 0 {
+		f.Fatal("no statement was sent to the upstream")
+	}
+	held := f.waiting[0]
+	f.waiting = f.waiting[1:]
+	f.reply(held.Conn, currantloom.ReplyOK, status)
+	f.answer(held)
+}
+
+// loseStatement ends the connection of the oldest statement at the upstream.
+func (f *revocationFixture) loseStatement() {
+	f.apply(ConnLost{Stamp: f.stamp(), Conn: f.waiting[0].Conn})
+	f.waiting = nil
+}
+
+func (f *revocationFixture) send(id string, kind currantloom.StatementKind) {
+	f.apply(StatementReceived{Stamp: f.stamp(), Session: 1, Statement: currantloom.Statement{
+		ID: id, Kind: kind, Text: id,
+	}})
+}
+
+// configureNext puts the next configuration into effect; only the effects since then are checked.
+func (f *revocationFixture) configureNext(c *currantloom.Configuration) {
+	f.all = nil
+	f.apply(CatalogChanged{Stamp: f.stamp(), Configuration: c})
+}
+
+// assertOutcome checks the codes of the replies to session 1 and of the notice that closes it. A notice of ReplyOK
+// means that the session is not closed.
+func (f *revocationFixture) assertOutcome(notice currantloom.ReplyCode, replies ...currantloom.ReplyCode) {
+	f.Helper()
+	f.effects = f.all
+	var got []currantloom.ReplyCode
+	for _, r := range f.repliesTo(1) {
+		got = append(got, r.Code)
+	}
+	if len(got) != len(replies) {
+		f.Errorf("replies %v, want %v", got, replies)
+	}
+	for i := range min(len(got), len(replies)) {
+		if got[i] != replies[i] {
+			f.Errorf("reply %d is %s, want %s", i, got[i], replies[i])
+		}
+	}
+	var closed []currantloom.ReplyCode
+	for _, e := range f.all {
+		if c, ok := e.(CloseSession); ok {
+			closed = append(closed, c.Reply.Code)
+		}
+	}
+	switch {
+	case notice == currantloom.ReplyOK && len(closed) > 0:
+		f.Errorf("the session was closed with %v", closed)
+	case notice != currantloom.ReplyOK && (len(closed) != 1 || closed[0] != notice):
+		f.Errorf("the session was closed with %v, want %s", closed, notice)
+	}
+	if _, open := f.state.sessions[1]; open != (notice == currantloom.ReplyOK) {
+		f.Errorf("the session is open: %t", open)
+	}
+}
+
+// assertNothingOpen checks that no transaction and no job is left at the owner.
+func (f *revocationFixture) assertNothingOpen() {
+	f.Helper()
+	if o := &f.state.owner; len(o.pinned)+len(o.jobs)+len(f.state.requests.calls) > 0 {
+		f.Errorf("left: %d transactions, %d jobs, %d calls", len(o.pinned), len(o.jobs), len(f.state.requests.calls))
+	}
+}
+
+// occupy lets statements of other sessions take all slots of the upstream, so that the next one is queued.
+func (f *revocationFixture) occupy() {
+	f.Helper()
+	p := f.state.poolOf(f.state.catalog.upstreams["a"])
+	p.running += 100
+	f.Cleanup(func() { p.running -= 100 })
+}
+
+// sessionStates are states of a session when its key is withdrawn or moved. Each is left by arrange; finish, if any,
+// answers the statement that is at the upstream. The other fields are what must happen.
+var sessionStates = []struct {
+	name            string
+	arrange, finish func(*revocationFixture)
+	// replies are the answers from the change on. withdrawn is the notice if the key was withdrawn.
+	replies   []currantloom.ReplyCode
+	withdrawn currantloom.ReplyCode
+	// next is the answer to a further read if the key moved; ReplyOK means that it is sent to the upstream.
+	next currantloom.ReplyCode
+}{
+	{
+		name: "idle", arrange: func(*revocationFixture) {}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name:      "transaction without a statement",
+		arrange:   func(f *revocationFixture) { f.send("b", currantloom.StatementBegin) },
+		withdrawn: currantloom.ReplyAborted, next: currantloom.ReplyAborted,
+	},
+	{
+		name: "open transaction", arrange: arrangeTransaction, withdrawn: currantloom.ReplyAborted,
+		next: currantloom.ReplyAborted,
+	},
+	{
+		name: "failed transaction",
+		arrange: func(f *revocationFixture) {
+			f.send("b", currantloom.StatementBeginRead)
+			f.send("w", currantloom.StatementWrite)
+		},
+		withdrawn: currantloom.ReplyAborted, next: currantloom.ReplyMalformed,
+	},
+	{
+		name: "queued write",
+		arrange: func(f *revocationFixture) {
+			f.occupy()
+			f.send("w", currantloom.StatementWrite)
+		},
+		replies: []currantloom.ReplyCode{currantloom.ReplyAborted}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name: "parked read",
+		arrange: func(f *revocationFixture) {
+			f.state.catalog.upstreams["a"].avoidOwnerUntil[testSelf] = f.now + time.Second
+			f.send("r", currantloom.StatementRead)
+		},
+		replies: []currantloom.ReplyCode{currantloom.ReplyAborted}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name:      "write at the upstream",
+		arrange:   func(f *revocationFixture) { f.send("w", currantloom.StatementWrite) },
+		finish:    func(f *revocationFixture) { f.answerStatement(currantloom.TransactionIdle) },
+		replies:   []currantloom.ReplyCode{currantloom.ReplyOK},
+		withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name:      "read at the upstream",
+		arrange:   func(f *revocationFixture) { f.send("r", currantloom.StatementRead) },
+		finish:    func(f *revocationFixture) { f.answerStatement(currantloom.TransactionOpen) },
+		replies:   []currantloom.ReplyCode{currantloom.ReplyOK},
+		withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name:    "read whose connection is lost",
+		arrange: func(f *revocationFixture) { f.send("r", currantloom.StatementRead) },
+		finish:  (*revocationFixture).loseStatement,
+		replies: []currantloom.ReplyCode{currantloom.ReplyAborted}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name:    "write whose connection is lost",
+		arrange: func(f *revocationFixture) { f.send("w", currantloom.StatementWrite) },
+		finish:  (*revocationFixture).loseStatement,
+		replies: []currantloom.ReplyCode{currantloom.ReplyInDoubt}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name: "first statement of a transaction at the upstream",
+		arrange: func(f *revocationFixture) {
+			f.send("b", currantloom.StatementBegin)
+			f.send("w", currantloom.StatementWrite)
+		},
+		replies:   []currantloom.ReplyCode{currantloom.ReplyAborted},
+		withdrawn: currantloom.ReplyAborted, next: currantloom.ReplyAborted,
+	},
+	{
+		name: "statement of a transaction at the upstream",
+		arrange: func(f *revocationFixture) {
+			arrangeTransaction(f)
+			f.send("w2", currantloom.StatementWrite)
+		},
+		replies:   []currantloom.ReplyCode{currantloom.ReplyAborted},
+		withdrawn: currantloom.ReplyAborted, next: currantloom.ReplyAborted,
+	},
+	{
+		name: "queued statement of a transaction",
+		arrange: func(f *revocationFixture) {
+			arrangeTransaction(f)
+			f.occupy()
+			f.send("w2", currantloom.StatementWrite)
+		},
+		replies:   []currantloom.ReplyCode{currantloom.ReplyAborted},
+		withdrawn: currantloom.ReplyAborted, next: currantloom.ReplyAborted,
+	},
+	{
+		name: "queued commit",
+		arrange: func(f *revocationFixture) {
+			arrangeTransaction(f)
+			f.occupy()
+			f.send("c", currantloom.StatementCommit)
+		},
+		replies: []currantloom.ReplyCode{currantloom.ReplyAborted}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name: "commit at the upstream",
+		arrange: func(f *revocationFixture) {
+			arrangeTransaction(f)
+			f.send("c", currantloom.StatementCommit)
+		},
+		finish:  func(f *revocationFixture) { f.answerStatement(currantloom.TransactionIdle) },
+		replies: []currantloom.ReplyCode{currantloom.ReplyOK}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+	{
+		name: "commit whose connection is lost",
+		arrange: func(f *revocationFixture) {
+			arrangeTransaction(f)
+			f.send("c", currantloom.StatementCommit)
+		},
+		finish:  (*revocationFixture).loseStatement,
+		replies: []currantloom.ReplyCode{currantloom.ReplyInDoubt}, withdrawn: currantloom.ReplyNotAuthorised,
+	},
+}
+
+// arrangeTransaction opens a transaction with one write.
+func arrangeTransaction(f *revocationFixture) {
+	f.send("b", currantloom.StatementBegin)
+	f.send("w", currantloom.StatementWrite)
+	f.answerStatement(currantloom.TransactionOpen)
+}
+
+// TestWithdrawnKey guards against a session that goes on with a withdrawn key, a statement without an answer or with
+// two, and an answer that says that nothing is kept although a commit was sent.
+func TestWithdrawnKey(t *testing.T) {
+	for _, c := range sessionStates {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRevocationFixture(t, false)
+			c.arrange(f)
+			f.configureNext(organisationConfiguration(2, false, nil))
+			if c.finish != nil {
+				f.assertOutcome(currantloom.ReplyOK)
+				c.finish(f)
+			}
+			f.assertOutcome(c.withdrawn, c.replies...)
+			f.assertNothingOpen()
+		})
+	}
+}
+
+// TestMovedKey guards against a session that ends because its key moved, and against an operation that continues for
+// the former organisation.
+func TestMovedKey(t *testing.T) {
+	for _, c := range sessionStates {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRevocationFixture(t, false)
+			c.arrange(f)
+			f.configureNext(organisationConfiguration(2, false, map[string]string{testKey: "other"}))
+			if c.finish != nil {
+				c.finish(f)
+			}
+			f.assertOutcome(currantloom.ReplyOK, c.replies...)
+			f.assertNothingOpen()
+			f.all, f.waiting = nil, nil
+			delete(f.state.catalog.upstreams["a"].avoidOwnerUntil, testSelf)
+			f.send("next", currantloom.StatementRead)
+			if c.next != currantloom.ReplyOK {
+				f.assertOutcome(currantloom.ReplyOK, c.next)
+				f.send("end", currantloom.StatementRollback)
+				f.assertOutcome(currantloom.ReplyOK, c.next, currantloom.ReplyOK)
+				return
+			}
+			if r := f.state.sessions[1].request; r == nil || r.organisation != "other" {
+				t.Errorf("the next statement runs as %+v, want it for the new organisation", r)
+			}
+		})
+	}
+}
+
+// TestRevocationRules guards against rules of keys and routes that are mixed up: which change ends the session, which
+// one only its transaction, and which one neither.
+func TestRevocationRules(t *testing.T) {
+	held := map[string]string{testKey: "acme"}
+	noOrganisations := testConfiguration(2, currantloom.ReadLatest)
+	noRoutes := organisationConfiguration(2, false, nil)
+	noRoutes.Routes = nil
+	for _, c := range []struct {
+		name      string
+		public    bool
+		next      *currantloom.Configuration
+		notice    currantloom.ReplyCode
+		statement currantloom.ReplyCode
+	}{
+		{"nothing changes", false, organisationConfiguration(2, false, held), 0, 0},
+		{"organisation removed", false, organisationConfiguration(2, false, nil), currantloom.ReplyAborted, 0},
+		{"key of two organisations", false, doubledConfiguration(2), currantloom.ReplyAborted, 0},
+		{"route becomes public, key held", false, organisationConfiguration(2, true, held), 0, 0},
+		{"route becomes public, key withdrawn", false, organisationConfiguration(2, true, nil), 0, currantloom.ReplyAborted},
+		{"public route, key withdrawn", true, organisationConfiguration(2, true, nil), 0, 0},
+		{"route becomes private, key held", true, organisationConfiguration(2, false, held), 0, currantloom.ReplyAborted},
+		{"route becomes private, no key", true, organisationConfiguration(2, false, nil), currantloom.ReplyAborted, 0},
+		{"no organisations any more", false, noOrganisations, 0, 0},
+		{"route removed, key withdrawn", false, noRoutes, 0, currantloom.ReplyAborted},
+		{"older configuration", false, organisationConfiguration(0, false, nil), 0, 0},
+		{"same version", false, organisationConfiguration(1, false, nil), 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRevocationFixture(t, c.public)
+			arrangeTransaction(f)
+			f.configureNext(c.next)
+			f.assertOutcome(c.notice)
+			if c.notice != currantloom.ReplyOK {
+				return
+			}
+			f.send("w2", currantloom.StatementWrite)
+			if c.statement == currantloom.ReplyOK {
+				f.answerStatement(currantloom.TransactionOpen)
+			}
+			f.assertOutcome(c.notice, c.statement)
+		})
+	}
+}
+
+// doubledConfiguration returns a configuration in which two organisations list the key.
+func doubledConfiguration(version uint64) *currantloom.Configuration {
+	c := organisationConfiguration(version, false, map[string]string{testKey: "acme"})
+	c.Organisations.Add(currantloom.Organisation{Name: "other"}, currantloom.DigestKey(testKey))
+	return c
+}
+
+// TestKeyReturnsBeforeAnswer guards against a session that is closed although its key is valid again when the statement
+// that was at the upstream is answered.
+func TestKeyReturnsBeforeAnswer(t *testing.T) {
+	f := newRevocationFixture(t, false)
+	f.send("w", currantloom.StatementWrite)
+	f.configureNext(organisationConfiguration(2, false, nil))
+	f.apply(CatalogChanged{
+		Stamp: f.stamp(), Configuration: organisationConfiguration(3, false, map[string]string{testKey: "acme"}),
+	})
+	f.answerStatement(currantloom.TransactionIdle)
+	f.assertOutcome(currantloom.ReplyOK, currantloom.ReplyOK)
+}
+
+// TestStatementOfRevokedSession guards against a statement without an answer, or with one that invites a retry, that
+// the process had read when its session ended.
+func TestStatementOfRevokedSession(t *testing.T) {
+	f := newRevocationFixture(t, false)
+	f.configureNext(organisationConfiguration(2, false, nil))
+	f.all = nil
+	f.send("r", currantloom.StatementRead)
+	f.effects = f.all
+	f.assertReply(1, currantloom.ReplyNotAuthorised)
+	f.apply(SessionClosed{Stamp: f.stamp(), Session: 1})
+	if len(f.state.revoked) > 0 {
+		t.Error("the notice of a closed session is kept")
+	}
+}
+
+// TestWithdrawalAtOtherNode guards against an answer that says that a statement did not run although the owner of the
+// upstream, another node, had sent it, and against a statement that is tried again after its key was withdrawn.
+func TestWithdrawalAtOtherNode(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		result currantloom.CallResult
+		want   currantloom.ReplyCode
+	}{
+		{"was queued", currantloom.CallResult{
+			Verdict: currantloom.NotRun, Reason: currantloom.ReasonCancelled,
+		}, currantloom.ReplyAborted},
+		{"refused", currantloom.CallResult{
+			Verdict: currantloom.NotRun, Reason: currantloom.ReasonQueueWait,
+		}, currantloom.ReplyAborted},
+		{"ran", currantloom.CallResult{Verdict: currantloom.Ran}, currantloom.ReplyOK},
+		{"unknown", currantloom.CallResult{Reason: currantloom.ReasonLinkFailed}, currantloom.ReplyInDoubt},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRevocationFixture(t, false)
+			vm := currantloom.NewVM("vm-2", testLocation, "10.0.0.2:1", "", currantloom.VMLive)
+			f.apply(CatalogChanged{Stamp: f.stamp(), Members: []MemberChange{{VM: vm, Position: testStorePosition(11)}}})
+			f.state.members.byName["vm-2"].alive = true
+			f.state.catalog.upstreams["a"].avoidOwnerUntil[testSelf] = f.now + time.Second
+			f.send("w", currantloom.StatementWrite)
+			f.configureNext(organisationConfiguration(2, false, nil))
+			var cancels []currantloom.CancelCall
+			for _, e := range f.all {
+				if s, ok := e.(Send); ok && s.VM.Name() == "vm-2" {
+					cancels = append(cancels, s.Message.(currantloom.CancelCall))
+				}
+			}
+			if len(cancels) != 1 || !cancels[0].ReportResult {
+				t.Fatalf("messages to the owner: %+v, want one that cancels the call", cancels)
+			}
+			f.assertOutcome(currantloom.ReplyOK)
+			c.result.Key = cancels[0].Key
+			f.apply(MessageReceived{Stamp: f.stamp(), From: "vm-2", Message: c.result})
+			f.assertOutcome(currantloom.ReplyNotAuthorised, c.want)
+			f.assertNothingOpen()
+		})
+	}
+}
+
+// BenchmarkRevocation measures a configuration that withdraws the key of one of 4,000 sessions.
+func BenchmarkRevocation(b *testing.B) {
+	s := New(Config{Self: testSelf, Location: testLocation})
+	c := organisationConfiguration(1, false, map[string]string{testKey: "acme", testOther: "other"})
+	s.Reduce(CatalogChanged{Configuration: c})
+	for i := range SessionID(4000) {
+		key := testKey
+		if i == 2000 {
+			key = testOther
+		}
+		s.Reduce(SessionOpened{Session: i, Startup: currantloom.Startup{
+			Database: testDatabase, Key: currantloom.DigestKey(key),
+		}})
+	}
+	next := organisationConfiguration(2, false, map[string]string{testKey: "acme"})
+	for b.Loop() {
+		next.Version++
+		s.Reduce(CatalogChanged{Configuration: next})
+	}
+}
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -22,6 +22,8 @@
 	// request is the session's unanswered statement.
 	request        *request
 	lastActivityAt time.Duration
+	// revocation says why the newest configuration ended an operation of the session, or the session.
+	revocation revocation
 }
 
 // transaction is what the entry node knows about an open transaction. It is opened at an upstream by its first
@@ -34,6 +36,9 @@
 	key          currantloom.RequestKey
 	upstream     *upstream
 	vm           currantloom.VMName
+	// endedBy says why this node ended the transaction before its client did; empty if it did not. The client's next
+	// statements are answered that nothing of the transaction is kept.
+	endedBy string
 }
 
 // maxStartupWait is how long a session waits for the first configuration; clients wait 2 s.
@@ -89,11 +94,12 @@
 func (s *State) startSession(e SessionOpened) {
 	route, ok := s.route(e.Database)
 	if !ok {
-		s.refuseSession(e, currantloom.ReplyNoDatabase, "no_route")
+		s.refuseSession(e, currantloom.ReplyNoDatabase, s.describeUnknownDatabase(e.Database), "no_route")
 		return
 	}
 	if _, ok := s.authorise(e.Key, route); !ok {
-		s.refuseSession(e, currantloom.ReplyNotAuthorised, "not_authorised")
+		reason := describeRefusal(e.Key) + " for " + string(e.Database)
+		s.refuseSession(e, currantloom.ReplyNotAuthorised, reason, outcomeAuthFailed)
 		return
 	}
 	s.sessions[e.Session] = &session{
@@ -104,10 +110,9 @@
 }
 
 // refuseSession answers a startup with an error and closes the session.
-func (s *State) refuseSession(e SessionOpened, code currantloom.ReplyCode, outcome string) {
+func (s *State) refuseSession(e SessionOpened, code currantloom.ReplyCode, reason, outcome string) {
 	s.log(Decision{
-		Event: "session", Session: e.Session, Version: s.configurationVersion(), Reason: string(e.Database),
-		Outcome: outcome,
+		Event: "session", Session: e.Session, Version: s.configurationVersion(), Reason: reason, Outcome: outcome,
 	})
 	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
 		Code: code, Detail: string(e.Database), TransactionStatus: currantloom.TransactionIdle,
@@ -125,6 +130,7 @@
 
 func (s *State) handleSessionClosed(id SessionID) {
 	s.startups = slices.DeleteFunc(s.startups, func(st startup) bool { return st.event.Session == id })
+	delete(s.revoked, id)
 	sn, ok := s.sessions[id]
 	if !ok {
 		return
@@ -149,7 +155,7 @@
 	sn.lastActivityAt = s.now
 	st := e.Statement
 	if sn.status == currantloom.TransactionFailed && !endsTransaction(st.Kind) {
-		s.refuse(sn, st, currantloom.ReplyMalformed, "the transaction has failed")
+		s.refuseInFailedTransaction(sn, st)
 		return
 	}
 	switch st.Kind {
@@ -176,14 +182,28 @@
 	}
 }
 
+// refuseInFailedTransaction answers a statement of a failed transaction that does not end it.
+func (s *State) refuseInFailedTransaction(sn *session, st currantloom.Statement) {
+	if t := sn.transaction; t != nil && t.endedBy != "" {
+		s.refuse(sn, st, currantloom.ReplyAborted, t.endedBy)
+		return
+	}
+	s.refuse(sn, st, currantloom.ReplyMalformed, "the transaction has failed")
+}
+
 // refuseOnClosedSession answers a statement that was read while its session was being closed.
 func (s *State) refuseOnClosedSession(e StatementReceived) {
+	reply, revoked := s.revoked[e.Session]
+	if !revoked {
+		reply = currantloom.Reply{
+			Code: currantloom.ReplyBusy, Detail: "retry after 0 ms", TransactionStatus: currantloom.TransactionIdle,
+		}
+	}
 	s.log(Decision{
-		Event: "statement", Request: e.Statement.ID, Session: e.Session, Reason: "session is closed", Outcome: "busy",
+		Event: "statement", Request: e.Statement.ID, Session: e.Session, Reason: "session is closed",
+		Outcome: reply.Code.String(),
 	})
-	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
-		Code: currantloom.ReplyBusy, Detail: "retry after 0 ms", TransactionStatus: currantloom.TransactionIdle,
-	}})
+	s.emit(ReplyToSession{Session: e.Session, Reply: reply})
 	s.emit(CloseSession{Session: e.Session})
 }
 
@@ -198,7 +218,10 @@
 
 // refuse answers a statement that is not run. If a transaction is open, it fails.
 func (s *State) refuse(sn *session, st currantloom.Statement, code currantloom.ReplyCode, detail string) {
-	s.log(Decision{Event: "statement", Request: st.ID, Session: sn.id, Reason: detail, Outcome: code.String()})
+	s.log(Decision{
+		Event: "statement", Request: st.ID, Session: sn.id, Version: s.configurationVersion(), Reason: detail,
+		Outcome: code.String(),
+	})
 	if sn.status == currantloom.TransactionOpen {
 		s.failTransaction(sn)
 	}
@@ -231,6 +254,9 @@
 		s.refuse(sn, st, currantloom.ReplyAborted, "the transaction had failed and is rolled back")
 	case sn.transaction == nil:
 		s.refuse(sn, st, currantloom.ReplyMalformed, "no transaction is open")
+	case !s.mayRunFor(sn.transaction.organisation):
+		s.endTransaction(sn)
+		s.refuse(sn, st, currantloom.ReplyAborted, reasonUnproven)
 	case sn.transaction.opened:
 		s.startRequest(sn, st, sn.transaction.route, sn.transaction.organisation, purposeCommit)
 	default:
@@ -249,8 +275,12 @@
 		return route, "", false
 	}
 	organisation, ok := s.authorise(sn.key, route)
-	if !ok {
-		s.refuse(sn, st, currantloom.ReplyNotAuthorised, string(sn.database))
+	switch {
+	case !ok:
+		s.refuse(sn, st, currantloom.ReplyNotAuthorised, describeRefusal(sn.key))
+	case !s.mayRunFor(organisation):
+		s.refuse(sn, st, currantloom.ReplyNotAuthorised, reasonUnproven)
+		return route, "", false
 	}
 	return route, organisation, ok
 }
@@ -268,6 +298,8 @@
 	}
 	if t := sn.transaction; t != nil {
 		switch {
+		case !s.mayRunFor(t.organisation):
+			s.refuse(sn, st, currantloom.ReplyAborted, reasonUnproven)
 		case t.readOnly && writes:
 			s.refuse(sn, st, currantloom.ReplyNotPrimary, "the transaction only reads")
 		case t.opened:
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -26,6 +26,10 @@
 	GracePeriod time.Duration
 	// MinLeaseTTL is the shortest lease that the store grants; zero means 1 s.
 	MinLeaseTTL time.Duration
+	// StrictRevocation makes the node refuse the statements of organisations while its newest proof that its
+	// configuration is current is older than RevocationTimeout; zero means 5 s.
+	StrictRevocation  bool
+	RevocationTimeout time.Duration
 }
 
 // State is the decision state of a node. Use New to create one.
@@ -44,6 +48,8 @@
 	catalog  catalog
 	members  members
 	sessions map[SessionID]*session
+	// revoked holds the notices of sessions that a configuration ended, until their connections are closed.
+	revoked map[SessionID]currantloom.Reply
 	// startups are the sessions that wait for the first configuration.
 	startups    []startup
 	requests    requests
@@ -63,7 +69,12 @@
 	if c.MinLeaseTTL == 0 {
 		c.MinLeaseTTL = time.Second
 	}
-	s := &State{config: c, sessions: make(map[SessionID]*session)}
+	if c.RevocationTimeout == 0 {
+		c.RevocationTimeout = defaultRevocationTimeout
+	}
+	s := &State{
+		config: c, sessions: make(map[SessionID]*session), revoked: make(map[SessionID]currantloom.Reply),
+	}
 	s.catalog.init()
 	s.members.init()
 	s.requests.init()
@@ -112,7 +123,7 @@
 	case StoreEraChanged:
 		s.enterStoreEra(e.Era)
 	case StoreWatchSucceeded:
-		s.handleStoreWatchSucceeded()
+		s.handleStoreWatchSucceeded(e)
 	case StoreWatchFailed:
 		s.handleStoreWatchFailed(e)
 	case StoreAnswered:
@@ -150,7 +161,11 @@
 		s.members.recordHeard(e.From, s.now)
 		s.handleCallResult(m)
 	case currantloom.CancelCall:
-		s.handleCancelCall(m.Key)
+		if m.ReportResult {
+			s.handleWithdrawal(m.Key)
+		} else {
+			s.handleCancelCall(m.Key)
+		}
 	case currantloom.RollbackTransaction:
 		s.handleRollback(m.Transaction)
 	case currantloom.Ping:
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -36,7 +36,7 @@
 				ReplicationStatus: &currantloom.ReplicationStatus{Primary: true, Term: 3, Received: position},
 			},
 		},
-		currantloom.CancelCall{Key: key},
+		currantloom.CancelCall{Key: key, ReportResult: true},
 		currantloom.RollbackTransaction{Transaction: key},
 		currantloom.Ping{Number: 7, Service: "s"},
 		currantloom.Pong{
@@ -61,7 +61,7 @@
 				Key: "k", Value: []byte("v"), Position: currantloom.NewStorePosition(2, 8), Deleted: true,
 			}},
 			Delta: true,
-			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8),
+			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8), Age: time.Second,
 		},
 	}
 }
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -99,7 +99,7 @@
 	case kindCallResult:
 		return d.callResult()
 	case kindCancelCall:
-		return currantloom.CancelCall{Key: d.key()}
+		return currantloom.CancelCall{Key: d.key(), ReportResult: d.flag()}
 	case kindRollbackTransaction:
 		return currantloom.RollbackTransaction{Transaction: d.key()}
 	case kindPing:
@@ -124,6 +124,7 @@
 	case kindStoreItems:
 		return currantloom.StoreItems{
 			Items: d.storeItems(), Delta: d.flag(), Base: d.storePosition(), Position: d.storePosition(),
+			Age: d.duration(),
 		}
 	default:
 		if d.err == nil {
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -96,6 +96,7 @@
 	case currantloom.CancelCall:
 		e.number(uint64(kindCancelCall))
 		e.key(m.Key)
+		e.flag(m.ReportResult)
 	case currantloom.RollbackTransaction:
 		e.number(uint64(kindRollbackTransaction))
 		e.key(m.Transaction)
@@ -129,6 +130,7 @@
 		e.flag(m.Delta)
 		e.storePosition(m.Base)
 		e.storePosition(m.Position)
+		e.duration(m.Age)
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -112,13 +112,15 @@
 	ReasonWritesBlocked
 	// ReasonNoSample means that the owner cannot prove that its upstream is within the call's MaxAge.
 	ReasonNoSample
+	// ReasonCancelled means that the entry node withdrew the call while it was queued.
+	ReasonCancelled
 )
 
 // String returns the name that logs use.
 func (r CallFailureReason) String() string {
 	names := [...]string{
 		"replied", "queue", "unreachable", "unknown_upstream", "leaving", "no_transaction", "lost", "silent", "link",
-		"refused", "held", "no_sample",
+		"refused", "held", "no_sample", "cancelled",
 	}
 	if int(r) < len(names) {
 		return names[r]
@@ -126,8 +128,12 @@
 	return "unknown"
 }
 
-// CancelCall cancels a call that still waits in the queue.
-type CancelCall struct{ Key RequestKey }
+// CancelCall cancels a call that still waits in the queue. Without ReportResult, nobody waits for the result of a call
+// that has started. With it, the owner answers a call that it cancels with ReasonCancelled, and any other as usual.
+type CancelCall struct {
+	Key          RequestKey
+	ReportResult bool
+}
 
 // RollbackTransaction rolls a transaction back.
 type RollbackTransaction struct{ Transaction RequestKey }
@@ -206,6 +212,9 @@
 	Items          []StoreItem
 	Delta          bool
 	Base, Position StorePosition
+	// Age is the time from asking the store for the answer that reached Position, to sending the message. Only Delta has
+	// it.
+	Age time.Duration
 }
 
 func (Call) message()                {}
