Copies of the store keep the last valid configuration; pushes carry the age of the proof

Cause: an invalid or deleted configuration replaced the valid one in the copy that a node gives to others, so a node that started from it had none. Among the copies of seed nodes the one with the newest position was used, whose configuration may be older than that of another copy after the store came back. Of two configurations of one version the reducer kept the first and the copy the last. A push counted as a fresh answer of the store, although the answer that it passes on may be seconds old.

Change: storeCache keeps the configuration with the highest version, from whatever source, and logs an invalid one once as event configuration. StoreItems has the age of the answer, counted from when the store was asked. Decoding moves to decode.go.

--- a/loomfleet/configurationproof.go
+++ b/loomfleet/configurationproof.go
@@ -44,7 +44,9 @@
 		return
 	}
 	p := &s.catalog.proof
-	p.exists, p.at = true, max(p.at, s.now-e.Age)
+	if at := s.now - e.Age; !p.exists || at > p.at {
+		p.exists, p.at = true, at
+	}
 	s.checkConfigurationProof()
 }
 
--- a/loomhost/copy.go
+++ b/loomhost/copy.go
@@ -44,6 +44,7 @@
 // can serve. Copies are not merged: an older one holds keys that were deleted since.
 func (c *storeCache) loadFromSeeds() {
 	var newest currantloom.StoreItems
+	var copies []currantloom.StoreItems
 	for _, seed := range c.node.config.SeedAddresses {
 		if seed == c.node.config.Reducer.Address {
 			continue
@@ -56,11 +57,17 @@
 		c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{
 			"address", seed, "items", len(m.Items), "version", m.Position,
 		}})
+		copies = append(copies, m)
 		if m.Position.After(newest.Position) {
 			newest = m
 		}
 	}
 	c.adoptCopy(newest)
+	// The newest configuration may be in another copy: the store that the newest copy was read from may have come back
+	// without it.
+	for _, m := range copies {
+		c.adoptConfiguration(m.Items)
+	}
 }
 
 // adoptCopy replaces the node's copy by that of another node, if that is newer.
--- a/loomhost/push.go
+++ b/loomhost/push.go
@@ -31,6 +31,12 @@
 	maxQueuedPushes = 64
 )
 
+// receivedPush is a push and when this node received it.
+type receivedPush struct {
+	currantloom.StoreItems
+	receivedAt time.Duration
+}
+
 // registeredNode is a node that is registered in the store.
 type registeredNode struct {
 	name   currantloom.VMName
@@ -90,18 +96,26 @@
 	return false
 }
 
-// recordPosition records that this node has read the store from the base up to the position.
-func (c *storeCache) recordPosition(base, position currantloom.StorePosition) {
+// recordPosition records that this node has read the store from the base up to the position, by a call that it made at
+// askedAt.
+func (c *storeCache) recordPosition(base, position currantloom.StorePosition, askedAt time.Duration) {
 	c.mu.Lock()
-	c.position, c.storeReachable = position, true
+	c.position, c.storeReachable, c.askedAt = position, true, askedAt
 	c.mu.Unlock()
 	if base.IsZero() {
 		// The whole store was read, so the changes before it are not pushed. A follower that lacks them sees a gap and
 		// reads them from the store.
-		c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: position, Position: position})
+		c.pushPosition(position, askedAt)
 	}
 }
 
+// pushPosition tells the followers that there are no changes up to the position, by a call to the store at askedAt.
+func (c *storeCache) pushPosition(position currantloom.StorePosition, askedAt time.Duration) {
+	c.pushToFollowers(currantloom.StoreItems{
+		Delta: true, Base: position, Position: position, Age: c.node.clock.now() - askedAt,
+	})
+}
+
 // pushToFollowers sends changes to the followers, if this node is a watcher in a large fleet.
 func (c *storeCache) pushToFollowers(m currantloom.StoreItems) {
 	nodes := c.registeredNodes()
@@ -120,13 +134,17 @@
 
 // pushHeartbeats regularly pushes the current position without changes, as long as this node can reach the store.
 func (c *storeCache) pushHeartbeats(ctx context.Context) error {
+	interval := heartbeatInterval
+	if proof := c.node.config.Reducer.ProofInterval(); proof > 0 {
+		interval = min(interval, proof)
+	}
 	for ctx.Err() == nil {
-		loomtask.Sleep(ctx, heartbeatInterval)
+		loomtask.Sleep(ctx, interval)
 		c.mu.Lock()
-		position, reachable := c.position, c.storeReachable
+		position, reachable, askedAt := c.position, c.storeReachable, c.askedAt
 		c.mu.Unlock()
 		if reachable {
-			c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: position, Position: position})
+			c.pushPosition(position, askedAt)
 		}
 	}
 	return nil
@@ -143,7 +161,7 @@
 		return
 	}
 	select {
-	case c.pushes <- m:
+	case c.pushes <- receivedPush{StoreItems: m, receivedAt: c.node.clock.now()}:
 	default:
 	}
 }
@@ -165,7 +183,7 @@
 
 // applyPush applies a push for awaitPush. A push of an earlier era is ignored.
 func (c *storeCache) applyPush(
-	m currantloom.StoreItems, position currantloom.StorePosition,
+	m receivedPush, position currantloom.StorePosition,
 ) (currantloom.StorePosition, bool, error) {
 	switch era := m.Position.Era(); {
 	case era > position.Era():
@@ -187,6 +205,7 @@
 	c.mu.Lock()
 	c.position, c.storeReachable = position, true
 	c.mu.Unlock()
-	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
+	stamp := c.node.stamp()
+	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: stamp, Age: m.Age + stamp.Now - m.receivedAt, Pushed: true})
 	return position, true, nil
 }
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -47,19 +47,24 @@
 	node *Node
 
 	// pushes are changes of the store that other nodes of the failure domain have read.
-	pushes chan currantloom.StoreItems
+	pushes chan receivedPush
 
 	// adopting is held while the copy of another node is taken over.
 	adopting sync.Mutex
 
 	mu    sync.Mutex
 	items map[string]currantloom.StoreItem
-	// configurationVersion is the version of the configuration among the items.
+	// hasConfiguration says that the items include a configuration, configurationVersion is its version.
+	hasConfiguration     bool
 	configurationVersion uint64
+	// invalidConfiguration is the position of the last configuration that was logged as invalid.
+	invalidConfiguration currantloom.StorePosition
 	// position is the position of the store up to which the items are complete. storeReachable says that the node's last
 	// call to the store succeeded, or that another node has pushed its changes since.
 	position       currantloom.StorePosition
 	storeReachable bool
+	// askedAt is when the node made the call to the store that reached the position.
+	askedAt time.Duration
 	// copyRequestedAt is when this node last asked another one for its copy. adopted is the position of a copy from
 	// another node that run has not taken over yet.
 	copyRequestedAt time.Time
@@ -68,7 +73,7 @@
 
 func newStoreCache(n *Node) *storeCache {
 	return &storeCache{
-		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan currantloom.StoreItems, maxQueuedPushes),
+		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan receivedPush, maxQueuedPushes),
 	}
 }
 
@@ -151,9 +156,10 @@
 			return next, err
 		}
 	}
-	next, err := c.readChanges(ctx, position)
+	askedAt := c.node.clock.now()
+	next, err := c.readChanges(ctx, position, askedAt)
 	if err == nil {
-		c.recordPosition(position, next)
+		c.recordPosition(position, next, askedAt)
 	}
 	return next, err
 }
@@ -184,7 +190,7 @@
 // readChanges waits for changes after the position, or reads the whole store if the position is zero. It returns the
 // position up to which the node has read.
 func (c *storeCache) readChanges(
-	ctx context.Context, position currantloom.StorePosition,
+	ctx context.Context, position currantloom.StorePosition, askedAt time.Duration,
 ) (currantloom.StorePosition, error) {
 	store := c.node.config.Store
 	if position.IsZero() {
@@ -194,29 +200,45 @@
 		}
 		c.replace(items)
 		c.node.submit(c.decodeChanges(items, true, next))
-		c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
+		c.reportAnswer(askedAt)
 		return next, nil
 	}
-	wait := watchWait
-	if c.isFollower() || !c.isStoreReachable() {
-		wait = shortWatchWait
-	}
-	items, next, err := store.Watch(ctx, "", position, wait)
+	items, next, err := store.Watch(ctx, "", position, c.watchTime())
 	if err != nil {
 		return currantloom.StorePosition{}, err
 	}
 	c.merge(items)
 	if len(items) > 0 {
-		c.pushToFollowers(currantloom.StoreItems{Items: items, Delta: true, Base: position, Position: next})
+		c.pushToFollowers(currantloom.StoreItems{
+			Items: items, Delta: true, Base: position, Position: next, Age: c.node.clock.now() - askedAt,
+		})
 		c.node.submit(c.decodeChanges(items, false, next))
 	}
-	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: c.node.stamp()})
+	c.reportAnswer(askedAt)
 	if len(items) > 0 && (isOnlyNodes(items) || c.isLargeFleet() && !c.isFollower()) {
 		loomtask.Sleep(ctx, watchBatchDelay)
 	}
 	return next, nil
 }
 
+// watchTime returns how long the next watch waits for changes.
+func (c *storeCache) watchTime() time.Duration {
+	wait := watchWait
+	if c.isFollower() || !c.isStoreReachable() {
+		wait = shortWatchWait
+	}
+	if interval := c.node.config.Reducer.ProofInterval(); interval > 0 {
+		wait = min(wait, interval)
+	}
+	return wait
+}
+
+// reportAnswer tells the reducer that the store answered a call that was made at askedAt, after its changes.
+func (c *storeCache) reportAnswer(askedAt time.Duration) {
+	stamp := c.node.stamp()
+	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: stamp, Age: stamp.Now - askedAt})
+}
+
 // isOnlyNodes reports whether all items are registrations of nodes. These are not urgent, and at the start of a fleet
 // each of them would end the watches of all nodes.
 func isOnlyNodes(items []currantloom.StoreItem) bool {
@@ -241,30 +263,29 @@
 		}})
 		return
 	}
-	for _, item := range m.Items {
-		version, ok := c.versionOf(item)
-		if !ok || !c.keepNewest(item, version) {
-			continue
-		}
-		c.node.submit(c.decodeChanges([]currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
-	}
+	c.adoptConfiguration(m.Items)
 }
 
-// versionOf returns the version of the configuration that an item holds; it reports false if it holds none.
-func (c *storeCache) versionOf(item currantloom.StoreItem) (uint64, bool) {
-	configuration, ok, err := c.node.config.Catalog.Configuration(item)
-	return configuration.Version, ok && err == nil
+// adoptConfiguration takes over the configuration among the items, if it is newer than that of the node.
+func (c *storeCache) adoptConfiguration(items []currantloom.StoreItem) {
+	for _, item := range items {
+		configuration, ok, err := c.node.config.Catalog.Configuration(item)
+		if ok && err == nil && c.keepNewest(item, configuration.Version) {
+			c.node.submit(c.decodeChanges([]currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
+		}
+	}
 }
 
-// keepNewest stores an item with a configuration unless the one that the node has is newer. A store that came back from
-// a copy may hold an older configuration until the operator has written it again.
+// keepNewest stores an item with a configuration unless the one that the node has is at least as new. A store that came
+// back from a copy may hold an older configuration until the operator has written it again. Of two different ones with
+// the same version the first stays, as in the reducer.
 func (c *storeCache) keepNewest(item currantloom.StoreItem, version uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version < c.configurationVersion {
+	if c.hasConfiguration && version <= c.configurationVersion {
 		return false
 	}
-	c.items[item.Key], c.configurationVersion = item, version
+	c.items[item.Key], c.configurationVersion, c.hasConfiguration = item, version, true
 	return true
 }
 
@@ -285,7 +306,7 @@
 	c.mu.Lock()
 	kept := make(map[string]currantloom.StoreItem)
 	for key, item := range c.items {
-		if _, ok := c.versionOf(item); ok {
+		if _, ok, err := c.node.config.Catalog.Configuration(item); ok && err == nil {
 			kept[key] = item
 		}
 	}
@@ -294,17 +315,16 @@
 	c.merge(items)
 }
 
-// merge applies the items that are newer than the cached ones, and returns them.
+// merge applies the items that are newer than the cached ones, and returns them. A configuration that is invalid or was
+// deleted does not replace the last valid one, which other nodes are given; it is returned to be logged.
 func (c *storeCache) merge(items []currantloom.StoreItem) []currantloom.StoreItem {
 	var newer []currantloom.StoreItem
 	for _, item := range items {
-		if version, ok := c.versionOf(item); ok {
-			if c.keepNewest(item, version) {
-				newer = append(newer, item)
-			}
-			continue
-		}
-		if c.mergeItem(item) {
+		configuration, ok, err := c.node.config.Catalog.Configuration(item)
+		switch {
+		case ok && err != nil:
+			newer = append(newer, item)
+		case ok && c.keepNewest(item, configuration.Version), !ok && c.mergeItem(item):
 			newer = append(newer, item)
 		}
 	}
@@ -325,80 +345,3 @@
 	}
 	return true
 }
-
-// decodeChanges decodes items into an event. An item that cannot be decoded is logged; if it is the registration of an
-// upstream, the upstream is reported as gone.
-func (c *storeCache) decodeChanges(
-	items []currantloom.StoreItem, snapshot bool, position currantloom.StorePosition,
-) loomfleet.CatalogChanged {
-	e := loomfleet.CatalogChanged{Stamp: c.node.stamp(), Snapshot: snapshot, Position: position}
-	for _, item := range items {
-		switch name, isNode := strings.CutPrefix(item.Key, nodeKeyPrefix); {
-		case isNode:
-			c.addNode(&e, item, currantloom.VMName(name))
-		case item.Key == failoverLeaseKey:
-			c.addFailoverLease(&e, item)
-		default:
-			c.addCatalogItem(&e, item)
-		}
-	}
-	return e
-}
-
-func (c *storeCache) addNode(e *loomfleet.CatalogChanged, item currantloom.StoreItem, name currantloom.VMName) {
-	change := loomfleet.MemberChange{
-		VM:       currantloom.NewVM(name, currantloom.Location{}, "", "", currantloom.VMLive),
-		Position: item.Position, Deleted: item.Deleted,
-	}
-	if !item.Deleted {
-		var record nodeRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			c.logIgnoredItem(item, err)
-			return
-		}
-		location := currantloom.NewLocation(
-			currantloom.Region(record.Region), currantloom.FailureDomain(record.FailureDomain))
-		change.VM = currantloom.NewVM(name, location, record.Address, "", currantloom.VMLive)
-		change.Incarnation = record.Incarnation
-	}
-	e.Members = append(e.Members, change)
-}
-
-func (c *storeCache) addFailoverLease(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
-	change := loomfleet.FailoverLeaseChange{Position: item.Position, Deleted: item.Deleted}
-	if !item.Deleted {
-		var record failoverLeaseRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			c.logIgnoredItem(item, err)
-			return
-		}
-		change.Holder, change.Incarnation = currantloom.VMName(record.Holder), record.Incarnation
-	}
-	e.FailoverLease = &change
-}
-
-func (c *storeCache) addCatalogItem(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
-	if configuration, ok, err := c.node.config.Catalog.Configuration(item); err != nil {
-		c.logIgnoredItem(item, err)
-		return
-	} else if ok {
-		e.Configuration = &configuration
-		return
-	}
-	u, ok, err := c.node.config.Catalog.Upstream(item)
-	if err != nil {
-		c.logIgnoredItem(item, err)
-	}
-	if ok {
-		e.Upstreams = append(e.Upstreams, loomfleet.UpstreamChange{
-			Upstream: u, Position: item.Position, Deleted: item.Deleted || err != nil,
-		})
-	}
-}
-
-// logIgnoredItem logs an item that cannot be decoded.
-func (c *storeCache) logIgnoredItem(item currantloom.StoreItem, err error) {
-	c.node.log.Enqueue(loomlog.Line{Event: "item", Warn: true, Fields: []any{
-		"key", item.Key, "version", item.Position, "reason", err, "outcome", "ignored",
-	}})
-}
--- a/store.go
+++ b/store.go
@@ -47,7 +47,8 @@
 
 // Catalog decodes the items that operators and upstreams write into the store.
 type Catalog interface {
-	// Configuration decodes an item; ok is false if the item is something else.
+	// Configuration decodes an item; ok is false if the item is something else. The error says that the configuration is
+	// invalid or was deleted, without any key.
 	Configuration(StoreItem) (c Configuration, ok bool, err error)
 	// Upstream decodes an item; ok is false if the item is something else. A deleted item has only a name.
 	Upstream(StoreItem) (u Upstream, ok bool, err error)
