--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 	$(GO) test ./platform -run '^$$' -fuzz FuzzReadReply -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzStatement -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz FuzzUpstream -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz FuzzProtectConfiguration -fuzztime $(FUZZTIME)
 
 # One package at a time, so that they do not slow each other down.
 bench:
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -111,11 +111,15 @@
 
 // refuseSession answers a startup with an error and closes the session.
 func (s *State) refuseSession(e SessionOpened, code currantloom.ReplyCode, reason, outcome string) {
+	detail := string(e.Database)
+	if code == currantloom.ReplyNotAuthorised {
+		detail = reason
+	}
 	s.log(Decision{
 		Event: "session", Session: e.Session, Version: s.configurationVersion(), Reason: reason, Outcome: outcome,
 	})
 	s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
-		Code: code, Detail: string(e.Database), TransactionStatus: currantloom.TransactionIdle,
+		Code: code, Detail: detail, TransactionStatus: currantloom.TransactionIdle,
 	}})
 	s.emit(CloseSession{Session: e.Session})
 }
