--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -49,9 +49,13 @@
 	return r, true
 }
 
+// relatedFields are the fields whose values relate other lines to those of a request. The organisation, the last one,
+// does not relate a line on another session.
+var relatedFields = []string{"service", "upstream", "vm", "session", "organisation"}
+
 // Explain writes the lines of a log that explain the outcome of a request: the request's own lines, and the lines
-// around that time on the state of its service, its upstreams and the VMs that it used. It returns the number of the
-// request's own lines.
+// around that time on its session, on the configuration and its organisation, and on the state of its service, its
+// upstreams and the VMs that it used. It returns the number of the request's own lines.
 func Explain(in io.Reader, request string, out io.Writer) (int, error) {
 	var records []record
 	scanner := bufio.NewScanner(in)
@@ -75,7 +79,7 @@
 		}
 		ownLines++
 		last = r.timestamp
-		for _, name := range []string{"service", "upstream", "vm"} {
+		for _, name := range relatedFields {
 			related[name+"="+r.fields[name]] = r.fields[name] != ""
 		}
 	}
@@ -96,7 +100,8 @@
 }
 
 // isRelated reports whether the line is one of the request's own, or is close to them in time and is on the store, on
-// the node as a whole, or on a related service, upstream or VM.
+// the node as a whole, or on a related service, upstream, VM, session or organisation. A line on another session is not
+// related by its organisation, nor is one on the configuration of another organisation.
 func isRelated(r record, request string, related map[string]bool, first, last time.Time) bool {
 	if r.fields["request"] == request {
 		return true
@@ -104,10 +109,21 @@
 	if r.timestamp.Before(first.Add(-explainBefore)) || r.timestamp.After(last.Add(explainAfter)) {
 		return false
 	}
-	for _, name := range []string{"service", "upstream", "vm"} {
+	names := relatedFields
+	if session, ok := r.fields["session"]; ok && !related["session="+session] {
+		names = names[:len(names)-1]
+	}
+	for _, name := range names {
 		if related[name+"="+r.fields[name]] {
 			return true
 		}
 	}
-	return r.fields["msg"] == "store" || r.fields["msg"] == "resumed" || r.fields["msg"] == "stop"
+	switch r.fields["msg"] {
+	case "configuration":
+		return r.fields["organisation"] == ""
+	case "store", "resumed", "stop":
+		return true
+	default:
+		return false
+	}
 }
