Name the change that ended a session also after further configurations

Cause: if another configuration arrived before the answer to a withdrawn statement, the session's end was logged as "route became private"; a withdrawn key whose route was removed as well was logged as moved.

Change: the reason follows from the holders of the key in both configurations, and is kept until the answer.

--- a/loomfleet/revocation.go
+++ b/loomfleet/revocation.go
@@ -73,26 +73,36 @@
 // revoke ends the operation of a session and, unless the session may stay, the session: at once or, if a statement
 // is unanswered, with its answer.
 func (s *State) revoke(sn *session, old *currantloom.Configuration) {
-	stays := s.mayStay(sn)
-	sn.revocation = revocationOf(sn, old, stays)
+	next := revocationOf(sn.key, old, s.catalog.configuration)
+	if r := sn.request; r != nil && r.withdrawnBy != "" {
+		// An earlier configuration withdrew the statement. This one is the reason for the end of the session only if it took
+		// the key.
+		if next.organisation != "" {
+			sn.revocation = next
+		}
+		return
+	}
+	sn.revocation = next
 	switch {
 	case sn.request != nil:
 		s.withdrawRequest(sn.request, sn.revocation.reason)
-	case stays:
+	case s.mayStay(sn):
 		s.endMovedTransaction(sn)
 	default:
 		s.endRevokedSession(sn)
 	}
 }
 
-// revocationOf returns the reason for which a session that the old configuration allowed is revoked.
-func revocationOf(sn *session, old *currantloom.Configuration, stays bool) revocation {
-	holder, held := old.Organisations.Holder(sn.key)
+// revocationOf returns the reason for which the new configuration revokes what the old one allowed a client with the
+// key.
+func revocationOf(key currantloom.KeyDigest, old, next *currantloom.Configuration) revocation {
+	holder, held := old.Organisations.Holder(key)
+	nextHolder, holds := next.Organisations.Holder(key)
 	switch {
-	case held && stays && !old.Routes[sn.database].Public:
-		return revocation{organisation: holder, reason: reasonKeyMoved}
-	case held && !stays:
+	case held && !holds:
 		return revocation{organisation: holder, reason: reasonKeyWithdrawn}
+	case held && holder != nextHolder:
+		return revocation{organisation: holder, reason: reasonKeyMoved}
 	case old.Organisations.Enabled():
 		return revocation{organisation: holder, reason: reasonRoutePrivate}
 	default:
--- a/loomfleet/revocation_test.go
+++ b/loomfleet/revocation_test.go
@@ -409,6 +409,44 @@
 	f.assertOutcome(currantloom.ReplyOK, currantloom.ReplyOK)
 }
 
+// TestReasonOfRevocation guards against a log line that names another cause for the end of a session than the change of
+// the configuration, also if further configurations arrive before the last answer.
+func TestReasonOfRevocation(t *testing.T) {
+	noRoutes := organisationConfiguration(2, false, nil)
+	noRoutes.Routes = nil
+	for _, c := range []struct {
+		name   string
+		public bool
+		next   []*currantloom.Configuration
+		want   string
+	}{
+		{"withdrawn", false, []*currantloom.Configuration{organisationConfiguration(2, false, nil)}, reasonKeyWithdrawn},
+		{"withdrawn, then another change", false, []*currantloom.Configuration{
+			organisationConfiguration(2, false, nil), organisationConfiguration(3, false, nil),
+		}, reasonKeyWithdrawn},
+		{"moved, then withdrawn", false, []*currantloom.Configuration{
+			organisationConfiguration(2, false, map[string]string{testKey: "other"}),
+			organisationConfiguration(3, false, nil),
+		}, reasonKeyWithdrawn},
+		{"withdrawn, route removed", false, []*currantloom.Configuration{noRoutes}, reasonKeyWithdrawn},
+		{"route private", true, []*currantloom.Configuration{
+			organisationConfiguration(2, false, map[string]string{testKey: "acme"}),
+		}, reasonRoutePrivate},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRevocationFixture(t, c.public)
+			f.send("w", currantloom.StatementWrite)
+			for _, next := range c.next {
+				f.apply(CatalogChanged{Stamp: f.stamp(), Configuration: next})
+			}
+			sn := f.state.sessions[1]
+			if sn.revocation.reason != c.want {
+				t.Errorf("reason %q, want %q", sn.revocation.reason, c.want)
+			}
+		})
+	}
+}
+
 // TestStatementOfRevokedSession guards against a statement without an answer, or with one that invites a retry, that
 // the process had read when its session ended.
 func TestStatementOfRevokedSession(t *testing.T) {
