Owners learn run times by kind of command and the share of failures

Cause: the owner of an upstream keeps one mean run time over all commands, in which quick errors count as fast work, and nothing says which share of its work an upstream completes. Entry nodes know only an expected wait, so a slow or failing upstream looks like one with a short queue.

Change: the owner keeps a run time of successful work for reads, writes, commits and openings of transactions, and decayed shares of errors and of work without an answer. A CallResult carries the run time of its own kind only, an UpstreamHealth all of them. No message is added, nothing uses the figures yet.

--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -156,6 +156,8 @@
 	result.Key = j.call.Key
 	if j.pool != nil {
 		result.QueueWait = j.pool.expectedWait(s.now)
+		s.recordWork(j, result)
+		result.Load = j.pool.load().Only(j.call.WorkKind())
 		result.Sample = s.newestSampleOf(j.pool.upstream.group)
 	}
 	if result.RequiredPosition = j.required.position; !result.RequiredPosition.IsZero() {
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -39,6 +39,7 @@
 	running, pinned int
 	// averageRunTime is the moving average of the jobs' run time.
 	averageRunTime time.Duration
+	work           workRecord
 	// heardAt is when the upstream last answered or, before its first answer, when the pool was created. failedAt is
 	// when it last failed; unreachable says that it has not answered since.
 	heardAt, failedAt        time.Duration
@@ -121,6 +122,7 @@
 		Name: p.upstream.Name, Service: p.upstream.Service, Reachable: p.isReachable(s), ConnectFailed: p.unreachable,
 		CommitsStalled:        p.areCommitsStalled(s),
 		OpenWriteTransactions: open, QueueWait: p.expectedWait(s.now), Position: p.upstream.position,
+		Load: p.load(),
 	}
 }
 
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -13,6 +13,10 @@
 func sampleMessages() []currantloom.Message {
 	key := currantloom.RequestKey{VM: "vm-1", Number: 1<<33 | 5, Attempt: 2}
 	position := currantloom.NewLogPosition(3, 1207)
+	load := currantloom.UpstreamLoad{
+		Jobs: 3, RunTimes: [currantloom.WorkKinds]time.Duration{time.Second, time.Millisecond, 0, time.Minute},
+		FailurePercent: 40, LostPercent: 2,
+	}
 	sample := currantloom.PositionSample{Service: "s", Upstream: "u", Position: position, Age: 5 * time.Millisecond}
 	return []currantloom.Message{
 		currantloom.Call{
@@ -28,8 +32,8 @@
 			Priority:      2, IdleTransactionTimeout: 3 * time.Second,
 		},
 		currantloom.CallResult{
-			Key: key, Verdict: currantloom.Ran, Reason: currantloom.ReasonRefused, QueueWait: time.Second, Sample: sample,
-			RequiredPosition: position, RequiredAge: time.Minute,
+			Key: key, Verdict: currantloom.Ran, Reason: currantloom.ReasonRefused, QueueWait: time.Second, Load: load,
+			Sample: sample, RequiredPosition: position, RequiredAge: time.Minute,
 			Reply: currantloom.Reply{
 				Rows: []string{"a", ""}, Signature: "sig", Code: currantloom.ReplyBusy, Detail: "d",
 				TransactionStatus: 'T', Position: position,
@@ -43,14 +47,14 @@
 			Number: 7, ShuttingDown: true, StoreReachable: true, ConfigurationVersion: 9,
 			Upstreams: []currantloom.UpstreamHealth{{
 				Name: "u", Service: "s", Reachable: true, ConnectFailed: true, CommitsStalled: true,
-				OpenWriteTransactions: 2, QueueWait: time.Second, Position: position,
+				OpenWriteTransactions: 2, QueueWait: time.Second, Load: load, Position: position,
 			}},
 			Samples:        []currantloom.PositionSample{sample},
 			AckedPositions: []currantloom.AckedPosition{{Service: "s", Position: position}},
 		},
 		currantloom.UpstreamFailed{Health: currantloom.UpstreamHealth{
 			Name: "u", Service: "s", Reachable: true, ConnectFailed: true, CommitsStalled: true,
-			OpenWriteTransactions: 2, QueueWait: time.Second, Position: position,
+			OpenWriteTransactions: 2, QueueWait: time.Second, Load: load, Position: position,
 		}},
 		currantloom.ShutdownNotice{},
 		currantloom.BlockWrites{Service: "s", Duration: time.Second, BlockCommits: true},
@@ -83,6 +87,24 @@
 	}
 }
 
+// TestLoadSize guards against reports of the load that cost more than a few bytes: they are part of each result.
+func TestLoadSize(t *testing.T) {
+	size := func(l currantloom.UpstreamLoad) int {
+		data, err := encode(currantloom.CallResult{Load: l})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	l := currantloom.UpstreamLoad{Jobs: 9, FailurePercent: 40, LostPercent: 2}
+	l.RunTimes[currantloom.WorkWrite] = 22 * time.Millisecond
+	if got := size(l) - size(currantloom.UpstreamLoad{}) + 4; got > 8 {
+		t.Errorf("the load of a result takes %d bytes, want 8 at most", got)
+	} else {
+		t.Logf("the load of a result takes %d bytes", got)
+	}
+}
+
 // FuzzDecode guards against bytes from a peer that make the decoder panic or allocate without bound, and against
 // decoded messages that cannot be encoded.
 func FuzzDecode(f *testing.F) {
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -159,7 +159,7 @@
 func (d *decoder) callResult() currantloom.CallResult {
 	return currantloom.CallResult{
 		Key: d.key(), Verdict: currantloom.Verdict(d.number()), Reply: d.reply(),
-		Reason: currantloom.CallFailureReason(d.number()), QueueWait: d.duration(), Sample: d.sample(),
+		Reason: currantloom.CallFailureReason(d.number()), QueueWait: d.duration(), Load: d.load(), Sample: d.sample(),
 		RequiredPosition: d.position(), RequiredAge: d.duration(),
 	}
 }
@@ -209,10 +209,22 @@
 	return currantloom.UpstreamHealth{
 		Name: currantloom.UpstreamName(d.text()), Service: currantloom.ServiceName(d.text()), Reachable: d.flag(),
 		ConnectFailed: d.flag(), CommitsStalled: d.flag(), OpenWriteTransactions: int(d.number()),
-		QueueWait: d.duration(), Position: d.position(),
+		QueueWait: d.duration(), Load: d.load(), Position: d.position(),
 	}
 }
 
+func (d *decoder) load() currantloom.UpstreamLoad {
+	var l currantloom.UpstreamLoad
+	known := d.number()
+	for kind := range l.RunTimes {
+		if known&(1<<kind) != 0 {
+			l.RunTimes[kind] = d.duration()
+		}
+	}
+	l.Jobs, l.FailurePercent, l.LostPercent = int(d.number()), int(d.number()), int(d.number())
+	return l
+}
+
 func (d *decoder) storePosition() currantloom.StorePosition {
 	era := currantloom.StoreEra(d.number())
 	return currantloom.NewStorePosition(era, d.number())
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -174,6 +174,7 @@
 	e.reply(m.Reply)
 	e.number(uint64(m.Reason))
 	e.duration(m.QueueWait)
+	e.load(m.Load)
 	e.sample(m.Sample)
 	e.position(m.RequiredPosition)
 	e.duration(m.RequiredAge)
@@ -235,9 +236,30 @@
 	e.flag(u.CommitsStalled)
 	e.number(uint64(u.OpenWriteTransactions))
 	e.duration(u.QueueWait)
+	e.load(u.Load)
 	e.position(u.Position)
 }
 
+// load writes the run times that are known, after a bit mask of their kinds: a result carries one at most, and each
+// takes 3 to 5 bytes.
+func (e *encoder) load(l currantloom.UpstreamLoad) {
+	known := uint64(0)
+	for kind, run := range l.RunTimes {
+		if run > 0 {
+			known |= 1 << kind
+		}
+	}
+	e.number(known)
+	for _, run := range l.RunTimes {
+		if run > 0 {
+			e.duration(run)
+		}
+	}
+	e.number(uint64(max(0, l.Jobs)))
+	e.number(uint64(max(0, l.FailurePercent)))
+	e.number(uint64(max(0, l.LostPercent)))
+}
+
 func (e *encoder) storePosition(p currantloom.StorePosition) {
 	e.number(uint64(p.Era()))
 	e.number(p.Revision())
--- a/message.go
+++ b/message.go
@@ -76,6 +76,8 @@
 	Reason CallFailureReason
 	// QueueWait is the time that new calls are expected to wait in the owner's queue.
 	QueueWait time.Duration
+	// Load is the load of the upstream, with the run time of the call's kind only.
+	Load UpstreamLoad
 	// Sample is the service's newest sample; its upstream is empty if there is none.
 	Sample PositionSample
 	// RequiredPosition is what the log had to cover; RequiredAge is how long before the call's arrival it was sampled.
@@ -153,6 +155,7 @@
 	// OpenWriteTransactions is the number of open read-write transactions.
 	OpenWriteTransactions int
 	QueueWait             time.Duration
+	Load                  UpstreamLoad
 	Position              LogPosition
 }
 
