--- a/loomfleet/arbitrary_test.go
+++ b/loomfleet/arbitrary_test.go
@@ -88,7 +88,14 @@
 	return currantloom.UpstreamHealth{
 		Name: a.upstream(), Service: a.service(), Reachable: a.IntN(2) > 0, ConnectFailed: a.IntN(2) > 0,
 		CommitsStalled: a.IntN(2) > 0, OpenWriteTransactions: a.IntN(9) - 4, QueueWait: a.duration(),
-		Position: a.position(),
+		Load: a.load(), Position: a.position(),
+	}
+}
+
+func (a arbitrary) load() currantloom.UpstreamLoad {
+	return currantloom.UpstreamLoad{
+		Jobs: pick(a, 0, -1, 1<<62, a.IntN(9)), FailurePercent: pick(a, 0, -1, 1<<62, 50), LostPercent: a.IntN(300) - 100,
+		RunTimes: [currantloom.WorkKinds]time.Duration{a.duration(), a.duration()},
 	}
 }
 
@@ -105,8 +112,8 @@
 	case 2, 3:
 		return currantloom.CallResult{
 			Key: a.key(f), Verdict: currantloom.Verdict(a.IntN(256)), Reply: a.reply(),
-			Reason: currantloom.CallFailureReason(a.IntN(256)), QueueWait: a.duration(), Sample: a.sample(),
-			RequiredPosition: a.position(), RequiredAge: a.duration(),
+			Reason: currantloom.CallFailureReason(a.IntN(256)), QueueWait: a.duration(), Load: a.load(),
+			Sample: a.sample(), RequiredPosition: a.position(), RequiredAge: a.duration(),
 		}
 	case 4:
 		return currantloom.CancelCall{Key: a.key(f)}
@@ -215,6 +222,7 @@
 		f := newFixture(t)
 		f.now = time.Second
 		a := arbitrary{rand.New(rand.NewPCG(seed, 1))}
+		f.state.config.BalanceReads = seed%2 == 1
 		f.configure(pick(a, currantloom.ReadLatest, currantloom.ReadBoundedStaleness, currantloom.ReadYourWrites))
 		f.addMember("vm-2")
 		f.holdLease()
--- a/loomfleet/call.go
+++ b/loomfleet/call.go
@@ -34,6 +34,7 @@
 		timeoutAt: s.now + m.QueueTimeout + m.Timeout + callTimeoutMargin,
 	}
 	s.requests.calls[m.Key] = c
+	u.load.recordSent(s.now)
 	if vm == s.config.Self {
 		s.deferCall(func() { s.handleCall(0, m) })
 		return c
@@ -52,6 +53,7 @@
 		return
 	}
 	delete(s.requests.calls, result.Key)
+	s.recordCallLoad(c, result)
 	s.recordSample(result.Sample, c.sentAt)
 	c.requiredPosition, c.requiredAge = result.RequiredPosition, result.RequiredAge
 	c.upstream.observeQueueWait(result.QueueWait, s.now)
@@ -92,6 +94,7 @@
 // cancelCall stops waiting for a call and cancels it if it is still queued at the owner.
 func (s *State) cancelCall(c *call) {
 	delete(s.requests.calls, c.key)
+	c.upstream.load.recordEnded()
 	if c.vm == s.config.Self {
 		s.deferCall(func() { s.handleCancelCall(c.key) })
 		return
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -75,6 +75,7 @@
 	queueWait   time.Duration
 	queueWaitAt time.Duration
 	slowUntil   time.Duration
+	load        knownLoad
 	owners      []currantloom.VMName
 	ownersEpoch uint64
 }
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -284,6 +284,7 @@
 		if u, ok := s.catalog.upstreams[r.Name]; ok {
 			u.observePosition(r.Position, m.pingSentAt)
 			u.observeQueueWait(r.QueueWait, s.now)
+			s.recordPongLoad(u, from, r, m.pingSentAt)
 		}
 	}
 	for _, received := range p.Samples {
--- a/loomfleet/route.go
+++ b/loomfleet/route.go
@@ -83,6 +83,9 @@
 	if best.minPosition.Compare(required.position) > 0 {
 		required, known = sample{position: best.minPosition, takenAt: r.arrivedAt}, true
 	}
+	if s.config.BalanceReads {
+		return s.selectBalanced(r, best, required, known)
+	}
 	var bestCost time.Duration
 	for _, u := range r.group.upstreams {
 		if !u.isUsable(s) || r.avoidUntil[u.Name] > s.now {
@@ -108,13 +111,24 @@
 
 // readCost is the expected queue wait of a read at the upstream, plus the costs of its distance and state.
 func (s *State) readCost(u *upstream) time.Duration {
-	cost := [...]time.Duration{0, domainCost, regionCost}[s.config.Location.Distance(u.Location)]
+	cost := s.distanceCost(u) + s.stateCost(u)
 	if s.now-u.queueWaitAt < queueWaitTTL {
 		cost += u.queueWait
 	}
 	if u.Name == u.group.primary {
 		cost += primaryCost
 	}
+	return cost
+}
+
+// distanceCost is the cost of the way to the upstream.
+func (s *State) distanceCost(u *upstream) time.Duration {
+	return [...]time.Duration{0, domainCost, regionCost}[s.config.Location.Distance(u.Location)]
+}
+
+// stateCost is the cost of an upstream that is terminating or at which a read has timed out lately.
+func (s *State) stateCost(u *upstream) time.Duration {
+	cost := time.Duration(0)
 	if u.slowUntil > s.now {
 		cost += slowCost
 	}
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -26,6 +26,9 @@
 	GracePeriod time.Duration
 	// MinLeaseTTL is the shortest lease that the store grants; zero means 1 s.
 	MinLeaseTTL time.Duration
+	// BalanceReads selects the upstream of a read by its expected completion, as balance.go describes, instead of by the
+	// last reported queue alone.
+	BalanceReads bool
 }
 
 // State is the decision state of a node. Use New to create one.
