Hedges of balanced reads take no room from other work

Cause: a late read is sent to a second upstream even if that has no free slot, so hedges of a slow upstream lengthen the queues of the good ones.

Change: with BalanceReads, a late read is hedged only to an upstream that has a free slot as far as known. A read whose owner is suspected, or has answered this node nothing since the call, is moved as before, because it takes no slot.

--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -429,7 +429,7 @@
 	switch {
 	case c.request != nil && waited >= hedgeAfter:
 		s.pingIfDue(c.vm)
-		s.hedge(c)
+		s.hedge(c, hedgeOfLateCall)
 	case waited >= pingAfterSilence:
 		s.pingIfDue(c.vm)
 	}
