--- a/loomfleet/balancedread.go
+++ b/loomfleet/balancedread.go
@@ -5,7 +5,7 @@
 // selectBalanced selects the upstream of a read by the expected completion. The caller has set everything in the target
 // but the upstream and its VM.
 func (s *State) selectBalanced(r *request, t target, required sample, requiredKnown bool) (target, bool) {
-	candidates := s.readCandidates(r, t, required, requiredKnown)
+	candidates := s.readCandidates(r, t, required, requiredKnown, s.ownerOf)
 	made, ok := choose(candidates, s.random^mixRandom(s.lastNumber))
 	if !ok {
 		return t, false
@@ -20,9 +20,12 @@
 	return t, true
 }
 
-// readCandidates returns the upstreams of the group in the order of their names, with the costs that do not depend on
-// the reported load. Upstreams that may not get the read are marked as excluded.
-func (s *State) readCandidates(r *request, t target, required sample, requiredKnown bool) []candidate {
+// readCandidates returns the upstreams of the group, with the costs that do not depend on the reported load. Upstreams
+// that may not get the read are marked as excluded. A real choice passes State.ownerOf, which pings VMs; an explanation
+// passes State.currentOwner.
+func (s *State) readCandidates(
+	r *request, t target, required sample, requiredKnown bool, ownerOf func(*upstream) (currantloom.VMName, bool),
+) []candidate {
 	candidates := make([]candidate, 0, len(r.group.upstreams))
 	for _, u := range r.group.upstreams {
 		c := candidate{upstream: u, slots: max(1, u.Slots), kind: currantloom.WorkRead}
@@ -35,23 +38,21 @@
 		case r.avoidUntil[u.Name] > s.now:
 			c.excluded = excludedAvoided
 		default:
-			s.setOwner(&c, required, requiredKnown)
+			if c.vm, c.excluded = ownerOrExclusion(ownerOf(u)); c.excluded == notExcluded {
+				s.setKnowledge(&c)
+				s.setFixedCosts(&c, required, requiredKnown)
+			}
 		}
 		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
-// setOwner sets the VM that owns the upstream, what is known of its load, and the fixed costs.
-func (s *State) setOwner(c *candidate, required sample, requiredKnown bool) {
-	vm, ok := s.ownerOf(c.upstream)
+func ownerOrExclusion(vm currantloom.VMName, ok bool) (currantloom.VMName, exclusion) {
 	if !ok {
-		c.excluded = excludedNoOwner
-		return
+		return "", excludedNoOwner
 	}
-	c.vm = vm
-	s.setKnowledge(c)
-	s.setFixedCosts(c, required, requiredKnown)
+	return vm, notExcluded
 }
 
 // setKnowledge sets what this node knows of the load. The report of a VM that no longer owns the upstream is not used.
