The model plays random faults with balanced reads

Cause: the model runs nodes with BalanceReads off only, so stale reads and lost writes under faults were not looked for with the balanced choice.

Change: Options.BalanceReads, and TestRandomFaultsBalanced with the seeds and sizes of TestRandomFaults. The existing tests of the model run as before.

--- a/loommodel/node.go
+++ b/loommodel/node.go
@@ -50,7 +50,7 @@
 	n.outboundLinks, n.sessions = make(map[string]bool), make(map[loomfleet.SessionID]*client)
 	n.state = loomfleet.New(loomfleet.Config{
 		Self: currantloom.VMName(n.name), Location: n.location, Address: n.name, Incarnation: uint64(n.incarnation),
-		DrainTimeout: 7 * time.Second,
+		DrainTimeout: 7 * time.Second, BalanceReads: n.sim.options.BalanceReads,
 	})
 	n.sim.store.subscribe(n)
 	n.tick(n.incarnation)
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -25,6 +25,8 @@
 	ReplicationLag time.Duration
 	// ThinkTime is the mean pause of a client between two operations.
 	ThinkTime time.Duration
+	// BalanceReads is passed to the nodes.
+	BalanceReads bool
 }
 
 func (o Options) withDefaults() Options {
--- a/loommodel/simulation_test.go
+++ b/loommodel/simulation_test.go
@@ -102,9 +102,11 @@
 }
 
 // playRandomFaults plays the faults of a seed, with the numbers of nodes, services and faults that the size determines.
-func playRandomFaults(t *testing.T, seed uint64, size int) {
+func playRandomFaults(t *testing.T, seed uint64, size int, balanced bool) {
 	t.Helper()
-	sim := startSimulation(t, seed, loommodel.Options{Nodes: 3 + size%3, Services: 1 + size%2, Clients: 16})
+	sim := startSimulation(t, seed, loommodel.Options{
+		Nodes: 3 + size%3, Services: 1 + size%2, Clients: 16, BalanceReads: balanced,
+	})
 	faults := sim.ScheduleRandomFaults(2+size%6, 20*time.Second)
 	sim.Run(32 * time.Second)
 	sim.Heal()
@@ -128,18 +130,26 @@
 			if *fixedSize >= 0 {
 				size = *fixedSize
 			}
-			playRandomFaults(t, seed, size)
+			playRandomFaults(t, seed, size, false)
 		})
 	}
 }
 
+// TestRandomFaultsBalanced guards against the same with nodes that balance reads.
+func TestRandomFaultsBalanced(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandomFaults(t, seed, int(seed), true) })
+	}
+}
+
 // TestFoundSeeds plays the seeds of TestRandomFaults that once failed.
 func TestFoundSeeds(t *testing.T) {
 	for seed, cause := range map[uint64]string{
 		5603: "replicas ignored a pause whose term was not newer than theirs, and their statuses counted",
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			playRandomFaults(t, seed, int(seed))
+			playRandomFaults(t, seed, int(seed), false)
 			if t.Failed() {
 				t.Log(cause)
 			}
