--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -76,6 +76,7 @@
 	queueWait   time.Duration
 	queueWaitAt time.Duration
 	slowUntil   time.Duration
+	load        knownLoad
 	owners      []currantloom.VMName
 	ownersEpoch uint64
 }
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -23,8 +23,9 @@
 // reasonQuiet is the reason of a failover whose only evidence is that no node has proven the primary.
 const reasonQuiet = "primary is quiet"
 
-// maxQuietFailovers bounds the failovers that run at a time because a primary is quiet. Each verifies its primary through
-// several VMs that may have to connect first, and if many primaries are quiet at once, more likely the reports are late.
+// maxQuietFailovers bounds the failovers that run at a time because a primary is quiet. Each verifies its primary
+// through several VMs that may have to connect first. If many primaries are quiet at once, more likely the reports are
+// late.
 const maxQuietFailovers = 8
 
 // isPrimaryQuiet reports whether the primary has been unproven for too long. A node that becomes the holder of the
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -30,6 +30,9 @@
 	// configuration is current is older than RevocationTimeout; zero means 5 s.
 	StrictRevocation  bool
 	RevocationTimeout time.Duration
+	// BalanceReads selects the upstream of a read by its expected completion, as balance.go describes, instead of by the
+	// last reported queue alone.
+	BalanceReads bool
 }
 
 // State is the decision state of a node. Use New to create one.
