Rate limits of organisations: tokens, limiters and shares

An organisation's limit held on no VM: nothing counted its operations.

A new pure package, loomquota, has the limiter's and the entry node's side. An entry node starts an operation with a token that a limiter granted; the limiter of a shard follows from rendezvous hashing. Each entry holds a share of the rate, and hands it to one limiter or uses it itself, so the sum of what is used stays within the rate whatever is lost. Messages TokenRequest and TokenAnswer carry this, one for all organisations of a limiter. loomfleet takes a token when an operation starts, and answers BUSY with a time otherwise.

--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -126,7 +126,9 @@
 	Age     time.Duration
 	Attempt int
 	// Count is the number of occurrences since the previous line of this kind.
-	Count   int
+	Count int
+	// Tokens is the number of unused tokens of the organisation's limit that the node holds.
+	Tokens  int
 	Reason  string
 	Outcome string
 	// Routine says that the line reports normal operation and may be omitted under load.
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -55,6 +55,7 @@
 	epoch       uint64
 	retryAt     time.Duration
 	hedged      bool
+	tokens      tokens
 	lastFailure currantloom.CallFailureReason
 	finished    bool
 }
@@ -83,7 +84,7 @@
 	sn.request = r
 	r.group.usedAt = s.now
 	s.requests.hedgeCredit = min(s.requests.hedgeCredit+hedgeShare, maxHedgeCredit)
-	s.dispatch(r)
+	s.startOperation(r)
 }
 
 // dispatch sends the next attempt, or parks the request if there is no upstream for it.
@@ -105,6 +106,7 @@
 
 // sendAttempt sends a call for the request.
 func (s *State) sendAttempt(r *request, t target) {
+	s.chargeAttempt(r)
 	r.attempt++
 	command := r.command()
 	timeout := r.route.Timeout
@@ -209,6 +211,7 @@
 
 // handleRan forwards the upstream's reply to the client.
 func (s *State) handleRan(r *request, c *call, result currantloom.CallResult) {
+	r.tokens.mayHaveRun = true
 	reply, sn := result.Reply, r.session
 	if r.purpose == purposeRead && reply.Code != currantloom.ReplyOK && s.retryRead(r, c) {
 		return
@@ -305,6 +308,7 @@
 // handleMayHaveRun handles an attempt without an answer. The effects of a transaction that was not committed are rolled
 // back; a write outside a transaction and a commit are in doubt.
 func (s *State) handleMayHaveRun(r *request, c *call, result currantloom.CallResult) {
+	r.tokens.mayHaveRun = true
 	r.avoidUntil[c.upstream.Name] = s.now + avoidDuration
 	if result.Reason == currantloom.ReasonTimeout && r.purpose == purposeRead {
 		c.upstream.slowUntil = s.now + avoidDuration
@@ -327,6 +331,7 @@
 // finish answers the client and cancels the request's other calls.
 func (s *State) finish(r *request, reply currantloom.Reply, c *call) {
 	r.finished = true
+	s.releaseTokens(r)
 	sn := r.session
 	sn.request, sn.lastActivityAt = nil, s.now
 	for _, other := range r.calls {
@@ -382,6 +387,9 @@
 	if r.lastFailure != currantloom.ReasonNone {
 		d.Reason = r.lastFailure.String()
 	}
+	if r.tokens.refused {
+		d.Reason, d.Routine = "limit", true
+	}
 	if c != nil {
 		d.Upstream, d.VM, d.Position, d.PositionAge = c.upstream.Name, c.vm, c.requiredPosition, c.requiredAge
 	}
@@ -391,6 +399,7 @@
 // abandon ends a request whose client has disconnected.
 func (s *State) abandon(r *request) {
 	r.finished = true
+	s.releaseTokens(r)
 	for _, c := range r.calls {
 		s.cancelCall(c)
 		if opensTransaction(c.mode) {
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomquota"
 )
 
 // TickInterval is the time between two Tick events.
@@ -26,6 +27,8 @@
 	GracePeriod time.Duration
 	// MinLeaseTTL is the shortest lease that the store grants; zero means 1 s.
 	MinLeaseTTL time.Duration
+	// Quota says how the limits of organisations are judged; zero means 5 s, 0.1 and 20.
+	Quota currantloom.QuotaWindow
 }
 
 // State is the decision state of a node. Use New to create one.
@@ -50,6 +53,7 @@
 	owner       ownerState
 	coordinator coordinator
 	shutdown    shutdown
+	limits      limits
 }
 
 // New returns the initial state of a node.
@@ -63,6 +67,11 @@
 	if c.MinLeaseTTL == 0 {
 		c.MinLeaseTTL = time.Second
 	}
+	if c.Quota == (currantloom.QuotaWindow{}) {
+		c.Quota = currantloom.QuotaWindow{
+			Length: loomquota.DefaultWindow, Overage: loomquota.DefaultOverage, Slack: loomquota.DefaultSlack,
+		}
+	}
 	s := &State{config: c, sessions: make(map[SessionID]*session)}
 	s.catalog.init()
 	s.members.init()
@@ -95,6 +104,7 @@
 	if s.now > 0 {
 		s.log(Decision{Event: "resumed", Age: now - s.now})
 		s.resumedAt = now
+		s.resumeLimits()
 	}
 }
 
@@ -137,6 +147,7 @@
 		s.handleOutboundLinkFailed(e)
 	case InboundLinkClosed:
 		s.handleInboundLinkClosed(e.Link)
+		s.forgetLimiterLink(e.Link)
 	case ShutdownRequested:
 		s.handleShutdownRequested()
 	}
@@ -165,6 +176,10 @@
 		s.handleBlockWrites(m)
 	case currantloom.PrimaryChanged:
 		s.handlePrimaryChanged(m)
+	case currantloom.TokenRequest:
+		s.handleTokenRequest(e.From, e.Link, m)
+	case currantloom.TokenAnswer:
+		s.handleTokenAnswer(e.From, m)
 	}
 }
 
@@ -173,6 +188,7 @@
 	s.tickMembers()
 	s.tickOwner()
 	s.tickRequests()
+	s.tickLimits()
 	for _, g := range s.catalog.sortedGroups {
 		g.lag.logDue(s, g.name)
 	}
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -63,6 +63,20 @@
 			Delta: true,
 			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8),
 		},
+		currantloom.TokenRequest{
+			Incarnation: 1 << 31, Shard: 12, Shards: 13,
+			Sent: time.Hour, Fresh: true, Full: true, Epoch: 3, Answer: 2 * time.Second,
+			Elapsed: 5 * time.Millisecond,
+			Demands: []currantloom.TokenDemand{{
+				Organisation: "linz", Waiting: 5, Urgent: 1, Wanted: 7, Returned: 6, Outstanding: 300, Share: 1_000_000,
+				HandedOver: time.Second, Pooled: true, Reserve: true, Rate: 4_000,
+			}},
+		},
+		currantloom.TokenAnswer{
+			Shard: 12, Shards: 13, Epoch: 3, Time: time.Minute, Asked: time.Hour, Review: true, Grants: []currantloom.TokenGrant{
+				{Organisation: "linz", Tokens: 4, Refused: 2, RetryAfter: 90 * time.Millisecond, Share: 123_456},
+			},
+		},
 	}
 }
 
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -125,6 +125,10 @@
 		return currantloom.StoreItems{
 			Items: d.storeItems(), Delta: d.flag(), Base: d.storePosition(), Position: d.storePosition(),
 		}
+	case kindTokenRequest:
+		return d.tokenRequest()
+	case kindTokenAnswer:
+		return d.tokenAnswer()
 	default:
 		if d.err == nil {
 			d.err = currantloom.ErrInput.New("message of kind %d", k)
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -26,6 +26,8 @@
 	kindStoreItemsRequest
 	kindStoreItems
 	kindUpstreamFailed
+	kindTokenRequest
+	kindTokenAnswer
 )
 
 // maxMessageSize bounds an encoded message in bytes, without its length prefix.
@@ -129,6 +131,12 @@
 		e.flag(m.Delta)
 		e.storePosition(m.Base)
 		e.storePosition(m.Position)
+	case currantloom.TokenRequest:
+		e.number(uint64(kindTokenRequest))
+		e.tokenRequest(m)
+	case currantloom.TokenAnswer:
+		e.number(uint64(kindTokenAnswer))
+		e.tokenAnswer(m)
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -208,6 +208,74 @@
 	Base, Position StorePosition
 }
 
+// TokenRequest asks a limiter for tokens, each of which permits one operation of an organisation. It also hands the
+// sender's shares of the rates to the limiter, for the time since the last answer.
+type TokenRequest struct {
+	// Incarnation distinguishes the runs of the sending process.
+	Incarnation uint64
+	// Shard is the number of the shard that the request is for, of Shards.
+	Shard, Shards int
+	// Sent is the sender's time. It rises with each request.
+	Sent time.Duration
+	// Fresh says that this process has never had an answer of a limiter, and therefore holds no shares.
+	Fresh bool
+	// Full says that Demands names every organisation of which the sender holds a share.
+	Full bool
+	// Epoch and Answer identify the last answer that the sender got from this limiter; zero if it got none. Elapsed is
+	// the time since then.
+	Epoch   uint64
+	Answer  time.Duration
+	Elapsed time.Duration
+	Demands []TokenDemand
+}
+
+// TokenDemand is what a node needs for an organisation.
+type TokenDemand struct {
+	Organisation OrganisationName
+	// Waiting is the number of operations that wait for a token, Urgent how many of them have priority 0. Wanted is the
+	// number of tokens that are requested in advance.
+	Waiting, Urgent, Wanted int
+	// Returned is the number of unused tokens that the sender gives back.
+	Returned int
+	// Outstanding is the number of unused tokens and of operations that have one and may not have run yet.
+	Outstanding int
+	// Share is the share of the organisation's rate that the sender holds, in millionths.
+	Share uint32
+	// HandedOver is the time for which the sender has not used its share itself.
+	HandedOver time.Duration
+	// Pooled says that no other limiter counts the sender's share of the capacity.
+	Pooled bool
+	// Reserve says that the receiver may use the sender's part of the reserve.
+	Reserve bool
+	// Rate is the number of operations per 1,000 seconds, averaged over the last seconds.
+	Rate uint32
+}
+
+// TokenAnswer grants tokens. It answers a TokenRequest, or follows an answer if tokens become available later.
+type TokenAnswer struct {
+	// Shard is the number of the shard that the answer is for, of Shards.
+	Shard, Shards int
+	// Epoch distinguishes the states of the limiter, Time is its own time. Time rises with each answer to a node.
+	Epoch uint64
+	Time  time.Duration
+	// Asked is the Sent of the newest request that the limiter got from the receiver; zero if it got none.
+	Asked time.Duration
+	// Review asks the receiver to send a full request at once.
+	Review bool
+	Grants []TokenGrant
+}
+
+// TokenGrant is a limiter's decision for an organisation.
+type TokenGrant struct {
+	Organisation OrganisationName
+	Tokens       int
+	// Refused is the number of waiting operations that get no token, the next ones in RetryAfter.
+	Refused    int
+	RetryAfter time.Duration
+	// Share is the receiver's share of the organisation's rate from now on, in millionths.
+	Share uint32
+}
+
 func (Call) message()                {}
 func (CallResult) message()          {}
 func (CancelCall) message()          {}
@@ -220,3 +288,5 @@
 func (PrimaryChanged) message()      {}
 func (StoreItemsRequest) message()   {}
 func (StoreItems) message()          {}
+func (TokenRequest) message()        {}
+func (TokenAnswer) message()         {}
--- a/organisation.go
+++ b/organisation.go
@@ -84,5 +84,16 @@
 	return organisation, ok
 }
 
+// Limits returns the limits of the organisations that have one.
+func (o Organisations) Limits() map[OrganisationName]RateLimit {
+	limits := make(map[OrganisationName]RateLimit)
+	for name, organisation := range o.byName {
+		if !organisation.Limit.IsZero() {
+			limits[name] = organisation.Limit
+		}
+	}
+	return limits
+}
+
 // Len returns the number of organisations.
 func (o Organisations) Len() int { return len(o.byName) }
