--- a/loomfleet/arbitrary_test.go
+++ b/loomfleet/arbitrary_test.go
@@ -93,7 +93,7 @@
 }
 
 func (a arbitrary) message(f *fixture) currantloom.Message {
-	switch a.IntN(11) {
+	switch a.IntN(13) {
 	case 0, 1:
 		return currantloom.Call{
 			Key: a.key(f), Service: a.service(), Upstream: a.upstream(), Mode: currantloom.CallMode(a.IntN(10)),
@@ -125,6 +125,10 @@
 		return currantloom.UpstreamFailed{Health: a.health()}
 	case 9:
 		return currantloom.BlockWrites{Service: a.service(), Duration: a.duration(), BlockCommits: a.IntN(2) > 0}
+	case 10:
+		return a.tokenRequest()
+	case 11:
+		return a.tokenAnswer()
 	default:
 		return currantloom.PrimaryChanged{Service: a.service(), Upstream: a.upstream(), Term: currantloom.Term(a.Uint64())}
 	}
@@ -158,7 +162,9 @@
 			Kind: kind, ID: fmt.Sprint(a.Uint64()), Text: "t", Name: pick(a, "", "n"), Argument: "x",
 		}}
 	default:
-		return SessionOpened{Stamp: stamp, Session: SessionID(a.IntN(4)), Startup: testStartup}
+		startup := testStartup
+		startup.Key = pick(a, currantloom.KeyDigest{}, currantloom.DigestKey("limited"))
+		return SessionOpened{Stamp: stamp, Session: SessionID(a.IntN(4)), Startup: startup}
 	}
 }
 
@@ -216,6 +222,9 @@
 		f.now = time.Second
 		a := arbitrary{rand.New(rand.NewPCG(seed, 1))}
 		f.configure(pick(a, currantloom.ReadLatest, currantloom.ReadBoundedStaleness, currantloom.ReadYourWrites))
+		if a.IntN(2) > 0 {
+			f.configureLimit(2, currantloom.RateLimit{PerSecond: 5, Burst: 5})
+		}
 		f.addMember("vm-2")
 		f.holdLease()
 		for i := range events {
--- a/loomfleet/limit_test.go
+++ b/loomfleet/limit_test.go
@@ -90,10 +90,13 @@
 		Database: testDatabase, Key: currantloom.DigestKey("free"),
 	}})
 	refused := 0
+	var all []Effect
 	for i := range SessionID(sessions) {
 		f.sendStatement(i+1, currantloom.StatementRead)
+		all = append(all, f.effects...)
 	}
 	f.wait(400 * time.Millisecond)
+	f.effects = append(all, f.effects...)
 	for i := range SessionID(sessions) {
 		for _, reply := range f.repliesTo(i + 1) {
 			if reply.Code != currantloom.ReplyBusy || !strings.HasPrefix(reply.Detail, "retry after ") {
--- a/loomfleet/limitchoice.go
+++ b/loomfleet/limitchoice.go
@@ -52,15 +52,20 @@
 	return "holder"
 }
 
-// checkLimiter pings a limiter that leaves requests unanswered, and avoids it for a while.
+// checkLimiter pings a limiter that leaves requests unanswered, and avoids it for a while unless it has answered
+// something else since then.
 func (s *State) checkLimiter(shard int) {
 	l := &s.limits
 	vm := l.entry.Limiter(shard)
-	if vm == "" || vm == s.config.Self || l.entry.Unanswered(shard) < loomquota.UnansweredTime {
+	silent := l.entry.Unanswered(shard)
+	m, ok := s.members.byName[vm]
+	if !ok || silent < loomquota.UnansweredTime/2 {
 		return
 	}
-	l.avoidUntil[vm] = s.now + avoidLimiterTime
 	s.pingIfDue(vm)
+	if silent >= loomquota.LossyTime || silent >= loomquota.UnansweredTime && m.heardAt <= s.now-silent {
+		l.avoidUntil[vm] = s.now + avoidLimiterTime
+	}
 }
 
 // limiterOf returns the first VM in the order of the shard that this node does not suspect; empty if there is none.
--- a/loomfleet/limiter.go
+++ b/loomfleet/limiter.go
@@ -61,7 +61,7 @@
 	}
 	l := &limiterShard{
 		shard: shard, shards: shards, clients: make(map[currantloom.VMName]limiterClient),
-		limiter: loomquota.NewLimiter(s.config.Quota, shard, shards, s.config.Incarnation<<32|s.nextNumber()),
+		limiter: loomquota.NewLimiter(s.config.Quota, shard, shards, s.limiterEpoch()),
 	}
 	l.limiter.SetLimits(s.now, s.limits.byName)
 	s.limits.limiters = append(s.limits.limiters, l)
@@ -69,6 +69,13 @@
 	return l
 }
 
+// limiterEpoch returns a number that differs from those of earlier states and runs of the process as limiter. It has 32
+// bits because every message for limits carries one.
+func (s *State) limiterEpoch() uint64 {
+	const odd = 2_654_435_761
+	return max(1, (s.config.Incarnation*odd+s.nextNumber())&(1<<32-1))
+}
+
 func shardName(shard int) string { return fmt.Sprintf("shard %d", shard) }
 
 // sendTokenAnswer sends an answer on the link on which the node asks, if it has asked.
--- a/loommesh/tokens.go
+++ b/loommesh/tokens.go
@@ -1,6 +1,10 @@
 package loommesh
 
-import "currantloom.example/currantloom"
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
 
 // maxTokens bounds the counts of tokens in a message, so that a faulty peer cannot make the sums of counts overflow.
 const maxTokens = 1_000_000_000
@@ -13,7 +17,7 @@
 	e.number(flags(m.Fresh, m.Full))
 	e.number(m.Epoch)
 	e.duration(m.Answer)
-	e.duration(m.Elapsed)
+	e.milliseconds(m.Elapsed)
 	e.listLength(len(m.Demands))
 	for _, d := range m.Demands {
 		e.text(string(d.Organisation))
@@ -23,7 +27,7 @@
 		e.number(uint64(d.Returned))
 		e.number(uint64(d.Outstanding))
 		e.number(uint64(d.Share))
-		e.duration(d.HandedOver)
+		e.milliseconds(d.HandedOver)
 		e.number(flags(d.Pooled, d.Reserve))
 		e.number(uint64(d.Rate))
 	}
@@ -41,7 +45,7 @@
 		e.text(string(g.Organisation))
 		e.number(uint64(g.Tokens))
 		e.number(uint64(g.Refused))
-		e.duration(g.RetryAfter)
+		e.milliseconds(g.RetryAfter)
 		e.number(uint64(g.Share))
 	}
 }
@@ -64,7 +68,7 @@
 	}
 	f := d.number()
 	m.Fresh, m.Full = f&1 != 0, f&2 != 0
-	m.Epoch, m.Answer, m.Elapsed = d.number(), d.duration(), d.duration()
+	m.Epoch, m.Answer, m.Elapsed = d.number(), d.duration(), d.milliseconds()
 	for range d.listLength() {
 		if d.err != nil {
 			break
@@ -77,7 +81,7 @@
 func (d *decoder) tokenDemand() currantloom.TokenDemand {
 	m := currantloom.TokenDemand{
 		Organisation: currantloom.OrganisationName(d.text()), Waiting: d.tokens(), Urgent: d.tokens(), Wanted: d.tokens(),
-		Returned: d.tokens(), Outstanding: d.tokens(), Share: uint32(d.tokens()), HandedOver: d.duration(),
+		Returned: d.tokens(), Outstanding: d.tokens(), Share: uint32(d.tokens()), HandedOver: d.milliseconds(),
 	}
 	f := d.number()
 	m.Pooled, m.Reserve = f&1 != 0, f&2 != 0
@@ -95,12 +99,17 @@
 		}
 		m.Grants = append(m.Grants, currantloom.TokenGrant{
 			Organisation: currantloom.OrganisationName(d.text()), Tokens: d.tokens(), Refused: d.tokens(),
-			RetryAfter: d.duration(), Share: uint32(d.tokens()),
+			RetryAfter: d.milliseconds(), Share: uint32(d.tokens()),
 		})
 	}
 	return m
 }
 
+// milliseconds writes a duration that is not negative, rounded down. These messages are many, so they are kept small.
+func (e *encoder) milliseconds(v time.Duration) { e.number(uint64(max(0, v).Milliseconds())) }
+
+func (d *decoder) milliseconds() time.Duration { return time.Duration(d.tokens()) * time.Millisecond }
+
 func (d *decoder) tokens() int {
 	n := d.number()
 	if n > maxTokens && d.err == nil {
--- a/loomquota/account.go
+++ b/loomquota/account.go
@@ -7,6 +7,10 @@
 	"currantloom.example/currantloom"
 )
 
+// advanceReserve is the part of the capacity that is not granted in advance. With half of it, small organisations ran
+// out of tokens at the crests of their demand while other nodes held unused ones.
+const advanceReserve = 2.0 / 3
+
 // firstMemberTime is how long an entry's share belongs to a limiter after its first request.
 const firstMemberTime = 500 * time.Millisecond
 
@@ -113,13 +117,17 @@
 func (a *account) addSums(e *entry, sign int64) {
 	a.bound += sign * e.boundShare()
 	a.demand += sign * e.rate
-	a.outstanding += int(sign) * e.outstanding()
+	outstanding := e.outstanding()
 	switch {
 	case e.member && e.pooled:
 		a.pooled += sign * e.boundShare()
 	case e.member:
 		a.joining += sign * e.boundShare()
+	default:
+		// The node keeps its part of the capacity itself, and counts its tokens against that.
+		outstanding = max(0, outstanding-int(a.budget.capacityOf(uint32(e.boundShare()))))
 	}
+	a.outstanding += int(sign) * outstanding
 }
 
 // hear applies the demand of a request.
@@ -198,11 +206,11 @@
 	}
 }
 
-// grantAdvance grants tokens for later operations while nothing waits. Half of the capacity is kept back for operations
-// at other nodes.
+// grantAdvance grants tokens for later operations while nothing waits. A part of the capacity is kept back for
+// operations at other nodes.
 func (a *account) grantAdvance(vm currantloom.VMName, wanted int) {
 	e, ok := a.entries[vm]
-	n := min(wanted, int(a.level-a.capacity()/2))
+	n := min(wanted, int(a.level-advanceReserve*a.capacity()))
 	if !ok || len(a.pending) > 0 || n <= 0 {
 		return
 	}
--- a/loomquota/entry.go
+++ b/loomquota/entry.go
@@ -274,14 +274,18 @@
 	}
 }
 
-// grantWaiting grants tokens to waiting operations, the urgent ones first.
+// grantWaiting grants tokens to waiting operations in their order or, if there are too few tokens, the urgent ones
+// first.
 func (n *Entry) grantWaiting(w *wallet) {
 	for len(w.waiting) > 0 {
 		outcome, age := n.takeNow(w)
 		if outcome == Refused {
 			return
 		}
-		i := max(0, slices.IndexFunc(w.waiting, func(op waiter) bool { return op.urgent }))
+		i := 0
+		if n.now < w.scarceUntil {
+			i = max(0, slices.IndexFunc(w.waiting, func(op waiter) bool { return op.urgent }))
+		}
 		n.decide(w, w.waiting[i], outcome, age)
 		w.waiting = slices.Delete(w.waiting, i, i+1)
 	}
--- a/loomquota/shard.go
+++ b/loomquota/shard.go
@@ -15,7 +15,9 @@
 	repeatInterval = 100 * time.Millisecond
 	joinInterval   = 100 * time.Millisecond
 	joinTime       = 3 * time.Second
-	// batchInterval is the shortest time between two requests for different operations of an organisation.
+	// While maxAtOnce requests are unanswered, batchInterval is the shortest time between two requests for different
+	// operations of an organisation.
+	maxAtOnce     = 16
 	batchInterval = 20 * time.Millisecond
 	// A wallet that was stated longer ago than reportedLately is added to the reports on others, one that was stated
 	// longer ago than almostDue is added to any request.
@@ -27,6 +29,8 @@
 	// aloneTime the node uses its own share.
 	UnansweredTime = 200 * time.Millisecond
 	aloneTime      = 300 * time.Millisecond
+	// LossyTime applies instead of UnansweredTime to a VM that is known to have answered something else meanwhile.
+	LossyTime = 600 * time.Millisecond
 	// maxUnanswered bounds the list of unanswered requests. maxRate bounds the stated demand.
 	maxUnanswered = 64
 	maxRate       = 1e9
@@ -38,6 +42,8 @@
 	// epoch and answer identify the limiter's last answer, which came at answeredAt.
 	epoch              uint64
 	answer, answeredAt time.Duration
+	// asked is the newest request that the limiter is known to have received.
+	asked time.Duration
 	// unanswered are the times of the requests to this limiter that are not answered. silentSince is the time of the first
 	// request since the last answer of any limiter; zero if there is none.
 	unanswered  []time.Duration
@@ -73,9 +79,10 @@
 	}
 }
 
-// Unanswered returns how long the limiter of a shard has left requests unanswered; zero if it has not.
+// Unanswered returns how long the limiter of a shard has left requests unanswered; zero if it has not. A single message
+// may have been lost.
 func (n *Entry) Unanswered(shard int) time.Duration {
-	if s := n.shards[shard]; len(s.unanswered) > 0 {
+	if s := n.shards[shard]; len(s.unanswered) > 1 {
 		return n.now - s.unanswered[0]
 	}
 	return 0
@@ -93,9 +100,7 @@
 func (n *Entry) Requests() []Request {
 	var requests []Request
 	for i, s := range n.shards {
-		if s.limiter == "" || !s.questioned && !n.isHelloDue(s) && !slices.ContainsFunc(n.sorted, func(w *wallet) bool {
-			return w.shard == s && n.isDue(w)
-		}) {
+		if s.limiter == "" || !n.isRequestDue(s) {
 			continue
 		}
 		m := n.buildRequest(s)
@@ -105,6 +110,17 @@
 	return requests
 }
 
+// isRequestDue reports whether the limiter of a shard must hear of anything now.
+func (n *Entry) isRequestDue(s *shard) bool {
+	return s.questioned || n.isHelloDue(s) || n.isRepeatDue(s) ||
+		slices.ContainsFunc(n.sorted, func(w *wallet) bool { return w.shard == s && n.isDue(w) })
+}
+
+// isRepeatDue reports whether a request is unanswered for long enough to send another one.
+func (n *Entry) isRepeatDue(s *shard) bool {
+	return len(s.unanswered) > 0 && n.now-s.unanswered[len(s.unanswered)-1] >= repeatInterval
+}
+
 // isHelloDue reports whether a new process must make itself known to the limiter, which fills its buckets from then on.
 func (n *Entry) isHelloDue(s *shard) bool {
 	return s.fresh && len(n.limits) > 0 && (s.handedAt == 0 || n.now-s.handedAt >= reportInterval)
@@ -115,7 +131,9 @@
 	since := n.now - w.statedAt
 	needs := w.debt + len(w.waiting)
 	switch {
-	case needs > 0 && needs > w.statedWaiting && (!w.asked || since >= batchInterval):
+	case len(w.waiting) > w.statedWaiting && (!w.asked || since > 0) &&
+		(len(w.shard.unanswered) < maxAtOnce || since >= batchInterval):
+		// Not twice at the same time: a limiter on this node answers within the event, so it would be asked for ever.
 		return true
 	case needs > 0 && (!w.asked || since >= repeatInterval):
 		return true
@@ -183,7 +201,7 @@
 		Rate: uint32(min(w.demandNow(n.now)*1000, maxRate)), Pooled: n.now-s.otherAt >= poolDelay || s.otherAt == 0,
 	}
 	if !d.Pooled {
-		d.Outstanding -= w.inherited
+		d.Outstanding = max(0, d.Outstanding-w.inherited)
 	}
 	for _, op := range w.waiting {
 		if op.urgent {
@@ -197,7 +215,7 @@
 	if !w.asked && w.share > 0 && !w.alone {
 		d.Reserve = n.useReserve(w)
 	}
-	w.asked, w.statedAt, w.statedWaiting, w.statedShare = true, n.now, d.Waiting, w.share
+	w.asked, w.statedAt, w.statedWaiting, w.statedShare = true, n.now, len(w.waiting), w.share
 	return d
 }
 
@@ -222,10 +240,11 @@
 // the limiter takes it for lost.
 func (n *Entry) handleAnswer(s *shard, a currantloom.TokenAnswer) {
 	s.questioned = s.questioned || a.Review
-	if a.Epoch == s.epoch && a.Time <= s.answer || a.Asked < s.joinedAt.Truncate(time.Microsecond) || a.Asked > n.sentAt {
+	overtaken := a.Epoch == s.epoch && a.Time <= s.answer || a.Asked < s.asked
+	if overtaken || a.Asked < s.joinedAt.Truncate(time.Microsecond) || a.Asked > n.sentAt {
 		return
 	}
-	s.epoch, s.answer, s.answeredAt, s.fresh = a.Epoch, a.Time, n.now, false
+	s.epoch, s.answer, s.answeredAt, s.asked, s.fresh = a.Epoch, a.Time, n.now, a.Asked, false
 	s.unanswered = slices.DeleteFunc(s.unanswered, func(at time.Duration) bool { return at <= a.Asked })
 	s.silentSince = 0
 	if len(s.unanswered) > 0 {
@@ -254,6 +273,10 @@
 	if g.Tokens > 0 && n.now-askedAt < tokenLife {
 		w.add(askedAt, g.Tokens)
 	}
+	w.statedWaiting = max(0, w.statedWaiting-g.Tokens-g.Refused)
+	if g.Refused > 0 {
+		w.scarceUntil = n.now + scarceTime
+	}
 	n.grantWaiting(w)
 	if g.Refused > 0 {
 		n.refuseWaiting(w, g.Refused, g.RetryAfter)
--- a/loomquota/simulation_test.go
+++ b/loomquota/simulation_test.go
@@ -13,6 +13,10 @@
 	"currantloom.example/currantloom"
 )
 
+// limiterStep is the step between the VMs that are chosen as limiters one after the other, so that those which are cut
+// off together are not neighbours.
+const limiterStep = 37
+
 // The simulation runs entries and limiters of many nodes in virtual time.
 
 const (
@@ -38,19 +42,24 @@
 // simulation is the state of a run.
 type simulation struct {
 	scenario
-	*testing.T
+	testing.TB
 	random *rand.Rand
 	now    time.Duration
 	queue  simulatedEvents
 	serial int
 	nodes  []*simulatedNode
-	limits map[currantloom.OrganisationName]currantloom.RateLimit
-	orgs   []*simulatedOrganisation
-	byName map[currantloom.OrganisationName]*simulatedOrganisation
+	// indices holds the index of each node, registered the names of those that are registered.
+	indices    map[currantloom.VMName]int
+	registered []currantloom.VMName
+	limits     map[currantloom.OrganisationName]currantloom.RateLimit
+	orgs       []*simulatedOrganisation
+	byName     map[currantloom.OrganisationName]*simulatedOrganisation
 	// lost reports whether a message from one node to another is lost.
 	cut func(from, to int) bool
-	// messages and bytes count what was sent between nodes.
-	messages, requests, demands, grants int
+	// arrivals holds the time at which the last message of each link arrives.
+	arrivals map[[2]int]time.Duration
+	// requests, answers, demands and grants count what was sent between nodes.
+	requests, answers, demands, grants int
 }
 
 type simulatedOrganisation struct {
@@ -64,9 +73,12 @@
 	asked   []time.Duration
 	refused []time.Duration
 	alone   int
-	waits   []time.Duration
+	waits   []wait
 }
 
+// wait is how long an operation that was granted has waited for its token.
+type wait struct{ at, duration time.Duration }
+
 type simulatedNode struct {
 	sim   *simulation
 	index int
@@ -80,7 +92,7 @@
 	incarnation, epoch uint64
 	registered         bool
 	suspected          map[currantloom.VMName]time.Duration
-	seenAt             time.Duration
+	seenAt, updatedAt  time.Duration
 	waiting            map[Operation]time.Duration
 	deferred           []func()
 }
@@ -105,12 +117,13 @@
 	return last
 }
 
-func newSimulation(t *testing.T, c scenario) *simulation {
+func newSimulation(t testing.TB, c scenario) *simulation {
 	sim := &simulation{
-		scenario: c, T: t, random: rand.New(rand.NewPCG(c.seed, 1)),
-		limits: make(map[currantloom.OrganisationName]currantloom.RateLimit),
-		byName: make(map[currantloom.OrganisationName]*simulatedOrganisation),
-		cut:    func(int, int) bool { return false },
+		scenario: c, TB: t, random: rand.New(rand.NewPCG(c.seed, 1)),
+		limits:  make(map[currantloom.OrganisationName]currantloom.RateLimit),
+		byName:  make(map[currantloom.OrganisationName]*simulatedOrganisation),
+		indices: make(map[currantloom.VMName]int),
+		cut:     func(int, int) bool { return false }, arrivals: make(map[[2]int]time.Duration),
 	}
 	if sim.window == (currantloom.QuotaWindow{}) {
 		sim.window = currantloom.QuotaWindow{Length: DefaultWindow, Overage: DefaultOverage, Slack: DefaultSlack}
@@ -136,8 +149,10 @@
 		}
 	}
 	for i := range c.nodes {
-		n := &simulatedNode{sim: sim, index: i, name: currantloom.VMName(fmt.Sprintf("vm-%d", i)), registered: true}
+		n := &simulatedNode{sim: sim, index: i, name: currantloom.VMName(fmt.Sprintf("vm-%d", i))}
 		sim.nodes = append(sim.nodes, n)
+		sim.indices[n.name] = i
+		n.setRegistered(true)
 	}
 	for _, n := range sim.nodes {
 		n.start()
@@ -183,16 +198,21 @@
 	return d
 }
 
-// send delivers a message after the delay of the network. Messages between two nodes may overtake each other.
+// send delivers a message after the delay of the network, after the messages that were sent to the node before. Only if
+// messages are late may they overtake each other.
 func (sim *simulation) send(from, to int, deliver func(*simulatedNode)) {
 	if from != to {
-		sim.messages++
 		if sim.random.Float64() < sim.loss {
 			return
 		}
 	}
 	peer := sim.nodes[to]
-	sim.after(sim.delay(from, to), func() {
+	link, d := [2]int{from, to}, sim.delay(from, to)
+	if sim.late == 0 {
+		d = max(d, sim.arrivals[link]-sim.now)
+		sim.arrivals[link] = sim.now + d
+	}
+	sim.after(d, func() {
 		if from != to && sim.cut(from, to) {
 			return
 		}
@@ -200,18 +220,18 @@
 	})
 }
 
-func (sim *simulation) registeredNames() []currantloom.VMName {
-	var names []currantloom.VMName
-	for _, n := range sim.nodes {
-		if n.registered {
-			names = append(names, n.name)
-		}
+// setRegistered changes whether a node is registered.
+func (n *simulatedNode) setRegistered(registered bool) {
+	n.registered = registered
+	n.sim.registered = slices.DeleteFunc(n.sim.registered, func(vm currantloom.VMName) bool { return vm == n.name })
+	if registered {
+		n.sim.registered = append(n.sim.registered, n.name)
 	}
-	return names
 }
 
 func (n *simulatedNode) start() {
-	n.alive, n.paused, n.registered, n.deferred = true, false, true, nil
+	n.alive, n.paused, n.deferred = true, false, nil
+	n.setRegistered(true)
 	n.incarnation++
 	n.seenAt, n.limiters = n.sim.now, make(map[int]*Limiter)
 	n.suspected, n.waiting = make(map[currantloom.VMName]time.Duration), make(map[Operation]time.Duration)
@@ -254,7 +274,7 @@
 }
 
 func (n *simulatedNode) tick() {
-	n.entry.SetRegistered(len(n.sim.registeredNames()))
+	n.entry.SetRegistered(len(n.sim.registered))
 	for i := range n.entry.Shards() {
 		n.chooseLimiter(i)
 	}
@@ -265,16 +285,17 @@
 		if l == nil {
 			continue
 		}
-		l.SetRegistered(n.sim.now, n.sim.registeredNames())
+		if n.sim.now-n.updatedAt >= sweepInterval {
+			n.updatedAt = n.sim.now
+			l.SetRegistered(n.sim.now, n.sim.registered)
+		}
 		for _, a := range l.Tick(n.sim.now) {
 			n.answer(n.sim.index(a.VM), a.Message)
 		}
 	}
 }
 
-func (sim *simulation) index(vm currantloom.VMName) int {
-	return slices.IndexFunc(sim.nodes, func(n *simulatedNode) bool { return n.name == vm })
-}
+func (sim *simulation) index(vm currantloom.VMName) int { return sim.indices[vm] }
 
 // isCut reports whether a ping between two nodes gets no answer.
 func (sim *simulation) isCut(a, b int) bool { return a != b && (sim.cut(a, b) || sim.cut(b, a)) }
@@ -282,11 +303,14 @@
 // chooseLimiter chooses the first VM that the node does not suspect. A suspected VM is chosen again after a ping.
 func (n *simulatedNode) chooseLimiter(shard int) {
 	sim, current := n.sim, n.entry.Limiter(shard)
-	if n.entry.Unanswered(shard) > UnansweredTime {
-		n.suspected[current] = sim.now
+	if silent := n.entry.Unanswered(shard); silent >= UnansweredTime {
+		vm := sim.nodes[sim.index(current)]
+		if !vm.alive || vm.paused || sim.isCut(n.index, vm.index) || silent >= LossyTime {
+			n.suspected[current] = sim.now
+		}
 	}
 	for k := range sim.nodes {
-		i := (k + shard) % len(sim.nodes)
+		i := (k + shard) * limiterStep % len(sim.nodes)
 		vm := sim.nodes[i]
 		if at, ok := n.suspected[vm.name]; ok {
 			if sim.now-at < 2*time.Second || !vm.alive || vm.paused || sim.isCut(i, n.index) {
@@ -310,9 +334,11 @@
 		}
 	}
 	for _, r := range n.entry.Requests() {
-		n.sim.requests++
-		n.sim.demands += len(r.Message.Demands)
 		to := n.sim.index(r.VM)
+		if to != n.index {
+			n.sim.requests++
+			n.sim.demands += len(r.Message.Demands)
+		}
 		n.sim.send(n.index, to, func(peer *simulatedNode) { peer.request(n, r.Message) })
 	}
 }
@@ -324,7 +350,7 @@
 		l = NewLimiter(n.sim.window, m.Shard, m.Shards, n.incarnation<<32|n.epoch)
 		n.limiters[m.Shard] = l
 		l.SetLimits(n.sim.now, n.sim.limits)
-		l.SetRegistered(n.sim.now, n.sim.registeredNames())
+		l.SetRegistered(n.sim.now, n.sim.registered)
 	}
 	if a, ok := l.Request(n.sim.now, from.name, m); ok {
 		n.answer(from.index, a)
@@ -332,7 +358,10 @@
 }
 
 func (n *simulatedNode) answer(to int, a currantloom.TokenAnswer) {
-	n.sim.grants += len(a.Grants)
+	if to != n.index {
+		n.sim.answers++
+		n.sim.grants += len(a.Grants)
+	}
 	n.sim.send(n.index, to, func(peer *simulatedNode) {
 		peer.entry.HandleAnswer(n.name, a)
 		peer.settle()
@@ -393,7 +422,7 @@
 	if d.Outcome == GrantedAlone {
 		o.alone++
 	}
-	o.waits = append(o.waits, waited)
+	o.waits = append(o.waits, wait{at: sim.now, duration: waited})
 	incarnation := n.incarnation
 	queued := time.Duration(sim.random.ExpFloat64() * float64(8*time.Millisecond))
 	sim.after(queued, func() { o.runs = append(o.runs, sim.now) })
@@ -418,7 +447,7 @@
 	}
 	sim.after(min(down, simulatedLease), func() {
 		if n.incarnation == incarnation {
-			n.registered = false
+			n.setRegistered(false)
 		}
 	})
 	sim.after(down, func() {
@@ -492,11 +521,15 @@
 	return float64(refused) / float64(max(1, asked))
 }
 
-// waits returns the median, the 99th percentile and the longest wait for a token.
-func (sim *simulation) waits() (median, high, longest time.Duration) {
+// waits returns the median, the 99th percentile and the longest wait for a token from a time on.
+func (sim *simulation) waits(from time.Duration) (median, high, longest time.Duration) {
 	var all []time.Duration
 	for _, o := range sim.orgs {
-		all = append(all, o.waits...)
+		for _, w := range o.waits {
+			if w.at >= from {
+				all = append(all, w.duration)
+			}
+		}
 	}
 	slices.Sort(all)
 	return all[len(all)/2], all[len(all)*99/100], all[len(all)-1]
--- a/loomquota/wallet.go
+++ b/loomquota/wallet.go
@@ -16,6 +16,8 @@
 	advanceTime = tokenLife
 	// maxRefusedTime bounds the time for which an entry refuses operations without a new request.
 	maxRefusedTime = 200 * time.Millisecond
+	// scarceTime is how long after a refusal tokens are taken for scarce.
+	scarceTime = 2 * time.Second
 	// ownCapacity is the part of the capacity that entries use that go on alone. It is less than the whole because their
 	// tokens become whole at random times, and more of them than on average may be whole at once.
 	ownCapacity = 0.7
@@ -56,8 +58,8 @@
 	statedAt      time.Duration
 	statedWaiting int
 	statedShare   uint32
-	// refusedUntil is until when operations are refused without a request.
-	refusedUntil time.Duration
+	// refusedUntil is until when operations are refused without a request, scarceUntil until when urgent ones go first.
+	refusedUntil, scarceUntil time.Duration
 }
 
 // batch is a number of tokens that were granted together.
