--- a/loomquota/quota_test.go
+++ b/loomquota/quota_test.go
@@ -104,11 +104,11 @@
 	}
 }
 
-// overload lets each organisation ask for 7.5 times its demand from about the start of the failures on. Until then its
-// bucket fills up.
-func (sim *simulation) overload() {
+// overload lets each organisation ask for 7.5 times its demand from about the given time on. Until then its bucket
+// fills up.
+func (sim *simulation) overload(at time.Duration) {
 	for i, o := range sim.orgs {
-		from := failureStart + time.Duration(i%4-2)*time.Second
+		from := at + time.Duration(i%4-2)*time.Second
 		o.factor = func(at time.Duration) float64 {
 			if at < from {
 				return 0.5
@@ -127,7 +127,7 @@
 			c := small(failureStart + 12*time.Second)
 			c.seed = uint64(i*len(failures) + k)
 			sim := newSimulation(t, c)
-			sim.overload()
+			sim.overload(failureStart)
 			sim.after(failureStart, func() { first.start(sim) })
 			sim.after(failureStart+time.Duration(k%5)*500*time.Millisecond, func() { second.start(sim) })
 			part := sim.run().checkBound(sim.constantBound)
@@ -140,10 +140,18 @@
 	t.Logf("at most %.2f of the bound", highest)
 }
 
+// TestBurstAlone guards against nodes that save their shares without bound while they go on alone.
+func TestBurstAlone(t *testing.T) {
+	sim := newSimulation(t, small(failureStart+20*time.Second))
+	sim.overload(failureStart + 14*time.Second)
+	sim.after(failureStart, func() { sim.cutOffEach(len(sim.nodes), 20*time.Second) })
+	t.Logf("%.2f of the bound", sim.run().checkBound(sim.constantBound))
+}
+
 // TestLoweredLimit guards against operations beyond a lowered limit from one window after the change on.
 func TestLoweredLimit(t *testing.T) {
 	sim := newSimulation(t, small(30*time.Second))
-	sim.overload()
+	sim.overload(failureStart)
 	old := make(map[currantloom.OrganisationName]currantloom.RateLimit)
 	sim.after(failureStart, func() {
 		for name, limit := range sim.limits {
