--- a/loomfleet/hedge.go
+++ b/loomfleet/hedge.go
@@ -44,6 +44,9 @@
 	if !ok || next.upstream == c.upstream || s.config.BalanceReads && !s.mayHedgeAt(next, c, reason) {
 		return
 	}
+	if !s.takeHedgeToken(r) {
+		return
+	}
 	r.hedged = true
 	s.requests.hedgeCredit -= 100
 	s.deferCall(func() {
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -55,6 +55,7 @@
 	epoch       uint64
 	retryAt     time.Duration
 	hedged      bool
+	tokens      tokens
 	lastFailure currantloom.CallFailureReason
 	finished    bool
 	// withdrawnBy says why a configuration withdrew the request; empty if none did. A withdrawn request makes no further
@@ -86,7 +87,7 @@
 	sn.request = r
 	r.group.usedAt = s.now
 	s.requests.hedgeCredit = min(s.requests.hedgeCredit+hedgeShare, maxHedgeCredit)
-	s.dispatch(r)
+	s.startOperation(r)
 }
 
 // dispatch sends the next attempt, or parks the request if there is no upstream for it.
@@ -112,6 +113,7 @@
 
 // sendAttempt sends a call for the request.
 func (s *State) sendAttempt(r *request, t target) {
+	s.chargeAttempt(r)
 	r.attempt++
 	command := r.command()
 	timeout := r.route.Timeout
@@ -216,6 +218,7 @@
 
 // handleRan forwards the upstream's reply to the client.
 func (s *State) handleRan(r *request, c *call, result currantloom.CallResult) {
+	r.tokens.mayHaveRun = true
 	reply, sn := result.Reply, r.session
 	if r.purpose == purposeRead && reply.Code != currantloom.ReplyOK && s.retryRead(r, c) {
 		return
@@ -314,6 +317,7 @@
 // handleMayHaveRun handles an attempt without an answer. The effects of a transaction that was not committed are rolled
 // back; a write outside a transaction and a commit are in doubt.
 func (s *State) handleMayHaveRun(r *request, c *call, result currantloom.CallResult) {
+	r.tokens.mayHaveRun = true
 	r.avoidUntil[c.upstream.Name] = s.now + avoidDuration
 	if result.Reason == currantloom.ReasonTimeout && r.purpose == purposeRead {
 		c.upstream.slowUntil = s.now + avoidDuration
@@ -336,6 +340,7 @@
 // finish answers the client and cancels the request's other calls.
 func (s *State) finish(r *request, reply currantloom.Reply, c *call) {
 	r.finished = true
+	s.releaseTokens(r)
 	sn := r.session
 	sn.request, sn.lastActivityAt = nil, s.now
 	for _, other := range r.calls {
@@ -392,8 +397,11 @@
 	if r.lastFailure != currantloom.ReasonNone {
 		d.Reason = r.lastFailure.String()
 	}
-	if r.withdrawnBy != "" {
+	switch {
+	case r.withdrawnBy != "":
 		d.Reason = r.withdrawnBy
+	case r.tokens.refused:
+		d.Reason, d.Routine = "limit", true
 	}
 	if c != nil {
 		d.Upstream, d.VM, d.Position, d.PositionAge = c.upstream.Name, c.vm, c.requiredPosition, c.requiredAge
@@ -404,6 +412,7 @@
 // abandon ends a request whose client has disconnected.
 func (s *State) abandon(r *request) {
 	r.finished = true
+	s.releaseTokens(r)
 	for _, c := range r.calls {
 		s.cancelCall(c)
 		if opensTransaction(c.mode) {
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomquota"
 )
 
 // TickInterval is the time between two Tick events.
@@ -33,6 +34,8 @@
 	// BalanceReads selects the upstream of a read by its expected completion, as balance.go describes, instead of by the
 	// last reported queue alone.
 	BalanceReads bool
+	// Quota says how the limits of organisations are judged; zero means 5 s, 0.1 and 20.
+	Quota currantloom.QuotaWindow
 }
 
 // State is the decision state of a node. Use New to create one.
@@ -59,6 +62,7 @@
 	owner       ownerState
 	coordinator coordinator
 	shutdown    shutdown
+	limits      limits
 }
 
 // New returns the initial state of a node.
@@ -75,6 +79,11 @@
 	if c.RevocationTimeout == 0 {
 		c.RevocationTimeout = defaultRevocationTimeout
 	}
+	if c.Quota == (currantloom.QuotaWindow{}) {
+		c.Quota = currantloom.QuotaWindow{
+			Length: loomquota.DefaultWindow, Overage: loomquota.DefaultOverage, Slack: loomquota.DefaultSlack,
+		}
+	}
 	s := &State{
 		config: c, sessions: make(map[SessionID]*session), revoked: make(map[SessionID]currantloom.Reply),
 	}
@@ -109,6 +118,7 @@
 	if s.now > 0 {
 		s.log(Decision{Event: "resumed", Age: now - s.now})
 		s.resumedAt = now
+		s.resumeLimits()
 	}
 }
 
@@ -151,6 +161,7 @@
 		s.handleOutboundLinkFailed(e)
 	case InboundLinkClosed:
 		s.handleInboundLinkClosed(e.Link)
+		s.forgetLimiterLink(e.Link)
 	case ShutdownRequested:
 		s.handleShutdownRequested()
 	}
@@ -183,6 +194,10 @@
 		s.handleBlockWrites(m)
 	case currantloom.PrimaryChanged:
 		s.handlePrimaryChanged(m)
+	case currantloom.TokenRequest:
+		s.handleTokenRequest(e.From, e.Link, m)
+	case currantloom.TokenAnswer:
+		s.handleTokenAnswer(e.From, m)
 	}
 }
 
@@ -191,6 +206,7 @@
 	s.tickMembers()
 	s.tickOwner()
 	s.tickRequests()
+	s.tickLimits()
 	for _, g := range s.catalog.sortedGroups {
 		g.lag.logDue(s, g.name)
 	}
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -26,6 +26,8 @@
 	kindStoreItemsRequest
 	kindStoreItems
 	kindUpstreamFailed
+	kindTokenRequest
+	kindTokenAnswer
 )
 
 // maxMessageSize bounds an encoded message in bytes, without its length prefix.
@@ -131,6 +133,12 @@
 		e.storePosition(m.Base)
 		e.storePosition(m.Position)
 		e.duration(m.Age)
+	case currantloom.TokenRequest:
+		e.number(uint64(kindTokenRequest))
+		e.tokenRequest(m)
+	case currantloom.TokenAnswer:
+		e.number(uint64(kindTokenAnswer))
+		e.tokenAnswer(m)
 	}
 }
 
