Move the accounting of usage into a package for both reducers

Cause: loomfleet needs the recent usage of organisations that loomcore keeps in usage.go, and such code must exist only once. Change: loomfair.Usages, with the time constant as a parameter; loomcore uses it. The deficits of fairqueue.go stay: loomfleet orders by usage. Result: the tests of loomcore pass unchanged.

--- a/loomcore/queue.go
+++ b/loomcore/queue.go
@@ -4,9 +4,12 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfair"
 )
 
 const (
+	// usageWindow is the time constant of the decaying average of the use of slots by an organisation.
+	usageWindow = time.Second
 	// reservedControlConnections is the number of connections to each upstream that are reserved for control calls. The
 	// owners of the three upstreams of a database poll all three.
 	reservedControlConnections = 4
@@ -28,9 +31,9 @@
 	group    *group
 	short    fairQueue
 	long     fairQueue
-	// shortUsage and longUsage hold the recent usage of each organisation, by class.
-	shortUsage usages
-	longUsage  usages
+	// shortUsage and longUsage hold the expected run time of what each organisation started recently, by class.
+	shortUsage *loomfair.Usages
+	longUsage  *loomfair.Usages
 	// confirmedRunTime is the moving average of the run time of short requests that wait for a replica at their end.
 	confirmedRunTime time.Duration
 	// running holds the attempts that occupy a slot, in the order of their start.
@@ -56,7 +59,7 @@
 	}
 	q := &queue{
 		upstream: upstream, group: g, connectionsByOrganisation: make(map[currantloom.OrganisationName]int),
-		shortUsage: make(usages), longUsage: make(usages),
+		shortUsage: loomfair.NewUsages(usageWindow), longUsage: loomfair.NewUsages(usageWindow),
 	}
 	o.queues[upstream] = q
 	o.orderedQueues = append(o.orderedQueues, q)
@@ -70,7 +73,7 @@
 	return &q.short
 }
 
-func (q *queue) usage(class currantloom.RequestClass) usages {
+func (q *queue) usage(class currantloom.RequestClass) *loomfair.Usages {
 	if class == currantloom.LongRequest {
 		return q.longUsage
 	}
@@ -81,7 +84,7 @@
 // one is reserved while there are many, because they would wait for each other in a single slot.
 func (q *queue) longSlots(now time.Duration) int {
 	reserved := 1
-	if q.shortUsage.total(now) > busyShortRunTime {
+	if q.shortUsage.Total(now) > busyShortRunTime {
 		reserved = 2
 	}
 	return max(1, q.group.database.Slots()-reserved)
@@ -197,7 +200,7 @@
 	a.term = q.group.term
 	q.running = append(q.running, a)
 	weight := s.rules.rules.Weight(a.header.Database, a.header.Organisation)
-	q.usage(a.class).add(a.header.Organisation, weight, a.cost, s.now)
+	q.usage(a.class).Add(a.header.Organisation, weight, a.cost, s.now)
 	if !a.inTransaction {
 		q.connections++
 		q.connectionsByOrganisation[a.header.Organisation]++
@@ -251,7 +254,7 @@
 		ahead += o.totalCost
 	}
 	weight := s.rules.rules.Weight(a.header.Database, a.header.Organisation)
-	return ahead * 1000 / time.Duration(q.usage(a.class).availableSlots(a.header.Organisation, weight, slots, s.now))
+	return ahead * 1000 / time.Duration(q.usage(a.class).AvailableSlots(a.header.Organisation, weight, slots, s.now))
 }
 
 // enqueue puts an attempt into the queue, or refuses it if it is not expected to start in time.
