Order and admit the queue by organisation under overload

Cause: an owner started jobs of the same priority by arrival, and its expected wait counted less urgent jobs. Change: jobs of the same rank start by the recent usage of their organisations; connections open in that order; a job is refused if two thirds of the wait behind the jobs before it exceed its time, on arrival and at ticks; bounds on memory and on repeated attempts are shared; entry nodes refuse for an owner for 100 ms; refusals are sampled in the log. Without organisations the order is as before: TestQueueOrderWithoutOrganisations.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -75,8 +75,11 @@
 	queueWait   time.Duration
 	queueWaitAt time.Duration
 	slowUntil   time.Duration
-	owners      []currantloom.VMName
-	ownersEpoch uint64
+	// refusals counts the calls that this node refused as the owner or on its behalf, refusalReports holds the owner's.
+	refusals       refusalStats
+	refusalReports map[refusalKey]refusalReport
+	owners         []currantloom.VMName
+	ownersEpoch    uint64
 }
 
 // isUsable reports whether the upstream may get new work.
--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -132,6 +132,7 @@
 	if j.call.Mode < currantloom.CallVerifyPrimary {
 		j.countsAsRunning = true
 		cn.pool.running++
+		cn.pool.chargeStart(s, j)
 	}
 	commands := cn.setupCommands(j.call)
 	cn.expectReplies(expectSetup, len(commands))
@@ -272,6 +273,7 @@
 	if j.countsAsRunning {
 		j.countsAsRunning = false
 		cn.pool.running--
+		cn.pool.chargeEnd(s, j)
 	}
 	cn.idleSince = s.now
 }
--- a/loomfleet/hedge.go
+++ b/loomfleet/hedge.go
@@ -31,7 +31,7 @@
 	}
 	r.avoidUntil[c.upstream.Name] = s.now + avoidDuration
 	next, ok := s.selectTarget(r)
-	if !ok || next.upstream == c.upstream {
+	if !ok || next.upstream == c.upstream || !s.takeRetry(r) {
 		return
 	}
 	r.hedged = true
--- a/loomfleet/organisationconns.go
+++ b/loomfleet/organisationconns.go
@@ -8,9 +8,12 @@
 //
 // The number of connections being opened is limited, because each occupies a slot of the upstream.
 func (p *pool) openConnsForOrganisations(s *State) {
-	available := make(map[currantloom.OrganisationName]int)
+	available, usable := make(map[currantloom.OrganisationName]int), make(map[currantloom.OrganisationName]int)
 	opening := 0
 	for _, cn := range p.conns {
+		if cn.transaction == (currantloom.RequestKey{}) {
+			usable[cn.organisation]++
+		}
 		switch {
 		case cn.state == connOpening:
 			opening++
@@ -19,18 +22,22 @@
 			available[cn.organisation]++
 		}
 	}
-	for _, j := range p.queue.waiting {
+	if opening >= max(1, p.slots()/2) {
+		return
+	}
+	for _, j := range p.queue.inOrder(s.now, p.averageRunTime) {
 		if j.conn != nil || j.call.Mode >= currantloom.CallVerifyPrimary {
 			continue
 		}
 		organisation := j.call.Organisation
-		if available[organisation]--; available[organisation] >= 0 {
+		if available[organisation]--; available[organisation] >= 0 || usable[organisation] >= p.slots()+extraJobs {
 			continue
 		}
 		if opening >= max(1, p.slots()/2) || !p.makeRoomForConn(s) {
 			return
 		}
 		p.openConn(s, organisation)
+		usable[organisation]++
 		opening++
 	}
 }
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfair"
 )
 
 const (
@@ -34,6 +35,8 @@
 	jobs  map[currantloom.RequestKey]*job
 	// pinned holds the connections of open transactions, by the key of the call that opened the transaction.
 	pinned map[currantloom.RequestKey]*conn
+	// memory bounds the size of the waiting jobs of organisations.
+	memory *loomfair.Budget
 }
 
 func (o *ownerState) init() {
@@ -41,6 +44,7 @@
 	o.conns = make(map[ConnID]*conn)
 	o.jobs = make(map[currantloom.RequestKey]*job)
 	o.pinned = make(map[currantloom.RequestKey]*conn)
+	o.memory = loomfair.NewBudget(maxQueuedSize)
 }
 
 // job is a call at the owner of its upstream.
@@ -61,7 +65,11 @@
 	sent bool
 	// countsAsRunning says that the job is counted in the pool's running jobs.
 	countsAsRunning bool
-	retries         int
+	// charged is the slot time that its organisation was charged with when it started.
+	charged time.Duration
+	// held is the part of the budget for waiting jobs that it holds.
+	held    int
+	retries int
 	// orphaned says that nobody waits for the result.
 	orphaned bool
 }
@@ -326,4 +334,8 @@
 	for _, p := range s.owner.sortedPools() {
 		p.tick(s)
 	}
+	for _, name := range s.catalog.upstreamNames() {
+		u := s.catalog.upstreams[name]
+		u.refusals.logDue(s, u.Service, name)
+	}
 }
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -51,6 +51,9 @@
 	// firstUnansweredAt.
 	unansweredCommits int
 	firstUnansweredAt time.Duration
+	// loadLoggedAt is when the load of the queue was last logged, loadReported says that jobs were waiting then.
+	loadLoggedAt time.Duration
+	loadReported bool
 	// failureReported says that the holder of the failover lease was told of the current failure.
 	failureReported bool
 }
@@ -60,7 +63,10 @@
 	if p, ok := s.owner.pools[u.Name]; ok {
 		return p
 	}
-	p := &pool{upstream: u, averageRunTime: initialRunTime, usedAt: s.now, heardAt: s.now}
+	p := &pool{
+		upstream: u, averageRunTime: initialRunTime, usedAt: s.now, heardAt: s.now, queue: queue{memory: s.owner.memory},
+	}
+	p.shareSlots(s)
 	s.owner.pools[u.Name] = p
 	return p
 }
@@ -131,8 +137,12 @@
 	case p.unreachable && s.now-p.failedAt < reconnectPause:
 		s.rejectJob(j, currantloom.ReasonUnreachable)
 		return
-	case j.call.Mode < currantloom.CallVerifyPrimary && p.expectedWait(s.now) > j.call.QueueTimeout:
-		s.rejectJob(j, currantloom.ReasonQueueWait)
+	case j.call.Mode >= currantloom.CallVerifyPrimary:
+	case p.startsTooLate(p.expectedWaitOf(s, j), j.call.QueueTimeout):
+		s.rejectForWait(j, p.expectedWaitOf(s, j), "expected wait")
+		return
+	case !p.holdMemory(s, j):
+		s.rejectForWait(j, p.expectedWaitOf(s, j), "memory")
 		return
 	}
 	p.queue.add(j)
@@ -274,6 +284,7 @@
 	}
 	p.conns = append(p.conns, cn)
 	s.owner.conns[cn.id] = cn
+	p.charge(s, organisation, connOpenTime)
 	s.emit(OpenConn{Conn: cn.id, Upstream: p.upstream.Upstream, Organisation: organisation})
 }
 
@@ -312,9 +323,12 @@
 
 // tick rejects late jobs, probes the upstream, and closes connections that are not needed.
 func (p *pool) tick(s *State) {
+	p.shareSlots(s)
 	for _, j := range p.queue.all() {
 		p.rejectIfUnservable(s, j)
 	}
+	p.rejectUnservable(s)
+	p.logLoad(s)
 	for _, cn := range slices.Clone(p.conns) {
 		cn.tick(s)
 	}
@@ -353,7 +367,7 @@
 		cn.rollBack(s)
 		return
 	}
-	s.rejectJob(j, currantloom.ReasonQueueWait)
+	s.rejectForWait(j, j.pool.expectedWait(s.now), "waited")
 }
 
 // probeIfSilent probes an upstream on an idle connection if it has sent nothing lately, or if it is the primary and was
--- a/loomfleet/queue.go
+++ b/loomfleet/queue.go
@@ -1,10 +1,12 @@
 package loomfleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfair"
 )
 
 // queue holds the jobs that wait at a pool. Probes and failover calls come first; then statements of open transactions,
@@ -14,7 +16,16 @@
 // served would let every job wait until just after its latency target. Instead, jobs that can no longer meet their
 // target run only when no other job can start. A job counts as late some time before its target, because under overload
 // the queue starts jobs at the last moment at which they are not late, and only the average run time is known.
-type queue struct{ waiting []*job }
+//
+// In a deployment with organisations, jobs of the same rank start in the order of their organisations' recent usage, so
+// that an organisation that asks for more than its share delays only itself.
+type queue struct {
+	waiting []*job
+	// usage is the recent usage of the organisations; nil without organisations.
+	usage *loomfair.Usages
+	// memory is the budget that waiting jobs hold a part of.
+	memory *loomfair.Budget
+}
 
 func (q *queue) len() int { return len(q.waiting) }
 
@@ -65,30 +76,87 @@
 
 // next removes and returns the first job that can start. A late job is returned only if no other can start.
 func (q *queue) next(now, run time.Duration, canStart func(*job) bool) *job {
-	late := -1
+	best, late := -1, -1
 	for i, j := range q.waiting {
+		if best >= 0 && (q.usage == nil || jobRank(j) > jobRank(q.waiting[best])) {
+			break
+		}
+		first := &best
 		if j.isLate(now, run) {
-			if late < 0 && canStart(j) {
-				late = i
-			}
-			continue
+			first = &late
 		}
-		if canStart(j) {
-			return q.take(i)
+		if (*first < 0 || q.precedes(j, q.waiting[*first], now)) && canStart(j) {
+			*first = i
 		}
 	}
-	if late >= 0 {
+	switch {
+	case best >= 0:
+		return q.take(best)
+	case late >= 0:
 		return q.take(late)
+	default:
+		return nil
+	}
+}
+
+// precedes reports whether the job starts before another one that was queued earlier and is as late as it.
+func (q *queue) precedes(j, earlier *job, now time.Duration) bool {
+	if q.usage == nil || jobRank(j) < 0 || jobRank(j) != jobRank(earlier) {
+		return false
 	}
-	return nil
+	return q.usage.Of(j.call.Organisation, now) < q.usage.Of(earlier.call.Organisation, now)
+}
+
+// countBefore counts the waiting jobs that start before a new one.
+func (q *queue) countBefore(j *job, now, run time.Duration) int {
+	count := 0
+	for _, other := range q.waiting {
+		if q.compare(other, j, now, run) <= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// inOrder returns the waiting jobs in the order in which they start.
+func (q *queue) inOrder(now, run time.Duration) []*job {
+	jobs := q.all()
+	slices.SortStableFunc(jobs, func(a, b *job) int { return q.compare(a, b, now, run) })
+	return jobs
+}
+
+// compare orders jobs by their start; jobs that it holds for equal start in the order of arrival.
+func (q *queue) compare(a, b *job, now, run time.Duration) int {
+	lateness := func(j *job) int {
+		if j.isLate(now, run) {
+			return 1
+		}
+		return 0
+	}
+	if c := cmp.Or(cmp.Compare(lateness(a), lateness(b)), cmp.Compare(jobRank(a), jobRank(b))); c != 0 {
+		return c
+	}
+	if q.usage == nil || jobRank(a) < 0 {
+		return 0
+	}
+	return cmp.Compare(q.usage.Of(a.call.Organisation, now), q.usage.Of(b.call.Organisation, now))
 }
 
 func (q *queue) take(i int) *job {
 	j := q.waiting[i]
 	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.release(j)
 	return j
 }
 
+// release gives back the memory of a job that no longer waits.
+func (q *queue) release(j *job) {
+	if j.held > 0 {
+		q.memory.Release(j.call.Organisation, j.held)
+		j.held = 0
+	}
+}
+
 // countInTime counts the jobs that are not late.
 func (q *queue) countInTime(now, run time.Duration) int {
 	count := 0
@@ -102,6 +170,7 @@
 
 func (q *queue) remove(j *job) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *job) bool { return other == j })
+	q.release(j)
 }
 
 // countUnpinned counts the jobs that need a connection.
--- a/loomfleet/request.go
+++ b/loomfleet/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfair"
 )
 
 const (
@@ -51,8 +52,12 @@
 	// avoidUntil holds the upstreams that are avoided after a failed attempt, and until when.
 	avoidUntil map[currantloom.UpstreamName]time.Duration
 	// parked says that the request waits for an upstream, until retryAt or until the group's epoch changes.
-	parked      bool
-	epoch       uint64
+	parked bool
+	epoch  uint64
+	// sentEpoch is the group's epoch at the last attempt.
+	sentEpoch uint64
+	// held is the part of the budget for unanswered requests that it holds.
+	held        int
 	retryAt     time.Duration
 	hedged      bool
 	lastFailure currantloom.CallFailureReason
@@ -64,9 +69,17 @@
 	parked      []*request
 	calls       map[currantloom.RequestKey]*call
 	hedgeCredit int
+	// retryCredits bounds the repeated attempts of each organisation, memory the size of its unanswered requests.
+	retryCredits map[currantloom.OrganisationName]*retryCredit
+	memory       *loomfair.Budget
+	refusals     refusalStats
 }
 
-func (r *requests) init() { r.calls = make(map[currantloom.RequestKey]*call) }
+func (r *requests) init() {
+	r.calls = make(map[currantloom.RequestKey]*call)
+	r.retryCredits = make(map[currantloom.OrganisationName]*retryCredit)
+	r.memory = loomfair.NewBudget(maxQueuedSize)
+}
 
 // startRequest creates a request for a statement and dispatches it.
 func (s *State) startRequest(
@@ -83,6 +96,12 @@
 	sn.request = r
 	r.group.usedAt = s.now
 	s.requests.hedgeCredit = min(s.requests.hedgeCredit+hedgeShare, maxHedgeCredit)
+	s.earnRetry(organisation)
+	if !s.holdRequestMemory(r) {
+		s.requests.refusals.record(organisation, 0, "memory")
+		s.giveUp(r, 0)
+		return
+	}
 	s.dispatch(r)
 }
 
@@ -96,16 +115,26 @@
 		s.sendAttempt(r, target{upstream: t.upstream, vm: t.vm, mode: currantloom.CallInTransaction})
 		return
 	}
-	if t, ok := s.selectTarget(r); ok && r.attempt < maxFastAttempts {
-		s.sendAttempt(r, t)
+	t, ok := s.selectTarget(r)
+	if !ok || r.attempt >= maxFastAttempts {
+		s.park(r)
+		return
+	}
+	if wait, refused := t.upstream.reportedWait(s, r); refused {
+		s.refuseForOwner(r, t, wait)
+		return
+	}
+	if !s.takeRetry(r) {
+		s.park(r)
 		return
 	}
-	s.park(r)
+	s.sendAttempt(r, t)
 }
 
 // sendAttempt sends a call for the request.
 func (s *State) sendAttempt(r *request, t target) {
 	r.attempt++
+	r.sentEpoch = r.group.epoch
 	command := r.command()
 	timeout := r.route.Timeout
 	wait := max(0, r.giveUpAt()-s.now)
@@ -202,6 +231,7 @@
 	if retryAfter <= 0 {
 		retryAfter = time.Second
 	}
+	retryAfter = s.retryAfter(retryAfter)
 	s.finish(r, currantloom.Reply{
 		Code: currantloom.ReplyBusy, Detail: fmt.Sprintf("retry after %d ms", retryAfter.Milliseconds()),
 	}, nil)
@@ -236,7 +266,7 @@
 		return false
 	}
 	next, ok := s.selectTarget(r)
-	if !ok || next.upstream == c.upstream {
+	if !ok || next.upstream == c.upstream || !s.takeRetry(r) {
 		return false
 	}
 	s.sendAttempt(r, next)
@@ -251,6 +281,7 @@
 		s.recordRefusal(r, c, result)
 	case currantloom.ReasonQueueWait:
 		r.avoidUntil[u.Name] = s.now + avoidDuration
+		u.recordRefusalReport(s, r, result.RetryAfter)
 	case currantloom.ReasonNoSample:
 		r.avoidUntil[u.Name] = s.now + parkedRetryInterval
 	case currantloom.ReasonUnreachable:
@@ -266,7 +297,7 @@
 	case r.purpose == purposeInTransaction || r.purpose == purposeCommit:
 		s.finishLostTransaction(r, result)
 	case result.Reason == currantloom.ReasonQueueWait && !s.hasAlternative(r):
-		s.giveUp(r, result.QueueWait)
+		s.giveUp(r, cmp.Or(result.RetryAfter, result.QueueWait))
 	default:
 		s.dispatch(r)
 	}
@@ -327,6 +358,7 @@
 // finish answers the client and cancels the request's other calls.
 func (s *State) finish(r *request, reply currantloom.Reply, c *call) {
 	r.finished = true
+	s.releaseMemory(r)
 	sn := r.session
 	sn.request, sn.lastActivityAt = nil, s.now
 	for _, other := range r.calls {
@@ -391,6 +423,7 @@
 // abandon ends a request whose client has disconnected.
 func (s *State) abandon(r *request) {
 	r.finished = true
+	s.releaseMemory(r)
 	for _, c := range r.calls {
 		s.cancelCall(c)
 		if opensTransaction(c.mode) {
@@ -421,6 +454,7 @@
 		s.handleCallResult(currantloom.CallResult{Key: c.key, Reason: currantloom.ReasonTimeout})
 	}
 	s.retryParkedRequests()
+	s.requests.refusals.logDue(s, "", "")
 }
 
 // handleLateCall pings the VM of a call that is late, and sends a late read to a second upstream.
--- a/loomhost/metrics.go
+++ b/loomhost/metrics.go
@@ -68,7 +68,22 @@
 		}).Counter("decisions")
 		m.counters[key] = c
 	}
-	c.Inc(1)
+	if d.Event != "queue" {
+		c.Inc(1)
+		return
+	}
+	m.countQueue(d, c)
+}
+
+// countQueue counts all refusals that a sampled line stands for, and reports the load of a queue.
+func (m *metrics) countQueue(d loomfleet.Decision, c tally.Counter) {
+	if d.Outcome != "waiting" {
+		c.Inc(int64(d.Count))
+		return
+	}
+	upstream := m.scope.Tagged(map[string]string{"upstream": string(d.Upstream)})
+	upstream.Gauge("expected_wait_seconds").Update(d.Age.Seconds())
+	upstream.Gauge("waiting_jobs").Update(float64(d.Count))
 }
 
 func (m *metrics) latencyHistogram(outcome string) tally.Histogram {
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -160,7 +160,7 @@
 	return currantloom.CallResult{
 		Key: d.key(), Verdict: currantloom.Verdict(d.number()), Reply: d.reply(),
 		Reason: currantloom.CallFailureReason(d.number()), QueueWait: d.duration(), Sample: d.sample(),
-		RequiredPosition: d.position(), RequiredAge: d.duration(),
+		RequiredPosition: d.position(), RequiredAge: d.duration(), RetryAfter: d.duration(),
 	}
 }
 
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -177,6 +177,7 @@
 	e.sample(m.Sample)
 	e.position(m.RequiredPosition)
 	e.duration(m.RequiredAge)
+	e.duration(m.RetryAfter)
 }
 
 func (e *encoder) reply(r currantloom.Reply) {
--- a/message.go
+++ b/message.go
@@ -81,6 +81,9 @@
 	// RequiredPosition is what the log had to cover; RequiredAge is how long before the call's arrival it was sampled.
 	RequiredPosition LogPosition
 	RequiredAge      time.Duration
+	// RetryAfter is when a call that was rejected with ReasonQueueWait is worth trying again: its own expected wait, which
+	// differs from QueueWait because the queue has an order.
+	RetryAfter time.Duration
 }
 
 // CallFailureReason says why a call failed.
