Keep wire codes out of a test, cover the new field of the codec

Cause: TestPlatformNamesStayInPackage failed on a comment text of the new tests; the round trip of CallResult left RetryAfter zero.

--- a/loomfleet/overloadfault_test.go
+++ b/loomfleet/overloadfault_test.go
@@ -118,7 +118,7 @@
 		replies, name := f.replies[id], fmt.Sprint("s", id)
 		write := id%2 == 0
 		if write && (len(replies) != 1 || replies[0].Code != currantloom.ReplyInDoubt || f.ran[name] != 0) {
-			t.Fatalf("write %s: replies %+v, ran %d times at the next owner; want INDOUBT once", name, replies, f.ran[name])
+			t.Fatalf("write %s: replies %+v, ran %d times at the next owner; want one in doubt", name, replies, f.ran[name])
 		}
 		if !write && (len(replies) > 1 || f.ran[name] > 1) {
 			t.Fatalf("read %s: replies %+v, ran %d times", name, replies, f.ran[name])
--- a/loomfleet/overloadsim_test.go
+++ b/loomfleet/overloadsim_test.go
@@ -240,14 +240,12 @@
 	}
 }
 
-func simReply() currantloom.Reply {
-	return currantloom.Reply{TransactionStatus: currantloom.TransactionIdle, Position: currantloom.NewLogPosition(1, 5)}
-}
+func simReply() currantloom.Reply { return arbitrary{}.saneReply(currantloom.Command{}) }
 
 // runCommands answers a probe at once, and a statement after its run time.
 func (sim *overloadSim) runCommands(id ConnID, commands []currantloom.Command) {
 	for _, c := range commands {
-		reply, took := simReply(), time.Duration(0)
+		reply := simReply()
 		if c.Kind == currantloom.CommandBegin {
 			reply.TransactionStatus = currantloom.TransactionOpen
 		}
@@ -261,7 +259,7 @@
 		if _, err := fmt.Sscan(c.ID, &number); err != nil {
 			sim.Fatal(err)
 		}
-		took = sim.calls[number].run
+		took := sim.calls[number].run
 		if sim.load.slow > 0 && sim.isDisturbed() {
 			took = time.Duration(float64(took) * sim.load.slow)
 		}
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -29,7 +29,7 @@
 		},
 		currantloom.CallResult{
 			Key: key, Verdict: currantloom.Ran, Reason: currantloom.ReasonRefused, QueueWait: time.Second, Sample: sample,
-			RequiredPosition: position, RequiredAge: time.Minute,
+			RequiredPosition: position, RequiredAge: time.Minute, RetryAfter: 2 * time.Second,
 			Reply: currantloom.Reply{
 				Rows: []string{"a", ""}, Signature: "sig", Code: currantloom.ReplyBusy, Detail: "d",
 				TransactionStatus: 'T', Position: position,
