--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -77,8 +77,11 @@
 	queueWaitAt time.Duration
 	slowUntil   time.Duration
 	load        knownLoad
-	owners      []currantloom.VMName
-	ownersEpoch uint64
+	// refusals counts the calls that this node refused as the owner or on its behalf, refusalReports holds the owner's.
+	refusals       refusalStats
+	refusalReports map[refusalKey]refusalReport
+	owners         []currantloom.VMName
+	ownersEpoch    uint64
 }
 
 // isUsable reports whether the upstream may get new work.
--- a/loomfleet/hedge.go
+++ b/loomfleet/hedge.go
@@ -44,7 +44,7 @@
 	if !ok || next.upstream == c.upstream || s.config.BalanceReads && !s.mayHedgeAt(next, c, reason) {
 		return
 	}
-	if !s.takeHedgeToken(r) {
+	if !s.takeRetry(r) || !s.takeHedgeToken(r) {
 		return
 	}
 	r.hedged = true
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -33,7 +33,7 @@
 		},
 		currantloom.CallResult{
 			Key: key, Verdict: currantloom.Ran, Reason: currantloom.ReasonRefused, QueueWait: time.Second, Load: load,
-			Sample: sample, RequiredPosition: position, RequiredAge: time.Minute,
+			Sample: sample, RequiredPosition: position, RequiredAge: time.Minute, RetryAfter: 2 * time.Second,
 			Reply: currantloom.Reply{
 				Rows: []string{"a", ""}, Signature: "sig", Code: currantloom.ReplyBusy, Detail: "d",
 				TransactionStatus: 'T', Position: position,
