End the opening of a connection when the reducer closes it

Cause: the reducer gives an opening up after 0.6 s, but the dialler went on for up to 1 s. The upstream could accept the connection in that time and counted it, while the node counted none.

Change: closing a connection cancels the context of its opening.

--- a/loomhost/conn.go
+++ b/loomhost/conn.go
@@ -23,6 +23,9 @@
 	batches   chan []currantloom.Command
 	done      chan struct{}
 	closeOnce sync.Once
+	// cancelDial ends an attempt to open the connection. Without it an upstream could accept the connection after the
+	// reducer has given it up.
+	cancelDial context.CancelFunc
 
 	mu sync.Mutex
 	// conn is nil until the connection is open.
@@ -31,15 +34,19 @@
 
 // openConn opens a connection in a new goroutine. The node's lock is held.
 func (n *Node) openConn(e loomfleet.OpenConn) {
-	c := &upstreamConn{batches: make(chan []currantloom.Command, maxQueuedBatches), done: make(chan struct{})}
+	ctx, cancel := context.WithTimeout(n.runCtx, connectTimeout)
+	c := &upstreamConn{
+		batches: make(chan []currantloom.Command, maxQueuedBatches), done: make(chan struct{}), cancelDial: cancel,
+	}
 	n.conns[e.Conn] = c
-	n.tasks.Go(func() { n.runConn(e, c) })
+	n.tasks.Go(func() {
+		defer cancel()
+		n.runConn(ctx, e, c)
+	})
 }
 
 // runConn opens the connection and reads replies until it ends.
-func (n *Node) runConn(e loomfleet.OpenConn, c *upstreamConn) {
-	ctx, cancel := context.WithTimeout(n.runCtx, connectTimeout)
-	defer cancel()
+func (n *Node) runConn(ctx context.Context, e loomfleet.OpenConn, c *upstreamConn) {
 	conn, reply, err := n.config.Dialer.DialUpstream(ctx, e.Upstream, e.Organisation)
 	if err != nil {
 		n.removeConn(e.Conn, c)
@@ -115,6 +122,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		close(c.done)
+		c.cancelDial()
 		if c.conn != nil {
 			_ = c.conn.Close()
 		}
