--- a/loommodel/node.go
+++ b/loommodel/node.go
@@ -228,7 +228,19 @@
 func (n *node) terminate() {
 	sim := n.sim
 	n.alive, n.ready = false, false
-	for _, peer := range sim.nodes {
+	n.resetPeerLinks()
+	for _, u := range sim.upstreams {
+		u.closeNodeConns(n.name)
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.sessions)) {
+		n.sessions[id].sessionClosed(n, id)
+	}
+	n.sessions = nil
+}
+
+// resetPeerLinks reports to the other nodes that their links from and to this node were closed.
+func (n *node) resetPeerLinks() {
+	for _, peer := range n.sim.nodes {
 		if peer == n || !peer.alive {
 			continue
 		}
@@ -240,13 +252,6 @@
 			})
 		}
 	}
-	for _, u := range sim.upstreams {
-		u.closeNodeConns(n.name)
-	}
-	for _, id := range slices.Sorted(maps.Keys(n.sessions)) {
-		n.sessions[id].sessionClosed(n, id)
-	}
-	n.sessions = nil
 }
 
 // Pause stops a node's process for the duration d without ending it. Its clock continues to advance.
--- a/loommodel/oracle.go
+++ b/loommodel/oracle.go
@@ -19,6 +19,8 @@
 	// Restores is the number of times that the store came back from a copy.
 	Restores int
 	Timeouts int
+	// ConnectionsRefused is the number of connections that upstreams refused because of their limit.
+	ConnectionsRefused int
 	// MaxLatency is the longest time from a statement to its reply.
 	MaxLatency time.Duration
 }
--- a/loommodel/outage.go
+++ b/loommodel/outage.go
@@ -41,6 +41,7 @@
 		}
 	}
 	clear(u.conns)
+	clear(u.pendingConns)
 }
 
 // connsOf returns the ids of the connections that the current process of a node has to the upstream, sorted.
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -226,6 +226,7 @@
 		u := &upstream{
 			sim: sim, name: fmt.Sprintf("u-%d%c", i+1, 'a'+j), location: location, service: svc, alive: true,
 			incarnation: 1, slots: 2, maxConnections: 16, conns: make(map[connKey]*upstreamConn),
+			pendingConns: make(map[connKey]bool),
 		}
 		svc.upstreams = append(svc.upstreams, u)
 		sim.upstreams = append(sim.upstreams, u)
--- a/loommodel/upstream.go
+++ b/loommodel/upstream.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// connectTime is the time that opening a connection occupies a slot of an upstream.
-	connectTime = 10 * time.Millisecond
-	// unreachableConnTimeout is how long an upstream keeps a connection that a node closed without being able to reach
-	// the upstream.
-	unreachableConnTimeout = 3 * time.Second
 	// maxSlotQueue is the queue length of an upstream's slots at which it refuses further statements as busy.
 	maxSlotQueue = 16
 )
@@ -91,6 +86,8 @@
 	// lagFactor multiplies the replication lag; zero means one.
 	lagFactor int
 	conns     map[connKey]*upstreamConn
+	// pendingConns counts the connections that are being opened towards the limit.
+	pendingConns map[connKey]bool
 	// lostReplyPercent is the percentage of statements whose reply is lost, lateWritePercent that of writes outside a
 	// transaction that take effect seconds later and without a reply.
 	lostReplyPercent, lateWritePercent int
@@ -120,52 +117,6 @@
 	return currantloom.NewLogPosition(currantloom.Term(last.term), currantloom.LogIndex(last.index))
 }
 
-func (n *node) openConn(e loomfleet.OpenConn) {
-	sim := n.sim
-	u := sim.upstream(e.Upstream.Address)
-	key := connKey{node: n.name, incarnation: n.incarnation, id: e.Conn}
-	if u == nil || !sim.reaches(n.name, u.name) || u.hung {
-		return
-	}
-	sim.after(sim.networkDelay(n.name, u.name), func() { u.accept(n, key) })
-}
-
-// accept opens or refuses a connection. Opening one occupies a slot for connectTime.
-func (u *upstream) accept(n *node, key connKey) {
-	opened := loomfleet.ConnOpened{Conn: key.id}
-	reply := func() {
-		u.sendToNode(key, func() loomfleet.Event {
-			opened.Stamp = n.stamp()
-			return opened
-		})
-	}
-	switch {
-	case !u.alive:
-		opened.Failed, opened.Refused = true, true
-		reply()
-		return
-	case len(u.conns) >= u.maxConnections:
-		opened.Reply.Code = currantloom.ReplyNoConnections
-		reply()
-		return
-	}
-	generation := u.generation
-	u.withSlot(func(release func()) {
-		u.sim.after(connectTime, func() {
-			release()
-			if u.generation != generation || u.sim.abandonedConns[key] {
-				delete(u.sim.abandonedConns, key)
-				return
-			}
-			u.conns[key] = &upstreamConn{
-				key: key, settings: make(map[string]string), prepared: make(map[string]currantloom.Command),
-			}
-			opened.Reply = currantloom.Reply{TransactionStatus: currantloom.TransactionIdle, Position: u.appliedPosition()}
-			reply()
-		})
-	})
-}
-
 // sendToNode sends an event to the node of a connection.
 func (u *upstream) sendToNode(key connKey, event func() loomfleet.Event) {
 	n := u.sim.node(key.node)
@@ -193,31 +144,6 @@
 	}
 }
 
-func (n *node) closeConn(id loomfleet.ConnID) {
-	key := connKey{node: n.name, incarnation: n.incarnation, id: id}
-	n.sim.abandonedConns[key] = true
-	for _, u := range n.sim.upstreams {
-		if _, ok := u.conns[key]; !ok {
-			continue
-		}
-		delete(n.sim.abandonedConns, key)
-		d := n.sim.networkDelay(n.name, u.name)
-		if !n.sim.reaches(n.name, u.name) {
-			d = unreachableConnTimeout
-		}
-		n.sim.after(d, func() { delete(u.conns, key) })
-	}
-}
-
-// closeNodeConns closes the connections of a node whose process ended.
-func (u *upstream) closeNodeConns(name string) {
-	for key := range u.conns {
-		if key.node == name {
-			delete(u.conns, key)
-		}
-	}
-}
-
 // runNext runs the next queued command of a connection, if none is running.
 func (u *upstream) runNext(conn *upstreamConn) {
 	if conn.busy || conn.repliesLost || len(conn.queue) == 0 {
