Shares of the connection limit; connections of organisations by one list and a lookahead

Cause: each node that took itself for the owner opened up to the limit less 3, so two owners exceeded it. Connections closed while the network was cut, abandoned openings and those of an earlier process counted at the upstream and not at the node. A node whose view of the store had lost the registrations of all others owned every upstream. With organisations, the queue's next job closed a connection that another waiting job needed.

Change: the first VM in the order of preference may hold 5/8 of the limit less a sixth, the second the rest, any other the sixth; the order is that of the registered VMs, whether they answer or not. Closed connections count until a reply or for 3.5 s, an earlier process for 3.5 s. Lost registrations count for 2.5 s, those of VMs that answer always. Transactions leave one connection of the share free. After a refusal the node closes a quarter of its connections if they are idle. Among organisations, the longest idle connection is closed that no job with precedence needs, and a job lets jobs as urgent with a connection go first for half of its latency budget. The slot time of openings is recorded by organisation.

--- a/loomfleet/conn.go
+++ b/loomfleet/conn.go
@@ -191,17 +191,21 @@
 		reason := "no answer"
 		if e.Refused {
 			reason = "connection refused"
+			p.share.recordGone()
+		} else {
+			p.share.recordClosed(s.now, false)
 		}
 		p.markUnreachable(s, reason)
 	case e.Reply.Code == currantloom.ReplyNoConnections:
-		s.closeConn(cn, currantloom.ReasonUnreachable)
-		p.connLimitUntil = s.now + connLimitPause
-		s.log(Decision{Event: "connection", Upstream: p.upstream.Name, Service: p.upstream.Service, Outcome: "limit"})
+		s.emit(CloseConn{Conn: cn.id})
+		s.forgetConn(cn)
+		p.handleConnRefused(s)
 	case e.Reply.Code != currantloom.ReplyOK:
 		s.closeConn(cn, currantloom.ReasonUnreachable)
 		p.markUnreachable(s, e.Reply.Code.String())
 	default:
 		cn.state, cn.idleSince = connOpen, s.now
+		p.recordConnCost(s, cn)
 		p.upstream.observePosition(e.Reply.Position, cn.openedAt)
 		p.markReachable(s)
 		p.startJobs(s)
@@ -401,6 +405,7 @@
 		return
 	}
 	s.emit(CloseConn{Conn: cn.id})
+	cn.pool.share.recordClosed(s.now, cn.isIdle())
 	s.forgetConn(cn)
 	s.endJobOfLostConn(cn, reason)
 }
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -159,7 +159,7 @@
 	own := rendezvousWeight(s.config.Self, "")
 	rank := 0
 	for _, m := range s.members.sorted {
-		if s.isEligibleOwner(m.vm.Name()) && rendezvousWeight(m.vm.Name(), "") > own {
+		if m.deletedAt == 0 && s.isEligibleOwner(m.vm.Name()) && rendezvousWeight(m.vm.Name(), "") > own {
 			rank++
 		}
 	}
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -69,6 +69,7 @@
 	m := &s.members
 	name := e.VM.Name()
 	if name == s.config.Self {
+		s.recordEarlierProcess(e)
 		s.coordinator.handleOwnMemberChange(s, e)
 		return
 	}
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// reservedConnections of an upstream's connection limit are left for another node that takes over as its owner.
-	reservedConnections = 3
 	// probeAfterSilence is how long an owned upstream may send nothing before it is probed.
 	probeAfterSilence = 250 * time.Millisecond
 	// answerTimeout bounds the wait for a new connection and for the reply to BEGIN; both may wait for a slot of the
@@ -34,6 +32,10 @@
 	jobs  map[currantloom.RequestKey]*job
 	// pinned holds the connections of open transactions, by the key of the call that opened the transaction.
 	pinned map[currantloom.RequestKey]*conn
+	// earlierConnsUntil is the time until which upstreams may count connections of an earlier process of this node.
+	earlierConnsUntil time.Duration
+	// policy decides about the connections of organisations.
+	policy connPolicy
 }
 
 func (o *ownerState) init() {
@@ -41,6 +43,7 @@
 	o.conns = make(map[ConnID]*conn)
 	o.jobs = make(map[currantloom.RequestKey]*job)
 	o.pinned = make(map[currantloom.RequestKey]*conn)
+	o.policy = connPolicy{lookahead: lookaheadShare}
 }
 
 // job is a call at the owner of its upstream.
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -102,7 +102,14 @@
 // isEligibleOwner reports whether other nodes are likely to choose the VM as owner.
 func (s *State) isEligibleOwner(vm currantloom.VMName) bool {
 	m, ok := s.members.byName[vm]
-	return ok && !m.suspected && !m.shuttingDown && m.deletedAt == 0
+	return ok && !m.suspected && !m.shuttingDown && !s.hasLeft(m)
+}
+
+// hasLeft reports whether a VM counts as gone because the store does not have its registration. A VM that answers is in
+// use whatever the store says, and registrations that were revoked or that expired during an outage of the store are
+// written again: until then, every node would own every upstream and open connections to it.
+func (s *State) hasLeft(m *member) bool {
+	return m.deletedAt > 0 && !m.alive && (m.returned || s.now-m.deletedAt > deletionGrace)
 }
 
 // isPreferredOwner reports whether this node is the first choice among the VMs that are likely to be chosen.
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -44,6 +44,8 @@
 	heardAt, failedAt        time.Duration
 	hasAnswered, unreachable bool
 	connLimitUntil           time.Duration
+	share                    connShare
+	costs                    connCosts
 	usedAt                   time.Duration
 	probeConn                *conn
 	probeSentAt              time.Duration
@@ -78,12 +80,6 @@
 	delete(s.owner.pools, name)
 }
 
-// maxConnections is the maximum number of connections that this node may open.
-func (p *pool) maxConnections(s *State) int {
-	total := s.service(p.upstream.Service).Connections
-	return max(1, total-min(reservedConnections, total/4))
-}
-
 func (p *pool) slots() int { return max(1, p.upstream.Slots) }
 
 // expectedWait is the expected time that a new job would spend in the queue.
@@ -190,6 +186,9 @@
 	if p.isBlocked(s, j) || p.running >= p.slots()+extraJobs {
 		return false
 	}
+	if opensTransaction(j.call.Mode) && !p.hasConnForTransaction(s) {
+		return false
+	}
 	return j.conn != nil || p.idleConnOf(j.call.Organisation) != nil
 }
 
@@ -258,7 +257,7 @@
 	if s.isPreferredOwner(p.upstream) && len(p.conns) < warmConnections {
 		wanted = max(wanted, 1)
 	}
-	for ; wanted > 0 && len(p.conns) < p.maxConnections(s) && s.now >= p.connLimitUntil; wanted-- {
+	for ; wanted > 0 && p.mayOpenConn(s); wanted-- {
 		if p.unreachable && (opening > 0 || s.now-p.failedAt < reconnectPause) {
 			return
 		}
@@ -321,6 +320,7 @@
 	p.reportFailure(s)
 	if p.isInUse(s) {
 		p.probeIfSilent(s)
+		p.closeBeyondShare(s)
 		p.closeSurplusConn(s)
 	} else {
 		p.closeIdleConns(s)
@@ -385,24 +385,24 @@
 			oldest = cn
 		}
 	}
-	limit := warmConnections
+	limit, timeout := warmConnections, surplusIdleTimeout
 	if s.hasOrganisations() {
-		limit = p.maxIdleConnections(s)
+		timeout = idleConnRetention
 	}
-	if idle > limit && s.now-oldest.idleSince > surplusIdleTimeout {
+	if idle > limit && s.now-oldest.idleSince > timeout {
 		s.closeConn(oldest, currantloom.ReasonConnectionLost)
 	}
 }
 
-// closeIdleConns closes the idle connections to an upstream that another node owns, and removes the pool once it is
-// empty.
+// closeIdleConns closes the idle connections to an upstream that another node owns, and removes the pool once the
+// upstream counts no connection of this node any more.
 func (p *pool) closeIdleConns(s *State) {
 	for _, cn := range slices.Clone(p.conns) {
 		if cn.isIdle() {
 			s.closeConn(cn, currantloom.ReasonConnectionLost)
 		}
 	}
-	if len(p.conns) == 0 && p.queue.len() == 0 {
+	if len(p.conns) == 0 && p.queue.len() == 0 && p.heldConns(s) == 0 {
 		delete(s.owner.pools, p.upstream.Name)
 	}
 }
