--- a/loomfleet/connpolicy.go
+++ b/loomfleet/connpolicy.go
@@ -9,7 +9,8 @@
 )
 
 // lookaheadShare is the part of its latency budget for which a job without a connection lets others go first. Half of
-// the budget leaves time to open the connection and to run. With none, 1.2 to 1.7 times as much slot time is lost.
+// the budget leaves time to open the connection and to run. Without it, 1.1 to 1.5 times as much slot time is
+// lost to opening connections.
 const lookaheadShare = 0.5
 
 // connPolicy decides which connections of organisations to open and to close. docs/design/connections.md compares it
--- a/loommodel/simulation_test.go
+++ b/loommodel/simulation_test.go
@@ -112,6 +112,9 @@
 	sim.Run(8 * time.Second)
 	assertNoViolations(t, sim)
 	assertServing(t, sim)
+	if got := sim.Stats().ConnectionsRefused; got > 0 {
+		t.Errorf("%d connections over the limit of an upstream", got)
+	}
 	if t.Failed() {
 		t.Log(faults)
 	}
