Log where a configuration came from and how old its proof is

Change: configuration lines name the node that passed the version on and the age of the proof; a proof older than 5 s is logged once, and its renewal; a follower logs why it calls the store itself. Result: go test ./loomhost ./loomfleet ./loommodel passes; no decision changes.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -112,7 +112,7 @@
 	s.enterStoreEra(era)
 	restored := e.Snapshot && s.catalog.isOfEarlierEra(era)
 	if e.Configuration != nil {
-		s.applyConfiguration(*e.Configuration)
+		s.applyConfiguration(*e.Configuration, e.From)
 	}
 	if restored {
 		s.applyRestoredSnapshot(e)
@@ -166,15 +166,18 @@
 	s.emit(SetReady{Ready: true})
 }
 
-// applyConfiguration puts a configuration into effect, unless it is no newer than the one in effect.
-func (s *State) applyConfiguration(c currantloom.Configuration) {
+// applyConfiguration puts a configuration into effect, unless it is no newer than the one in effect. From is the node
+// that passed it on; empty if this node has read it from the store.
+func (s *State) applyConfiguration(c currantloom.Configuration, from currantloom.VMName) {
 	old := s.catalog.configuration
 	if old != nil && c.Version <= old.Version {
 		return
 	}
 	s.catalog.configuration = &c
 	s.catalog.check.clearBehind()
-	s.log(Decision{Event: "configuration", Version: c.Version, Outcome: "in_force"})
+	s.log(Decision{
+		Event: "configuration", VM: from, Version: c.Version, Age: s.configurationProofAge(), Outcome: "in_force",
+	})
 	s.logFindings(c)
 	s.revokeSessions(old)
 }
--- a/loomfleet/configurationproof.go
+++ b/loomfleet/configurationproof.go
@@ -13,6 +13,8 @@
 	// pushProofDelay is how long after a pause of the process a push of another node proves nothing: it may have been
 	// received before the pause and read only now. The next push arrives a second later at most.
 	pushProofDelay = 250 * time.Millisecond
+	// lateProofAge is the age of the proof from which on the node logs that it may miss changes of the configuration.
+	lateProofAge = 5 * time.Second
 )
 
 // reasonUnproven is the reason of refusals by a node that cannot prove that its configuration is current.
@@ -24,8 +26,9 @@
 	exists bool
 	// at is when the store was asked for the answer. The answer itself is later, but how much is not known.
 	at time.Duration
-	// missed says that the last log line reported that the proof is too old.
-	missed bool
+	// missed says that the last log line reported that the proof is too old to run statements, late the same of
+	// lateProofAge.
+	missed, late bool
 }
 
 // ProofInterval returns the time after which the store has to be asked again, so that the proof does not get too old
@@ -65,18 +68,37 @@
 	return organisation == "" || s.isConfigurationProven()
 }
 
+// configurationProofAge returns the age of the proof; zero if there is none.
+func (s *State) configurationProofAge() time.Duration {
+	if !s.catalog.proof.exists {
+		return 0
+	}
+	return s.now - s.catalog.proof.at
+}
+
+// logLateProof logs when the proof becomes late, and when there is a newer one.
+func (s *State) logLateProof() {
+	p := &s.catalog.proof
+	age := s.configurationProofAge()
+	if late := age > lateProofAge; late != p.late {
+		p.late = late
+		outcome := map[bool]string{true: "proof_late", false: "proof_renewed"}[late]
+		s.log(Decision{Event: "configuration", Version: s.configurationVersion(), Age: age, Outcome: outcome})
+	}
+}
+
 // checkConfigurationProof logs when the node begins to refuse the statements of organisations, and when it accepts them
 // again.
 func (s *State) checkConfigurationProof() {
+	s.logLateProof()
 	p := &s.catalog.proof
 	missed := s.hasOrganisations() && !s.isConfigurationProven()
 	if missed == p.missed {
 		return
 	}
 	p.missed = missed
-	d := Decision{Event: "configuration", Version: s.configurationVersion(), Outcome: "proven"}
-	if p.exists {
-		d.Age = s.now - p.at
+	d := Decision{
+		Event: "configuration", Version: s.configurationVersion(), Age: s.configurationProofAge(), Outcome: "proven",
 	}
 	if missed {
 		d.Outcome, d.Reason = "unproven", "no answer of the store is recent enough"
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -45,6 +45,8 @@
 		// Position is the position of the store up to which the changes were read; zero if it is unknown.
 		Position      currantloom.StorePosition
 		Configuration *currantloom.Configuration
+		// From is the node that passed the changes on; empty if this node has read them from the store.
+		From          currantloom.VMName
 		Upstreams     []UpstreamChange
 		Members       []MemberChange
 		FailoverLease *FailoverLeaseChange
--- a/loomhost/configuration_test.go
+++ b/loomhost/configuration_test.go
@@ -43,18 +43,18 @@
 			"read again": func(c *storeCache) { c.replace(items) },
 			"watch":      func(c *storeCache) { c.merge(items) },
 			"copy of a peer": func(c *storeCache) {
-				c.adoptCopy(currantloom.StoreItems{Items: items, Position: currantloom.NewStorePosition(3, 1)})
+				c.adoptCopy("vm-9", currantloom.StoreItems{Items: items, Position: currantloom.NewStorePosition(3, 1)})
 			},
 			"push": func(c *storeCache) {
 				position := currantloom.NewStorePosition(1, 90)
-				c.enqueuePush(currantloom.StoreItems{
+				c.enqueuePush("vm-9", currantloom.StoreItems{
 					Items: items, Delta: true, Base: position, Position: currantloom.NewStorePosition(1, 92),
 				})
 				if _, _, err := c.awaitPush(context.Background(), position); err != nil {
 					t.Error(err)
 				}
 			},
-			"fetched": func(c *storeCache) { c.adoptConfiguration(items) },
+			"fetched": func(c *storeCache) { c.adoptConfiguration("vm-9", items) },
 		} {
 			t.Run(name+", "+way, func(t *testing.T) {
 				c := New(Config{Catalog: keyCatalog{}}).storeCache
@@ -97,7 +97,7 @@
 	n := New(Config{Catalog: keyCatalog{}, Log: &out})
 	items := []currantloom.StoreItem{storeItem("configuration", "bad", 1, 91)}
 	for range 3 {
-		n.storeCache.decodeChanges(items, false, currantloom.NewStorePosition(1, 91))
+		n.storeCache.decodeChanges("", items, false, currantloom.NewStorePosition(1, 91))
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
@@ -120,12 +120,12 @@
 			n := New(Config{
 				Reducer: loomfleet.Config{Self: "vm-1", StrictRevocation: true}, Catalog: keyCatalog{},
 			})
-			n.storeCache.adoptCopy(currantloom.StoreItems{
+			n.storeCache.adoptCopy("vm-9", currantloom.StoreItems{
 				Items:    []currantloom.StoreItem{storeItem("configuration", "7", 1, 90)},
 				Position: currantloom.NewStorePosition(1, 90),
 			})
 			position := currantloom.NewStorePosition(1, 90)
-			n.storeCache.enqueuePush(currantloom.StoreItems{Delta: true, Base: position, Position: position, Age: c.age})
+			n.storeCache.enqueuePush("vm-9", currantloom.StoreItems{Delta: true, Base: position, Position: position, Age: c.age})
 			if _, ok, err := n.storeCache.awaitPush(context.Background(), position); !ok || err != nil {
 				t.Fatal(ok, err)
 			}
--- a/loomhost/copy.go
+++ b/loomhost/copy.go
@@ -62,16 +62,17 @@
 			newest = m
 		}
 	}
-	c.adoptCopy(newest)
+	c.adoptCopy("", newest)
 	// The newest configuration may be in another copy: the store that the newest copy was read from may have come back
 	// without it.
 	for _, m := range copies {
-		c.adoptConfiguration(m.Items)
+		c.adoptConfiguration("", m.Items)
 	}
 }
 
-// adoptCopy replaces the node's copy by that of another node, if that is newer.
-func (c *storeCache) adoptCopy(m currantloom.StoreItems) {
+// adoptCopy replaces the node's copy by that of another node, if that is newer. The name of the node is empty if it is
+// not known.
+func (c *storeCache) adoptCopy(from currantloom.VMName, m currantloom.StoreItems) {
 	c.adopting.Lock()
 	defer c.adopting.Unlock()
 	c.mu.Lock()
@@ -84,7 +85,7 @@
 	c.mu.Lock()
 	c.position, c.adopted = m.Position, m.Position
 	c.mu.Unlock()
-	c.node.submit(c.decodeChanges(m.Items, true, m.Position))
+	c.node.submit(c.decodeChanges(from, m.Items, true, m.Position))
 }
 
 // takeAdopted returns the position of a copy that was adopted since the last call; zero if none was.
--- a/loomhost/copy_test.go
+++ b/loomhost/copy_test.go
@@ -36,7 +36,7 @@
 func TestCopyFromAnyNode(t *testing.T) {
 	running, _ := startLinks(t, "vm-1")
 	starting, startingVM := startLinks(t, "vm-2")
-	running.storeCache.adoptCopy(currantloom.StoreItems{
+	running.storeCache.adoptCopy("vm-9", currantloom.StoreItems{
 		Items: []currantloom.StoreItem{
 			storeItem("k", "v", 1, 5),
 			storeItem(nodeKeyPrefix+"vm-2", fmt.Sprintf(`{"address":%q}`, startingVM.LinkAddress()), 1, 4),
--- a/loomhost/decode.go
+++ b/loomhost/decode.go
@@ -9,12 +9,12 @@
 	"currantloom.example/currantloom/loomlog"
 )
 
-// decodeChanges decodes items into an event. An item that cannot be decoded is logged; if it is the registration of an
+// decodeChanges decodes items into an event. From is the node that passed them on; empty if this node has read them. An item that cannot be decoded is logged; if it is the registration of an
 // upstream, the upstream is reported as gone.
 func (c *storeCache) decodeChanges(
-	items []currantloom.StoreItem, snapshot bool, position currantloom.StorePosition,
+	from currantloom.VMName, items []currantloom.StoreItem, snapshot bool, position currantloom.StorePosition,
 ) loomfleet.CatalogChanged {
-	e := loomfleet.CatalogChanged{Stamp: c.node.stamp(), Snapshot: snapshot, Position: position}
+	e := loomfleet.CatalogChanged{Stamp: c.node.stamp(), Snapshot: snapshot, Position: position, From: from}
 	for _, item := range items {
 		switch name, isNode := strings.CutPrefix(item.Key, nodeKeyPrefix); {
 		case isNode:
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -242,7 +242,7 @@
 		return
 	case currantloom.StoreItems:
 		n.storeCache.requestCopyIfMissing(link)
-		n.storeCache.enqueuePush(m)
+		n.storeCache.enqueuePush(from, m)
 		return
 	}
 	n.storeCache.requestCopyIfMissing(link)
--- a/loomhost/push.go
+++ b/loomhost/push.go
@@ -31,9 +31,10 @@
 	maxQueuedPushes = 64
 )
 
-// receivedPush is a push and when this node received it.
+// receivedPush is a push, its sender, and when this node received it.
 type receivedPush struct {
 	currantloom.StoreItems
+	from       currantloom.VMName
 	receivedAt time.Duration
 }
 
@@ -152,16 +153,18 @@
 
 // enqueuePush queues a push from another node, or drops it if the queue is full. A whole copy is adopted if this node
 // has none.
-func (c *storeCache) enqueuePush(m currantloom.StoreItems) {
+func (c *storeCache) enqueuePush(from currantloom.VMName, m currantloom.StoreItems) {
 	if !m.Delta {
 		if !c.hasCopy() {
-			c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{"items", len(m.Items), "version", m.Position}})
-			c.adoptCopy(m)
+			c.node.log.Enqueue(loomlog.Line{Event: "seed", Fields: []any{
+				"vm", string(from), "items", len(m.Items), "version", m.Position,
+			}})
+			c.adoptCopy(from, m)
 		}
 		return
 	}
 	select {
-	case c.pushes <- receivedPush{StoreItems: m, receivedAt: c.node.clock.now()}:
+	case c.pushes <- receivedPush{StoreItems: m, from: from, receivedAt: c.node.clock.now()}:
 	default:
 	}
 }
@@ -175,6 +178,7 @@
 	case m := <-c.pushes:
 		return c.applyPush(m, position)
 	case <-time.After(pushTimeout):
+		c.logWatch("", "no push in time")
 		return position, false, nil
 	case <-ctx.Done():
 		return position, true, nil
@@ -192,12 +196,13 @@
 		c.node.reportUnknownEra(currantloom.ErrStoreEra.New("push of era %d after era %d", era, position.Era()))
 		return position, true, nil
 	case !m.Delta || m.Base.After(position):
+		c.logWatch(m.from, "changes are missing")
 		return position, false, nil
 	}
 	// Items that this node has already read are skipped: they may have been deleted since, and merge would restore them.
 	items := slices.DeleteFunc(m.Items, func(i currantloom.StoreItem) bool { return !i.Position.After(position) })
 	if newer := c.merge(items); len(newer) > 0 {
-		c.node.submit(c.decodeChanges(newer, false, m.Position))
+		c.node.submit(c.decodeChanges(m.from, newer, false, m.Position))
 	}
 	if m.Position.After(position) {
 		position = m.Position
@@ -209,3 +214,12 @@
 	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: stamp, Age: m.Age + stamp.Now - m.receivedAt, Pushed: true})
 	return position, true, nil
 }
+
+// logWatch logs why a follower calls the store itself. The node is the one whose push showed it, if any.
+func (c *storeCache) logWatch(from currantloom.VMName, reason string) {
+	fields := []any{"reason", reason, "outcome", "store called"}
+	if from != "" {
+		fields = append([]any{"vm", string(from)}, fields...)
+	}
+	c.node.log.Enqueue(loomlog.Line{Event: "watch", Routine: true, Fields: fields})
+}
--- a/loomhost/push_test.go
+++ b/loomhost/push_test.go
@@ -62,7 +62,7 @@
 	c := newTestStoreCache("vm-1", 20)
 	push := func(revision uint64, m currantloom.StoreItems) (uint64, bool) {
 		m.Delta = true
-		c.enqueuePush(m)
+		c.enqueuePush("vm-9", m)
 		got, ok, err := c.awaitPush(context.Background(), at(revision))
 		if err != nil {
 			t.Errorf("push to %d: %v", revision, err)
--- a/loomhost/restore_test.go
+++ b/loomhost/restore_test.go
@@ -45,7 +45,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			cache := newTestStoreCache("vm-1", 20)
 			position := currantloom.NewStorePosition(2, 100)
-			cache.enqueuePush(currantloom.StoreItems{
+			cache.enqueuePush("vm-9", currantloom.StoreItems{
 				Items: []currantloom.StoreItem{storeItem("k", "v", c.era, 101)}, Delta: true,
 				Base: currantloom.NewStorePosition(c.era, 100), Position: currantloom.NewStorePosition(c.era, 101),
 			})
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -199,7 +199,7 @@
 			return currantloom.StorePosition{}, err
 		}
 		c.replace(items)
-		c.node.submit(c.decodeChanges(items, true, next))
+		c.node.submit(c.decodeChanges("", items, true, next))
 		c.reportAnswer(askedAt)
 		return next, nil
 	}
@@ -212,7 +212,7 @@
 		c.pushToFollowers(currantloom.StoreItems{
 			Items: items, Delta: true, Base: position, Position: next, Age: c.node.clock.now() - askedAt,
 		})
-		c.node.submit(c.decodeChanges(items, false, next))
+		c.node.submit(c.decodeChanges("", items, false, next))
 	}
 	c.reportAnswer(askedAt)
 	if len(items) > 0 && (isOnlyNodes(items) || c.isLargeFleet() && !c.isFollower()) {
@@ -263,15 +263,15 @@
 		}})
 		return
 	}
-	c.adoptConfiguration(m.Items)
+	c.adoptConfiguration(vm.Name(), m.Items)
 }
 
 // adoptConfiguration takes over the configuration among the items, if it is newer than that of the node.
-func (c *storeCache) adoptConfiguration(items []currantloom.StoreItem) {
+func (c *storeCache) adoptConfiguration(from currantloom.VMName, items []currantloom.StoreItem) {
 	for _, item := range items {
 		configuration, ok, err := c.node.config.Catalog.Configuration(item)
 		if ok && err == nil && c.keepNewest(item, configuration.Version) {
-			c.node.submit(c.decodeChanges([]currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
+			c.node.submit(c.decodeChanges(from, []currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
 		}
 	}
 }
