Failing test: a follower of watchers whose calls to the store hang

A follower gets heartbeats whose proof is ever older and never calls the store, which would answer it.

--- /dev/null
+++ b/loomhost/follower_test.go
@@ -0,0 +1,108 @@
+package loomhost
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+	"currantloom.example/currantloom/loomfleet"
+)
+
+// configurationTime is the time within which the platform promises that a configuration is in force on the nodes of a
+// large fleet that can reach the store.
+const configurationTime = 6 * time.Second
+
+// servingStore is a store that answers at once with all its items.
+type servingStore struct {
+	currantloom.Store
+	mu       sync.Mutex
+	items    []currantloom.StoreItem
+	position currantloom.StorePosition
+}
+
+func (s *servingStore) Range(context.Context, string) ([]currantloom.StoreItem, currantloom.StorePosition, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items, s.position, nil
+}
+
+func (s *servingStore) Watch(
+	ctx context.Context, prefix string, after currantloom.StorePosition, wait time.Duration,
+) ([]currantloom.StoreItem, currantloom.StorePosition, error) {
+	items, position, err := s.Range(ctx, prefix)
+	if !position.After(after) {
+		time.Sleep(wait)
+		return nil, position, err
+	}
+	return items, position, err
+}
+
+// put adds an item at the next revision.
+func (s *servingStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := s.position.Revision() + 1
+	s.items = append(s.items, storeItem(key, value, 1, revision))
+	s.position = currantloom.NewStorePosition(1, revision)
+}
+
+// startFollower starts the store cache of a follower in a fleet of 20 nodes, with the version 1 of the configuration.
+func startFollower(t *testing.T, store currantloom.Store) *storeCache {
+	t.Helper()
+	n := New(Config{
+		Reducer: loomfleet.Config{Self: "vm-1", Location: currantloom.NewLocation("ost", "linz")},
+		Catalog: keyCatalog{}, Store: store,
+	})
+	c := n.storeCache
+	c.items = newTestStoreCache("vm-1", 20).items
+	c.adoptCopy("vm-9", currantloom.StoreItems{
+		Items: append(c.storeItems().Items, storeItem("configuration", "1", 1, 100)), Position: storePositionAt(100),
+	})
+	if !c.isFollower() {
+		t.Fatal("the node is no follower")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		_ = n.mesh.Close()
+	})
+	return c
+}
+
+func storePositionAt(revision uint64) currantloom.StorePosition {
+	return currantloom.NewStorePosition(1, revision)
+}
+
+// configurationOf returns the version of the configuration in the copy.
+func configurationOf(c *storeCache) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.configurationVersion
+}
+
+// TestFollowerOfHangingWatchers guards against a follower that takes the pushes of its watchers for a proof that its
+// configuration is current, while their calls to the store hang and the store would answer the follower itself.
+func TestFollowerOfHangingWatchers(t *testing.T) {
+	store := &servingStore{position: storePositionAt(99)}
+	store.put("configuration", "1")
+	c := startFollower(t, store)
+	store.put("configuration", "2")
+	changedAt := time.Now()
+	for configurationOf(c) != 2 {
+		age := time.Since(changedAt)
+		if age > configurationTime {
+			t.Fatalf("version %d is in force %s after the change", configurationOf(c), configurationTime)
+		}
+		c.enqueuePush("vm-9", currantloom.StoreItems{
+			Delta: true, Base: storePositionAt(100), Position: storePositionAt(100), Age: age,
+		})
+		time.Sleep(200 * time.Millisecond)
+	}
+}
