A follower trusts the proof of a watcher, not its heartbeats

What callers saw: reads run by an older configuration, or refused with 404, more than 6 s after a newer one was acknowledged, on nodes that the store answers, while the store turns away both watchers of their failure domain. Cause: a signal of life was taken for a proof of freshness. A watcher whose call hangs went on with its heartbeats for 5.5 s, and each one restarted the 2.5 s that its followers wait, 8 s in all. A push that is late also counted from its arrival. Change: loomwatch decides when a node calls the store, from the age of the newest answer of the store alone. A node asks its watchers each second how old theirs is; the age counts from the question, so neither clocks nor the delay of the answer matter. A call of one's own no longer keeps pushes from being applied. A watch waits 1 s (large fleets) or 2 s (small ones) in place of 4 s, so that a hanging one is noticed in time. What was ruled out: a shorter watch alone leaves late pushes and frozen watchers; heartbeats that stop at a hanging call leave a frozen watcher.

--- a/loomfleet/configurationproof.go
+++ b/loomfleet/configurationproof.go
@@ -31,14 +31,13 @@
 	missed, late bool
 }
 
-// ProofInterval returns the time after which the store has to be asked again, so that the proof does not get too old
-// while the store answers; zero means that no proof is needed. It leaves time for a push to other nodes and for one
-// lost call.
-func (c Config) ProofInterval() time.Duration {
+// ProofAge returns the age at which the proof is too old to run statements of organisations; zero means that no proof
+// is needed.
+func (c Config) ProofAge() time.Duration {
 	if !c.StrictRevocation {
 		return 0
 	}
-	return cmp.Or(c.RevocationTimeout, defaultRevocationTimeout) / 4
+	return cmp.Or(c.RevocationTimeout, defaultRevocationTimeout)
 }
 
 // recordConfigurationProof records an answer of the store's watch.
--- a/loomhost/configuration_test.go
+++ b/loomhost/configuration_test.go
@@ -47,12 +47,9 @@
 			},
 			"push": func(c *storeCache) {
 				position := currantloom.NewStorePosition(1, 90)
-				c.enqueuePush("vm-9", currantloom.StoreItems{
+				receivePush(c, position, currantloom.StoreItems{
 					Items: items, Delta: true, Base: position, Position: currantloom.NewStorePosition(1, 92),
 				})
-				if _, _, err := c.awaitPush(context.Background(), position); err != nil {
-					t.Error(err)
-				}
 			},
 			"fetched": func(c *storeCache) { c.adoptConfiguration("vm-9", items) },
 		} {
@@ -119,16 +116,19 @@
 		t.Run(name, func(t *testing.T) {
 			n := New(Config{
 				Reducer: loomfleet.Config{Self: "vm-1", StrictRevocation: true}, Catalog: keyCatalog{},
+				Store: readOnlyStore{},
 			})
 			n.storeCache.adoptCopy("vm-9", currantloom.StoreItems{
 				Items:    []currantloom.StoreItem{storeItem("configuration", "7", 1, 90)},
 				Position: currantloom.NewStorePosition(1, 90),
 			})
-			position := currantloom.NewStorePosition(1, 90)
-			n.storeCache.enqueuePush("vm-9", currantloom.StoreItems{Delta: true, Base: position, Position: position, Age: c.age})
-			if _, ok, err := n.storeCache.awaitPush(context.Background(), position); !ok || err != nil {
-				t.Fatal(ok, err)
-			}
+			w := newStoreWatch(n.storeCache)
+			w.position = currantloom.NewStorePosition(1, 90)
+			w.handlePush(receivedPush{StoreItems: currantloom.StoreItems{
+				Delta: true, Base: w.position, Position: w.position, Age: c.age,
+				Request: w.schedule.StartRequest(n.clock.now()),
+			}})
+			n.submit(loomfleet.Tick{Stamp: n.stamp()})
 			_, unproven := n.metrics.counters[counterLabels{event: "configuration", outcome: "unproven"}]
 			if unproven == c.proven {
 				t.Errorf("proven %t, want %t", !unproven, c.proven)
--- a/loomhost/copy.go
+++ b/loomhost/copy.go
@@ -118,10 +118,12 @@
 		c.node.mesh.Respond(link, c.storeItems())
 		return
 	}
-	for _, node := range c.registeredNodes() {
+	c.mu.Lock()
+	nodes := c.registeredNodes()
+	c.mu.Unlock()
+	for _, node := range nodes {
 		if node.name == to {
-			vm := currantloom.NewVM(node.name, currantloom.Location{}, node.record.Address, "", currantloom.VMLive)
-			c.node.mesh.Send(vm, c.storeItems())
+			c.node.mesh.Send(node.vm(), c.storeItems())
 			return
 		}
 	}
--- a/loomhost/decode.go
+++ b/loomhost/decode.go
@@ -9,8 +9,8 @@
 	"currantloom.example/currantloom/loomlog"
 )
 
-// decodeChanges decodes items into an event. From is the node that passed them on; empty if this node has read them. An item that cannot be decoded is logged; if it is the registration of an
-// upstream, the upstream is reported as gone.
+// decodeChanges decodes items into an event. From is the node that passed them on; empty if this node has read them. An
+// item that cannot be decoded is logged; if it is the registration of an upstream, the upstream is reported as gone.
 func (c *storeCache) decodeChanges(
 	from currantloom.VMName, items []currantloom.StoreItem, snapshot bool, position currantloom.StorePosition,
 ) loomfleet.CatalogChanged {
--- a/loomhost/follower_test.go
+++ b/loomhost/follower_test.go
@@ -8,18 +8,30 @@
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomwatch"
 )
 
 // configurationTime is the time within which the platform promises that a configuration is in force on the nodes of a
 // large fleet that can reach the store.
 const configurationTime = 6 * time.Second
 
+// readOnlyStore is a store that refuses all changes.
+type readOnlyStore struct{ currantloom.Store }
+
+func (readOnlyStore) Grant(
+	context.Context, currantloom.StoreEra, time.Duration,
+) (currantloom.StoreLease, error) {
+	return currantloom.StoreLease{}, currantloom.ErrUnavailable.New("no leases")
+}
+
 // servingStore is a store that answers at once with all its items.
 type servingStore struct {
-	currantloom.Store
+	readOnlyStore
 	mu       sync.Mutex
 	items    []currantloom.StoreItem
 	position currantloom.StorePosition
+	// watched says that a node has waited for changes and got none.
+	watched bool
 }
 
 func (s *servingStore) Range(context.Context, string) ([]currantloom.StoreItem, currantloom.StorePosition, error) {
@@ -34,6 +46,9 @@
 	items, position, err := s.Range(ctx, prefix)
 	if !position.After(after) {
 		time.Sleep(wait)
+		s.mu.Lock()
+		s.watched = true
+		s.mu.Unlock()
 		return nil, position, err
 	}
 	return items, position, err
@@ -60,7 +75,7 @@
 	c.adoptCopy("vm-9", currantloom.StoreItems{
 		Items: append(c.storeItems().Items, storeItem("configuration", "1", 1, 100)), Position: storePositionAt(100),
 	})
-	if !c.isFollower() {
+	if c.role() != loomwatch.Follower {
 		t.Fatal("the node is no follower")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -87,12 +102,29 @@
 	return c.configurationVersion
 }
 
+// awaitWatch waits until the follower has called the store itself, so that it has a proof.
+func awaitWatch(t *testing.T, s *servingStore) {
+	t.Helper()
+	for end := time.Now().Add(configurationTime); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		watched := s.watched
+		s.mu.Unlock()
+		if watched {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the follower has not called the store")
+		}
+	}
+}
+
 // TestFollowerOfHangingWatchers guards against a follower that takes the pushes of its watchers for a proof that its
 // configuration is current, while their calls to the store hang and the store would answer the follower itself.
 func TestFollowerOfHangingWatchers(t *testing.T) {
 	store := &servingStore{position: storePositionAt(99)}
 	store.put("configuration", "1")
 	c := startFollower(t, store)
+	awaitWatch(t, store)
 	store.put("configuration", "2")
 	changedAt := time.Now()
 	for configurationOf(c) != 2 {
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -57,8 +57,8 @@
 	// runCtx ends when the graceful shutdown has finished, or when a task of Run has failed.
 	runCtx    context.Context
 	cancelRun context.CancelFunc
-	// shutdownFinished is closed when the reducer has finished the graceful shutdown, closeRequested when Close is called,
-	// runDone when Run returns.
+	// shutdownFinished is closed when the reducer has finished the graceful shutdown, closeRequested when Close is
+	// called, runDone when Run returns.
 	shutdownFinished chan struct{}
 	closeOnce        sync.Once
 	closeRequested   chan struct{}
@@ -240,6 +240,10 @@
 	case currantloom.StoreItemsRequest:
 		n.storeCache.sendCopy(from, link)
 		return
+	case currantloom.StoreProofRequest:
+		n.storeCache.requestCopyIfMissing(link)
+		n.storeCache.sendProof(from, m.Number)
+		return
 	case currantloom.StoreItems:
 		n.storeCache.requestCopyIfMissing(link)
 		n.storeCache.enqueuePush(from, m)
--- a/loomhost/push_test.go
+++ b/loomhost/push_test.go
@@ -1,12 +1,12 @@
 package loomhost
 
 import (
-	"context"
 	"fmt"
 	"testing"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loomwatch"
 )
 
 // emptyCatalog decodes no item.
@@ -42,7 +42,7 @@
 	for _, c := range []struct{ nodes, watchers int }{{9, 9}, {largeFleetSize, largeFleetSize}, {40, watchersPerDomain}} {
 		watchers := 0
 		for i := range c.nodes {
-			if !newTestStoreCache(currantloom.VMName(fmt.Sprintf("vm-%d", i+1)), c.nodes).isFollower() {
+			if newTestStoreCache(currantloom.VMName(fmt.Sprintf("vm-%d", i+1)), c.nodes).role() != loomwatch.Follower {
 				watchers++
 			}
 		}
@@ -62,12 +62,8 @@
 	c := newTestStoreCache("vm-1", 20)
 	push := func(revision uint64, m currantloom.StoreItems) (uint64, bool) {
 		m.Delta = true
-		c.enqueuePush("vm-9", m)
-		got, ok, err := c.awaitPush(context.Background(), at(revision))
-		if err != nil {
-			t.Errorf("push to %d: %v", revision, err)
-		}
-		return got.Revision(), ok
+		w := receivePush(c, at(revision), m)
+		return w.position.Revision(), !isCallDue(w)
 	}
 	if got, ok := push(100, currantloom.StoreItems{
 		Items: []currantloom.StoreItem{item("k", 101, false)}, Base: at(100), Position: at(102),
@@ -90,7 +86,23 @@
 	if _, ok := push(105, currantloom.StoreItems{Base: at(110), Position: at(112)}); ok {
 		t.Error("a push after a gap was accepted")
 	}
-	if _, ok, _ := c.awaitPush(context.Background(), at(105)); ok {
-		t.Error("the wait for a push did not time out")
-	}
+}
+
+// receivePush passes a push to a follower whose copy is complete up to the position.
+func receivePush(c *storeCache, position currantloom.StorePosition, m currantloom.StoreItems) *storeWatch {
+	w := newStoreWatch(c)
+	w.schedule.SetRole(loomwatch.Follower)
+	w.schedule.StartCall()
+	now := c.node.clock.now()
+	w.schedule.CallSucceeded(now, now, false)
+	w.position = position
+	c.enqueuePush("vm-9", m)
+	w.handlePush(<-c.pushes)
+	return w
+}
+
+// isCallDue reports whether the node calls the store now.
+func isCallDue(w *storeWatch) bool {
+	at, ok := w.schedule.NextCall()
+	return ok && at <= w.cache.node.clock.now()
 }
--- a/loomhost/restore_test.go
+++ b/loomhost/restore_test.go
@@ -1,7 +1,6 @@
 package loomhost
 
 import (
-	"context"
 	"errors"
 	"net"
 	"strconv"
@@ -45,16 +44,25 @@
 		t.Run(c.name, func(t *testing.T) {
 			cache := newTestStoreCache("vm-1", 20)
 			position := currantloom.NewStorePosition(2, 100)
-			cache.enqueuePush("vm-9", currantloom.StoreItems{
+			w := receivePush(cache, position, currantloom.StoreItems{
 				Items: []currantloom.StoreItem{storeItem("k", "v", c.era, 101)}, Delta: true,
 				Base: currantloom.NewStorePosition(c.era, 100), Position: currantloom.NewStorePosition(c.era, 101),
 			})
-			got, ok, err := cache.awaitPush(context.Background(), position)
-			if era, restored := currantloom.RestoredEraOf(err); restored != c.restored || restored && era != c.era {
-				t.Errorf("%v, want restored %t", err, c.restored)
+			want := position
+			if c.restored {
+				want = currantloom.StorePosition{}
 			}
-			if got != position || ok == c.restored {
-				t.Errorf("position %s, %t, want %s", got, ok, position)
+			if w.position != want {
+				t.Errorf("position %s, want %s", w.position, want)
+			}
+			if next, ok := w.schedule.NextCall(); !ok || (next <= cache.node.clock.now()+rereadSpread) != c.restored {
+				t.Errorf("next call at %s, restored %t", next, c.restored)
+			}
+			// The reducer drops changes of the era that has passed.
+			cache.node.submit(cache.decodeChanges("", nil, false, position))
+			_, dropped := cache.node.metrics.counters[counterLabels{event: "store_era", outcome: "dropped"}]
+			if dropped != c.restored {
+				t.Errorf("changes of era %s dropped: %t, want %t", position, dropped, c.restored)
 			}
 			assertItem(t, cache, "k", "")
 		})
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -1,9 +1,7 @@
 package loomhost
 
 import (
-	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -13,27 +11,6 @@
 	"currantloom.example/currantloom/loomfleet"
 	"currantloom.example/currantloom/loomlog"
 	"currantloom.example/currantloom/loommesh"
-	"currantloom.example/currantloom/loomtask"
-)
-
-const (
-	// watchWait is how long a watch waits for changes. A connection that no longer delivers data is noticed after this
-	// time plus the timeout of the call.
-	watchWait = 4 * time.Second
-	// shortWatchWait replaces watchWait on a follower that has missed changes, and after a failed call: a call that was
-	// sent while the store did not respond may never get a response, even after the store is back.
-	shortWatchWait = 300 * time.Millisecond
-	// largeFleetSize is the largest number of nodes that all watch the store. In a larger fleet only some nodes watch it
-	// (see push.go), and these wait for watchBatchDelay after each response with changes, so that the next response holds
-	// all changes of that time. In a small fleet nodes wait only after changes that are not urgent.
-	largeFleetSize  = 16
-	watchBatchDelay = 700 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the delay after a failed call, which doubles with each failure. The actual
-	// wait is 0.5 to 1.5 times the delay, at random.
-	minRetryDelay = 150 * time.Millisecond
-	maxRetryDelay = time.Second
-	// rereadSpread is the time over which the nodes read the store again after it came back from a copy.
-	rereadSpread = 300 * time.Millisecond
 )
 
 // Keys that nodes write to the store: one for each node, and one for the failover lease, which is called "duty" there.
@@ -59,12 +36,14 @@
 	configurationVersion uint64
 	// invalidConfiguration is the position of the last configuration that was logged as invalid.
 	invalidConfiguration currantloom.StorePosition
-	// position is the position of the store up to which the items are complete. storeReachable says that the node's last
-	// call to the store succeeded, or that another node has pushed its changes since.
-	position       currantloom.StorePosition
-	storeReachable bool
-	// askedAt is when the node made the call to the store that reached the position.
-	askedAt time.Duration
+	// position is the position of the store up to which the items are complete; provenAt is the time for which an answer
+	// of the store proves that, zero if none does.
+	position currantloom.StorePosition
+	provenAt time.Duration
+	// proofsAsked are the nodes that have asked this node for its proof since the last heartbeat.
+	proofsAsked map[currantloom.VMName]bool
+	// fleet are the registered nodes among the items; nil if they have to be decoded again.
+	fleet *fleet
 	// copyRequestedAt is when this node last asked another one for its copy. adopted is the position of a copy from
 	// another node that run has not taken over yet.
 	copyRequestedAt time.Time
@@ -74,6 +53,7 @@
 func newStoreCache(n *Node) *storeCache {
 	return &storeCache{
 		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan receivedPush, maxQueuedPushes),
+		proofsAsked: make(map[currantloom.VMName]bool),
 	}
 }
 
@@ -118,142 +98,6 @@
 	return txn
 }
 
-// run keeps the copy up to date until the context ends.
-func (c *storeCache) run(ctx context.Context) error {
-	var position currantloom.StorePosition
-	delay := minRetryDelay
-	for ctx.Err() == nil {
-		if position.IsZero() {
-			position = c.takeAdopted()
-		}
-		next, err := c.advance(ctx, position)
-		era, restored := currantloom.RestoredEraOf(err)
-		switch {
-		case err == nil:
-			position, delay = next, minRetryDelay
-		case restored:
-			c.reportRestored(ctx, era)
-			position = currantloom.StorePosition{}
-		case currantloom.IsInput(err):
-			// The store no longer has the history after the position: read everything again.
-			position = currantloom.StorePosition{}
-		case ctx.Err() == nil:
-			c.reportStoreLost(position, err)
-			loomtask.Sleep(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, maxRetryDelay)
-		}
-	}
-	return nil
-}
-
-// advance waits for changes after the position, from other nodes or from the store, and returns the position up to
-// which the copy is complete.
-func (c *storeCache) advance(
-	ctx context.Context, position currantloom.StorePosition,
-) (currantloom.StorePosition, error) {
-	if !position.IsZero() && c.isFollower() {
-		if next, ok, err := c.awaitPush(ctx, position); ok || err != nil {
-			return next, err
-		}
-	}
-	askedAt := c.node.clock.now()
-	next, err := c.readChanges(ctx, position, askedAt)
-	if err == nil {
-		c.recordPosition(position, next, askedAt)
-	}
-	return next, err
-}
-
-// reportRestored tells the reducer and the followers that the store came back from a copy, and waits for a random time,
-// so that not all nodes read the store at once.
-func (c *storeCache) reportRestored(ctx context.Context, era currantloom.StoreEra) {
-	c.node.submit(loomfleet.StoreEraChanged{Stamp: c.node.stamp(), Era: era})
-	restored := currantloom.NewStorePosition(era, 0)
-	c.pushToFollowers(currantloom.StoreItems{Delta: true, Base: restored, Position: restored})
-	loomtask.Sleep(ctx, rand.N(rereadSpread))
-}
-
-// reportStoreLost reports a failed call. A node that has not read the store yet asks other nodes for their copies.
-func (c *storeCache) reportStoreLost(position currantloom.StorePosition, err error) {
-	c.mu.Lock()
-	c.storeReachable = false
-	c.mu.Unlock()
-	if currantloom.IsStoreEra(err) {
-		c.node.reportUnknownEra(err)
-	}
-	c.node.submit(loomfleet.StoreWatchFailed{Stamp: c.node.stamp(), Reason: err.Error()})
-	if position.IsZero() {
-		c.loadFromSeeds()
-	}
-}
-
-// readChanges waits for changes after the position, or reads the whole store if the position is zero. It returns the
-// position up to which the node has read.
-func (c *storeCache) readChanges(
-	ctx context.Context, position currantloom.StorePosition, askedAt time.Duration,
-) (currantloom.StorePosition, error) {
-	store := c.node.config.Store
-	if position.IsZero() {
-		items, next, err := store.Range(ctx, "")
-		if err != nil {
-			return currantloom.StorePosition{}, err
-		}
-		c.replace(items)
-		c.node.submit(c.decodeChanges("", items, true, next))
-		c.reportAnswer(askedAt)
-		return next, nil
-	}
-	items, next, err := store.Watch(ctx, "", position, c.watchTime())
-	if err != nil {
-		return currantloom.StorePosition{}, err
-	}
-	c.merge(items)
-	if len(items) > 0 {
-		c.pushToFollowers(currantloom.StoreItems{
-			Items: items, Delta: true, Base: position, Position: next, Age: c.node.clock.now() - askedAt,
-		})
-		c.node.submit(c.decodeChanges("", items, false, next))
-	}
-	c.reportAnswer(askedAt)
-	if len(items) > 0 && (isOnlyNodes(items) || c.isLargeFleet() && !c.isFollower()) {
-		loomtask.Sleep(ctx, watchBatchDelay)
-	}
-	return next, nil
-}
-
-// watchTime returns how long the next watch waits for changes.
-func (c *storeCache) watchTime() time.Duration {
-	wait := watchWait
-	if c.isFollower() || !c.isStoreReachable() {
-		wait = shortWatchWait
-	}
-	if interval := c.node.config.Reducer.ProofInterval(); interval > 0 {
-		wait = min(wait, interval)
-	}
-	return wait
-}
-
-// reportAnswer tells the reducer that the store answered a call that was made at askedAt, after its changes.
-func (c *storeCache) reportAnswer(askedAt time.Duration) {
-	stamp := c.node.stamp()
-	c.node.submit(loomfleet.StoreWatchSucceeded{Stamp: stamp, Age: stamp.Now - askedAt})
-}
-
-// isOnlyNodes reports whether all items are registrations of nodes. These are not urgent, and at the start of a fleet
-// each of them would end the watches of all nodes.
-func isOnlyNodes(items []currantloom.StoreItem) bool {
-	return !slices.ContainsFunc(items, func(i currantloom.StoreItem) bool {
-		return !strings.HasPrefix(i.Key, nodeKeyPrefix)
-	})
-}
-
-// isStoreReachable returns storeReachable.
-func (c *storeCache) isStoreReachable() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.storeReachable
-}
-
 // fetchConfiguration takes over the configuration of another node, if it is newer.
 func (c *storeCache) fetchConfiguration(vm currantloom.VM) {
 	m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, vm.LinkAddress(), seedRequestTimeout)
@@ -310,7 +154,7 @@
 			kept[key] = item
 		}
 	}
-	c.items = kept
+	c.items, c.fleet = kept, nil
 	c.mu.Unlock()
 	c.merge(items)
 }
@@ -343,5 +187,8 @@
 	} else {
 		c.items[item.Key] = item
 	}
+	if strings.HasPrefix(item.Key, nodeKeyPrefix) {
+		c.fleet = nil
+	}
 	return true
 }
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -69,8 +69,10 @@
 				Key: "k", Value: []byte("v"), Position: currantloom.NewStorePosition(2, 8), Deleted: true,
 			}},
 			Delta: true,
-			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8), Age: time.Second,
+			Base:  currantloom.NewStorePosition(2, 7), Position: currantloom.NewStorePosition(2, 8),
+			Request: 1 << 60, Age: time.Second,
 		},
+		currantloom.StoreProofRequest{Number: 1 << 60},
 		currantloom.TokenRequest{
 			Incarnation: 1 << 31, Shard: 12, Shards: 13,
 			Sent: time.Hour, Fresh: true, Full: true, Epoch: 3, Answer: 2 * time.Second,
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -126,8 +126,10 @@
 	case kindStoreItems:
 		return currantloom.StoreItems{
 			Items: d.storeItems(), Delta: d.flag(), Base: d.storePosition(), Position: d.storePosition(),
-			Age: d.duration(),
+			Request: d.number(), Age: d.duration(),
 		}
+	case kindStoreProofRequest:
+		return currantloom.StoreProofRequest{Number: d.number()}
 	case kindTokenRequest:
 		return d.tokenRequest()
 	case kindTokenAnswer:
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -29,6 +29,7 @@
 	kindTokenRequest
 	kindTokenAnswer
 	kindReplicaPositions
+	kindStoreProofRequest
 )
 
 // maxMessageSize bounds an encoded message in bytes, without its length prefix.
@@ -136,7 +137,11 @@
 		e.flag(m.Delta)
 		e.storePosition(m.Base)
 		e.storePosition(m.Position)
+		e.number(m.Request)
 		e.duration(m.Age)
+	case currantloom.StoreProofRequest:
+		e.number(uint64(kindStoreProofRequest))
+		e.number(m.Number)
 	case currantloom.TokenRequest:
 		e.number(uint64(kindTokenRequest))
 		e.tokenRequest(m)
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -1,7 +1,6 @@
 package loommodel
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -47,28 +46,6 @@
 	return o
 }
 
-// timer runs a function at a virtual time. Timers with the same time run in the order of their creation.
-type timer struct {
-	at       time.Duration
-	sequence uint64
-	run      func()
-}
-
-// timerHeap implements heap.Interface with the earliest timer first.
-type timerHeap []timer
-
-func (t timerHeap) Len() int { return len(t) }
-func (t timerHeap) Less(i, j int) bool {
-	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].sequence < t[j].sequence
-}
-func (t timerHeap) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timerHeap) Push(x any)   { *t = append(*t, x.(timer)) }
-func (t *timerHeap) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // Simulation is a simulated deployment in virtual time.
 type Simulation struct {
 	options Options
@@ -76,10 +53,7 @@
 	// promotionEndsPauses says that a promotion ends the pauses of all replicas of the service, not only that of the
 	// new primary. Nodes must cope with both.
 	promotionEndsPauses bool
-	now                 time.Duration
-	timers              timerHeap
-	// sequence numbers timers, sessions and statements.
-	sequence uint64
+	virtualTime
 
 	nodes     []*node
 	upstreams []*upstream
@@ -121,26 +95,6 @@
 	return sim
 }
 
-// after schedules the function to run after the delay.
-func (sim *Simulation) after(d time.Duration, run func()) {
-	sim.sequence++
-	heap.Push(&sim.timers, timer{at: sim.now + max(d, 0), sequence: sim.sequence, run: run})
-}
-
-// Run advances virtual time by d and runs all timers that become due.
-func (sim *Simulation) Run(d time.Duration) {
-	end := sim.now + d
-	for len(sim.timers) > 0 && sim.timers[0].at <= end {
-		next := heap.Pop(&sim.timers).(timer)
-		sim.now = next.at
-		next.run()
-	}
-	sim.now = end
-}
-
-// Now returns the virtual time since the start of the simulation.
-func (sim *Simulation) Now() time.Duration { return sim.now }
-
 // Violations returns the violations that the oracle found, at most maxViolations.
 func (sim *Simulation) Violations() []string { return sim.oracle.violations }
 
--- a/message.go
+++ b/message.go
@@ -233,11 +233,17 @@
 	Items          []StoreItem
 	Delta          bool
 	Base, Position StorePosition
-	// Age is the time from asking the store for the answer that reached Position, to sending the message. Only Delta has
-	// it.
+	// Request is the number of the StoreProofRequest that the message answers; zero if it answers none.
+	Request uint64
+	// Age is the time from asking the store for the newest answer, which reached Position, to sending the message. Only
+	// an answer to a StoreProofRequest has it.
 	Age time.Duration
 }
 
+// StoreProofRequest asks a node up to which position of the store its copy is complete, and how long ago the store said
+// so. The answer is a StoreItems without items.
+type StoreProofRequest struct{ Number uint64 }
+
 // TokenRequest asks a limiter for tokens, each of which permits one operation of an organisation. It also hands the
 // sender's shares of the rates to the limiter, for the time since the last answer.
 type TokenRequest struct {
@@ -318,6 +324,7 @@
 func (PrimaryChanged) message()      {}
 func (StoreItemsRequest) message()   {}
 func (StoreItems) message()          {}
+func (StoreProofRequest) message()   {}
 func (TokenRequest) message()        {}
 func (TokenAnswer) message()         {}
 func (ReplicaPositions) message()    {}
