Large messages between nodes are compressed, and encoded once for many nodes

What callers saw: reads run by an older configuration on nodes of the other region, and on followers whose watcher is in touch with the store. Cause: a large configuration went whole to each follower, and whole copies of the store to each node that asked for a configuration. Thirteen copies of 300 KB take 2 to 3 s on a link of 10 Mbit/s; the next change queues behind them, and what a node fetches from the other region competes with the store's own answers. Change: an encoded message of 4 KB or more is compressed (flate); a push is encoded once for all followers. What a peer sends is decompressed to the size of a message at most.

--- a/loomhost/push.go
+++ b/loomhost/push.go
@@ -34,13 +34,14 @@
 	if c.role() != loomwatch.Watcher {
 		return
 	}
+	var others []currantloom.VM
 	for _, node := range c.currentFleet().domain {
 		if node.name != c.node.config.Reducer.Self {
-			// The node's lock is not held, so the push may be lost with a link that has just failed. The follower sees the
-			// gap.
-			c.node.mesh.Send(node.vm(), m)
+			others = append(others, node.vm())
 		}
 	}
+	// The node's lock is not held, so the push may be lost with a link that has just failed. The follower sees the gap.
+	c.node.mesh.SendAll(others, m)
 }
 
 // pushHeartbeats regularly pushes the current position to the nodes of the failure domain that ask for no proofs, if
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -128,7 +128,7 @@
 // FuzzDecode guards against bytes from a peer that make the decoder panic or allocate without bound, and against
 // decoded messages that cannot be encoded.
 func FuzzDecode(f *testing.F) {
-	for _, m := range sampleMessages() {
+	for _, m := range append(sampleMessages(), configurationMessage(50)) {
 		data, err := encode(m)
 		if err != nil {
 			f.Fatal(err)
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -39,14 +39,32 @@
 
 // decode decodes a message without its length prefix.
 func decode(data []byte) (currantloom.Message, error) {
-	d := &decoder{in: msgpack.NewDecoder(bytes.NewReader(data))}
-	m := d.message()
+	d := newDecoder(data)
+	k := messageKind(d.number())
+	if k == kindCompressed {
+		inner, err := decompress(d.bytes())
+		d.setError(err)
+		d = &decoder{in: newDecoder(inner).in, err: d.err}
+		k = messageKind(d.number())
+	}
+	m := d.message(k)
 	if d.err != nil {
 		return nil, currantloom.ErrInput.Wrap(d.err, "message between nodes")
 	}
 	return m, nil
 }
 
+func newDecoder(data []byte) *decoder {
+	return &decoder{in: msgpack.NewDecoder(bytes.NewReader(data))}
+}
+
+// setError keeps the first error.
+func (d *decoder) setError(err error) {
+	if d.err == nil {
+		d.err = err
+	}
+}
+
 // decodeField calls decode, unless an earlier field failed.
 func decodeField[T any](d *decoder, decode func() (T, error)) T {
 	var zero T
@@ -92,8 +110,8 @@
 	return currantloom.NewLogPosition(term, currantloom.LogIndex(d.number()))
 }
 
-func (d *decoder) message() currantloom.Message {
-	switch k := messageKind(d.number()); k {
+func (d *decoder) message(k messageKind) currantloom.Message {
+	switch k {
 	case kindCall:
 		return d.call()
 	case kindCallResult:
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -30,6 +30,7 @@
 	kindTokenAnswer
 	kindReplicaPositions
 	kindStoreProofRequest
+	kindCompressed
 )
 
 // maxMessageSize bounds an encoded message in bytes, without its length prefix.
@@ -45,22 +46,39 @@
 	err    error
 }
 
-// encode returns the encoded message with its length prefix.
-func encode(m currantloom.Message) ([]byte, error) {
+// newEncoder returns an encoder that leaves room for the length prefix.
+func newEncoder() *encoder {
 	e := &encoder{}
 	e.buffer.Write(make([]byte, lengthPrefixSize))
 	e.out = msgpack.NewEncoder(&e.buffer)
 	e.out.UseCompactInts(true)
+	return e
+}
+
+// encode returns the encoded message with its length prefix. A large message is compressed.
+func encode(m currantloom.Message) ([]byte, error) {
+	e := newEncoder()
 	e.message(m)
+	if size := e.buffer.Len() - lengthPrefixSize; size > maxMessageSize {
+		return nil, currantloom.ErrInput.New("message of %d bytes", size)
+	}
+	if e.err == nil && e.buffer.Len() >= compressFrom {
+		compressed, err := compress(e.buffer.Bytes()[lengthPrefixSize:])
+		e = newEncoder()
+		e.setError(err)
+		e.number(uint64(kindCompressed))
+		e.bytes(compressed)
+	}
+	return e.finish()
+}
+
+// finish writes the length prefix and returns the encoded message.
+func (e *encoder) finish() ([]byte, error) {
 	if e.err != nil {
 		return nil, e.err
 	}
 	data := e.buffer.Bytes()
-	size := len(data) - lengthPrefixSize
-	if size > maxMessageSize {
-		return nil, currantloom.ErrInput.New("message of %d bytes", size)
-	}
-	binary.BigEndian.PutUint32(data, uint32(size))
+	binary.BigEndian.PutUint32(data, uint32(len(data)-lengthPrefixSize))
 	return data, nil
 }
 
--- a/loommesh/mesh.go
+++ b/loommesh/mesh.go
@@ -69,19 +69,32 @@
 	mu sync.Mutex
 	// queued are the messages to be written. The slice grows with them, because a node has links to most others and few
 	// messages on most of them.
-	queued []currantloom.Message
+	queued []queuedMessage
 	// suppressReport says that the handler is not told of the end of the link, because the node reset the link itself.
 	suppressReport bool
 	// sent says that a message was taken from the queue to be written.
 	sent bool
 }
 
+// queuedMessage is a message that waits to be written. Encoded is its encoded form if that is known already.
+type queuedMessage struct {
+	message currantloom.Message
+	encoded []byte
+}
+
+func (q queuedMessage) encode() ([]byte, error) {
+	if q.encoded != nil {
+		return q.encoded, nil
+	}
+	return encode(q.message)
+}
+
 func newLink() *link {
 	return &link{done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // enqueue queues a message; it reports false if the queue is full.
-func (l *link) enqueue(m currantloom.Message) bool {
+func (l *link) enqueue(m queuedMessage) bool {
 	l.mu.Lock()
 	if len(l.queued) >= maxQueuedMessages {
 		l.mu.Unlock()
@@ -97,7 +110,7 @@
 }
 
 // takeQueued returns the queued messages and empties the queue.
-func (l *link) takeQueued() []currantloom.Message {
+func (l *link) takeQueued() []queuedMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	taken := l.queued
@@ -134,6 +147,19 @@
 
 // Send queues a message to a VM. It opens a link if there is none, and closes the link if its queue is full.
 func (m *Mesh) Send(vm currantloom.VM, message currantloom.Message) {
+	m.send(vm, queuedMessage{message: message})
+}
+
+// SendAll queues a message to several VMs. It is encoded once.
+func (m *Mesh) SendAll(vms []currantloom.VM, message currantloom.Message) {
+	// A message that cannot be encoded ends each link when it is written.
+	encoded, _ := encode(message)
+	for _, vm := range vms {
+		m.send(vm, queuedMessage{message: message, encoded: encoded})
+	}
+}
+
+func (m *Mesh) send(vm currantloom.VM, message queuedMessage) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
@@ -164,7 +190,7 @@
 func (m *Mesh) Respond(id uint64, message currantloom.Message) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if l, ok := m.inbound[id]; ok && !l.enqueue(message) {
+	if l, ok := m.inbound[id]; ok && !l.enqueue(queuedMessage{message: message}) {
 		l.end(false)
 	}
 }
@@ -241,10 +267,10 @@
 }
 
 // writeMessages writes the messages, then flushes the buffer.
-func writeMessages(conn net.Conn, out *bufio.Writer, messages []currantloom.Message) error {
+func writeMessages(conn net.Conn, out *bufio.Writer, messages []queuedMessage) error {
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	for _, message := range messages {
-		data, err := encode(message)
+		data, err := message.encode()
 		if err != nil {
 			return err
 		}
