Of the followers without a proof a few call the store and feed the others

Cause: once its watchers prove nothing, each follower reads every change for itself. An answer repeats each version of the configuration since the position of the caller, 300 KB each; 40 nodes share one link of 60 Mbit/s, answers take longer than calls last, and the next call asks for more. Change: followers call in stages by their place in the failure domain. One that gets an answer watches in place of the watchers, pushes, sends heartbeats and answers requests for proofs, until a node before it does. A node that finds a gap asks for the copy of the node that showed it. A node without a recent proof asks two others of its region at random, so that one that the store turns away has the changes too, in small fleets as well. The copy is replaced under one lock, since others may be given it at any time; registered nodes are decoded when one of them has changed, not at each look.

--- a/loomhost/copy.go
+++ b/loomhost/copy.go
@@ -118,13 +118,7 @@
 		c.node.mesh.Respond(link, c.storeItems())
 		return
 	}
-	c.mu.Lock()
-	nodes := c.registeredNodes()
-	c.mu.Unlock()
-	for _, node := range nodes {
-		if node.name == to {
-			c.node.mesh.Send(node.vm(), c.storeItems())
-			return
-		}
+	if node, ok := c.currentFleet().byName[to]; ok {
+		c.node.mesh.Send(node.vm(), c.storeItems())
 	}
 }
--- a/loomhost/fleet.go
+++ b/loomhost/fleet.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -32,11 +33,15 @@
 
 // fleet holds the registered nodes, as far as this node needs them to keep its copy of the store up to date.
 type fleet struct {
-	// size is the number of registered nodes.
-	size int
+	// size is the number of registered nodes, byName holds all of them.
+	size   int
+	byName map[currantloom.VMName]registeredNode
 	// domain are the nodes of this node's failure domain, ordered by a hash of their names. The first ones are the
-	// watchers.
+	// watchers. rank is the place of this node, -1 if it is not registered.
 	domain []registeredNode
+	rank   int
+	// peers are the other nodes of this node's region, or of all regions if there is none.
+	peers []registeredNode
 }
 
 // registeredNodes returns the registered nodes in no particular order. The lock is held.
@@ -58,16 +63,34 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.fleet == nil {
-		nodes := c.registeredNodes()
-		c.fleet = &fleet{size: len(nodes), domain: c.sameFailureDomain(nodes)}
+		c.fleet = c.newFleet()
 	}
 	return *c.fleet
 }
 
+// newFleet decodes the registered nodes. The lock is held.
+func (c *storeCache) newFleet() *fleet {
+	nodes, self := c.registeredNodes(), c.node.config.Reducer.Self
+	f := &fleet{size: len(nodes), byName: make(map[currantloom.VMName]registeredNode)}
+	for _, node := range nodes {
+		f.byName[node.name] = node
+	}
+	others := slices.DeleteFunc(slices.Clone(nodes), func(node registeredNode) bool { return node.name == self })
+	f.peers = slices.DeleteFunc(slices.Clone(others), func(node registeredNode) bool {
+		return node.record.Region != string(c.node.config.Reducer.Location.Region())
+	})
+	if len(f.peers) == 0 {
+		f.peers = others
+	}
+	f.domain = c.sameFailureDomain(nodes)
+	f.rank = slices.IndexFunc(f.domain, func(node registeredNode) bool { return node.name == self })
+	return f
+}
+
 // sameFailureDomain returns the nodes of this node's failure domain, ordered by a hash of their names.
 func (c *storeCache) sameFailureDomain(nodes []registeredNode) []registeredNode {
 	location := c.node.config.Reducer.Location
-	sameDomain := slices.DeleteFunc(nodes, func(node registeredNode) bool {
+	sameDomain := slices.DeleteFunc(slices.Clone(nodes), func(node registeredNode) bool {
 		return node.record.FailureDomain != string(location.FailureDomain()) ||
 			node.record.Region != string(location.Region())
 	})
@@ -84,21 +107,36 @@
 }
 
 // role returns in which way this node learns of changes. A node that is not registered yet calls the store.
-func (c *storeCache) role() loomwatch.Role {
-	f := c.currentFleet()
-	if f.size <= largeFleetSize {
+func (f fleet) role() loomwatch.Role {
+	switch {
+	case f.size <= largeFleetSize:
 		return loomwatch.Direct
+	case f.rank >= watchersPerDomain:
+		return loomwatch.Follower
+	default:
+		return loomwatch.Watcher
+	}
+}
+
+// sources returns the nodes of the failure domain that this node asks for their proofs: the watchers, and of the nodes
+// that watch the store in their place those before this node. So of several such nodes only one goes on.
+func (f fleet) sources(self currantloom.VMName, isActing func(currantloom.VMName) bool) []registeredNode {
+	if f.role() == loomwatch.Direct {
+		return nil
 	}
+	var sources []registeredNode
 	for i, node := range f.domain {
-		if node.name == c.node.config.Reducer.Self && i >= watchersPerDomain {
-			return loomwatch.Follower
+		before := i < f.rank || f.rank < watchersPerDomain
+		if node.name != self && (i < watchersPerDomain || before && isActing(node.name)) {
+			sources = append(sources, node)
 		}
 	}
-	return loomwatch.Watcher
+	return sources
 }
 
-// otherWatchers returns the watchers of this node's failure domain, except this node.
-func (f fleet) otherWatchers(self currantloom.VMName) []registeredNode {
-	watchers := f.domain[:min(watchersPerDomain, len(f.domain))]
-	return slices.DeleteFunc(slices.Clone(watchers), func(node registeredNode) bool { return node.name == self })
+// randomPeers returns up to count peers at random.
+func (f fleet) randomPeers(count int) []registeredNode {
+	peers := slices.Clone(f.peers)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(count, len(peers))]
 }
--- a/loomhost/node.go
+++ b/loomhost/node.go
@@ -121,7 +121,6 @@
 	addTask(n.tick)
 	addTask(n.storeCache.run)
 	addTask(n.storeCache.loadAtStart)
-	addTask(n.storeCache.pushHeartbeats)
 	addTask(n.metrics.run)
 	addTask(n.acceptSessions)
 	addTask(n.acceptLinks)
@@ -242,7 +241,7 @@
 		return
 	case currantloom.StoreProofRequest:
 		n.storeCache.requestCopyIfMissing(link)
-		n.storeCache.sendProof(from, m.Number)
+		n.storeCache.sendProof(from, m)
 		return
 	case currantloom.StoreItems:
 		n.storeCache.requestCopyIfMissing(link)
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -40,8 +41,8 @@
 	// of the store proves that, zero if none does.
 	position currantloom.StorePosition
 	provenAt time.Duration
-	// proofsAsked are the nodes that have asked this node for its proof since the last heartbeat.
-	proofsAsked map[currantloom.VMName]bool
+	// asked are the nodes that have asked this node for its proof since the last heartbeat.
+	asked map[currantloom.VMName]bool
 	// fleet are the registered nodes among the items; nil if they have to be decoded again.
 	fleet *fleet
 	// copyRequestedAt is when this node last asked another one for its copy. adopted is the position of a copy from
@@ -53,7 +54,7 @@
 func newStoreCache(n *Node) *storeCache {
 	return &storeCache{
 		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan receivedPush, maxQueuedPushes),
-		proofsAsked: make(map[currantloom.VMName]bool),
+		asked: make(map[currantloom.VMName]bool),
 	}
 }
 
@@ -113,30 +114,22 @@
 // adoptConfiguration takes over the configuration among the items, if it is newer than that of the node.
 func (c *storeCache) adoptConfiguration(from currantloom.VMName, items []currantloom.StoreItem) {
 	for _, item := range items {
-		configuration, ok, err := c.node.config.Catalog.Configuration(item)
-		if ok && err == nil && c.keepNewest(item, configuration.Version) {
+		_, ok, err := c.node.config.Catalog.Configuration(item)
+		if ok && err == nil && len(c.merge([]currantloom.StoreItem{item})) > 0 {
 			c.node.submit(c.decodeChanges(from, []currantloom.StoreItem{item}, false, currantloom.StorePosition{}))
 		}
 	}
 }
 
-// keepNewest stores an item with a configuration unless the one that the node has is at least as new. A store that came
-// back from a copy may hold an older configuration until the operator has written it again. Of two different ones with
-// the same version the first stays, as in the reducer.
-func (c *storeCache) keepNewest(item currantloom.StoreItem, version uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.hasConfiguration && version <= c.configurationVersion {
-		return false
-	}
-	c.items[item.Key], c.configurationVersion, c.hasConfiguration = item, version, true
-	return true
-}
-
 // storeItems returns all items, sorted by key, for another node.
 func (c *storeCache) storeItems() currantloom.StoreItems {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.storeItemsLocked()
+}
+
+// storeItemsLocked is storeItems for a function that holds the lock.
+func (c *storeCache) storeItemsLocked() currantloom.StoreItems {
 	items := make([]currantloom.StoreItem, 0, len(c.items))
 	for _, item := range c.items {
 		items = append(items, item)
@@ -148,37 +141,40 @@
 // replace replaces all items, except a configuration that is newer than the new one.
 func (c *storeCache) replace(items []currantloom.StoreItem) {
 	c.mu.Lock()
-	kept := make(map[string]currantloom.StoreItem)
-	for key, item := range c.items {
-		if _, ok, err := c.node.config.Catalog.Configuration(item); ok && err == nil {
-			kept[key] = item
-		}
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.items, func(_ string, item currantloom.StoreItem) bool {
+		_, ok, err := c.node.config.Catalog.Configuration(item)
+		return !ok || err != nil
+	})
+	c.fleet = nil
+	for _, item := range items {
+		c.mergeItem(item)
 	}
-	c.items, c.fleet = kept, nil
-	c.mu.Unlock()
-	c.merge(items)
 }
 
 // merge applies the items that are newer than the cached ones, and returns them. A configuration that is invalid or was
 // deleted does not replace the last valid one, which other nodes are given; it is returned to be logged.
 func (c *storeCache) merge(items []currantloom.StoreItem) []currantloom.StoreItem {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var newer []currantloom.StoreItem
 	for _, item := range items {
-		configuration, ok, err := c.node.config.Catalog.Configuration(item)
-		switch {
-		case ok && err != nil:
-			newer = append(newer, item)
-		case ok && c.keepNewest(item, configuration.Version), !ok && c.mergeItem(item):
+		if c.mergeItem(item) {
 			newer = append(newer, item)
 		}
 	}
 	return newer
 }
 
-// mergeItem applies an item if it is newer than the cached one.
+// mergeItem applies an item for merge. It reports false if the item is not newer than the cached one. The lock is held.
 func (c *storeCache) mergeItem(item currantloom.StoreItem) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	configuration, ok, err := c.node.config.Catalog.Configuration(item)
+	switch {
+	case ok && err != nil:
+		return true
+	case ok:
+		return c.keepNewest(item, configuration.Version)
+	}
 	if current, ok := c.items[item.Key]; ok && !item.Position.After(current.Position) {
 		return false
 	}
@@ -192,3 +188,14 @@
 	}
 	return true
 }
+
+// keepNewest stores an item with a configuration unless the one that the node has is at least as new. A store that came
+// back from a copy may hold an older configuration until the operator has written it again. Of two different ones with
+// the same version the first stays, as in the reducer. The lock is held.
+func (c *storeCache) keepNewest(item currantloom.StoreItem, version uint64) bool {
+	if c.hasConfiguration && version <= c.configurationVersion {
+		return false
+	}
+	c.items[item.Key], c.configurationVersion, c.hasConfiguration = item, version, true
+	return true
+}
--- a/loommesh/compress_test.go
+++ b/loommesh/compress_test.go
@@ -43,7 +43,8 @@
 	}
 }
 
-// TestCompressedMessagesAreBounded guards against a few bytes of a peer that take all memory when they are decompressed.
+// TestCompressedMessagesAreBounded guards against a few bytes of a peer that take all memory when they are
+// decompressed.
 func TestCompressedMessagesAreBounded(t *testing.T) {
 	compressed, err := compress(make([]byte, maxMessageSize+1))
 	if err != nil {
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -147,7 +147,7 @@
 			Request: d.number(), Age: d.duration(),
 		}
 	case kindStoreProofRequest:
-		return currantloom.StoreProofRequest{Number: d.number()}
+		return currantloom.StoreProofRequest{Number: d.number(), Position: d.storePosition(), Copy: d.flag()}
 	case kindTokenRequest:
 		return d.tokenRequest()
 	case kindTokenAnswer:
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -160,6 +160,8 @@
 	case currantloom.StoreProofRequest:
 		e.number(uint64(kindStoreProofRequest))
 		e.number(m.Number)
+		e.storePosition(m.Position)
+		e.flag(m.Copy)
 	case currantloom.TokenRequest:
 		e.number(uint64(kindTokenRequest))
 		e.tokenRequest(m)
--- a/loomwatch/schedule.go
+++ b/loomwatch/schedule.go
@@ -18,13 +18,16 @@
 // includes suspensions of the VM. The zero value belongs to a Direct node that has no proof.
 type Schedule struct {
 	role Role
+	// rank is the place of the node in the order of its failure domain.
+	rank int
 	// revocationAge is the age at which a proof is too old for strict revocation; zero if there is none.
 	revocationAge time.Duration
 	// own is the newest proof by a call of the node itself, pushed the newest one of a watcher.
 	own, pushed proof
 	// calling says that a call to the store is under way, failed that the last one failed, incomplete that changes are
-	// known to be missing.
+	// known to be missing since missingAt.
 	calling, failed, incomplete bool
+	missingAt                   time.Duration
 	// notBefore is the earliest time of the next call, retryDelay the delay after the last failed one.
 	notBefore, retryDelay time.Duration
 	requests              requests
@@ -52,41 +55,41 @@
 	return &Schedule{requests: requests{next: firstRequest}, revocationAge: revocationAge}
 }
 
-// SetRole sets the role of the node.
-func (s *Schedule) SetRole(r Role) { s.role = r }
+// SetRole sets the role of the node, and its rank in the order of its failure domain.
+func (s *Schedule) SetRole(r Role, rank int) { s.role, s.rank = r, rank }
 
 // NextCall returns when the next call to the store is due; false if a call is under way.
 func (s *Schedule) NextCall() (time.Duration, bool) {
 	if s.calling {
 		return 0, false
 	}
-	due := s.notBefore
-	if s.role != Follower || s.incomplete {
-		return due, true
+	if s.role != Follower || !s.pushed.exists {
+		return s.notBefore, true
 	}
-	if s.own.exists {
-		due = max(due, s.own.at+s.limit(maxOwnAge))
+	due := s.pushed.at + s.limit() + stageDelayOf(s.rank)
+	if s.incomplete {
+		due = min(due, s.missingAt+missingTime+stageDelayOf(s.rank))
 	}
-	if s.pushed.exists {
-		due = max(due, s.pushed.at+s.limit(maxPushedAge))
-	}
-	return due, true
+	return max(due, s.notBefore), true
 }
 
-// limit returns the age of a proof at which a follower calls the store, given the one without strict revocation.
-func (s *Schedule) limit(age time.Duration) time.Duration {
+// limit returns the age of the newest proof of another node at which a follower calls the store.
+func (s *Schedule) limit() time.Duration {
 	if s.revocationAge > 0 {
-		return min(age, s.revocationAge*3/4)
+		return min(maxPushedAge, s.revocationAge*3/4)
 	}
-	return age
+	return maxPushedAge
 }
 
 // StartCall records the start of a call and returns how long the store may wait for changes.
-func (s *Schedule) StartCall() time.Duration {
+func (s *Schedule) StartCall(now time.Duration) time.Duration {
 	s.calling = true
 	wait := waitOf(s.role)
-	if s.failed {
+	switch {
+	case s.failed:
 		wait = shortWait
+	case s.IsActing(now):
+		wait = max(wait, watcherWait)
 	}
 	if s.revocationAge > 0 {
 		wait = min(wait, s.revocationAge/4)
@@ -115,12 +118,20 @@
 	s.calling, s.own, s.pushed, s.notBefore = false, proof{}, proof{}, now+delay
 }
 
-// ChangesMissing records that changes are missing that other nodes have.
-func (s *Schedule) ChangesMissing() { s.incomplete = true }
+// ChangesMissing records that the node lacks changes that another node has, and has requested them there.
+func (s *Schedule) ChangesMissing(now time.Duration) {
+	if !s.incomplete {
+		s.incomplete, s.missingAt = true, now
+	}
+}
 
-// NextRequest returns when the node has to ask the watchers for their proof; false if it asks nobody.
-func (s *Schedule) NextRequest() (time.Duration, bool) {
-	return s.requests.last + s.requestInterval(), s.role != Direct
+// ChangesReceived records that the node has the changes that were missing.
+func (s *Schedule) ChangesReceived() { s.incomplete = false }
+
+// NextRequest returns when the node has to ask other nodes for their proof; false if it asks nobody. A Direct node asks
+// only while its own calls are not answered.
+func (s *Schedule) NextRequest(now time.Duration) (time.Duration, bool) {
+	return s.requests.last + s.requestInterval(), s.role != Direct || !s.IsProven(now)
 }
 
 func (s *Schedule) requestInterval() time.Duration {
@@ -153,7 +164,26 @@
 	return s.own.at, s.own.exists
 }
 
+// IsProven reports whether the newest proof is recent enough.
+func (s *Schedule) IsProven(now time.Duration) bool {
+	at, ok := s.ProvenAt()
+	return ok && now-at <= s.limit()
+}
+
 // IsFed reports whether the proofs of watchers are recent enough.
 func (s *Schedule) IsFed(now time.Duration) bool {
-	return s.pushed.exists && now-s.pushed.at <= s.limit(maxPushedAge)
+	return s.pushed.exists && now-s.pushed.at <= s.limit()
+}
+
+// IsActing reports whether the node watches the store for others: a watcher, or a follower that no other node feeds and
+// whose own calls are answered.
+func (s *Schedule) IsActing(now time.Duration) bool {
+	switch s.role {
+	case Watcher:
+		return true
+	case Follower:
+		return s.own.exists && now-s.own.at <= s.limit() && !s.IsFed(now)
+	default:
+		return false
+	}
 }
--- a/message.go
+++ b/message.go
@@ -96,8 +96,8 @@
 	// RequiredPosition is what the log had to cover; RequiredAge is how long before the call's arrival it was sampled.
 	RequiredPosition LogPosition
 	RequiredAge      time.Duration
-	// RetryAfter is when a call that was rejected with ReasonQueueWait is worth trying again: its own expected wait, which
-	// differs from QueueWait because the queue has an order.
+	// RetryAfter is when a call that was rejected with ReasonQueueWait is worth trying again: its own expected wait,
+	// which differs from QueueWait because the queue has an order.
 	RetryAfter time.Duration
 	// Lagging are the replicas of the service whose logs are behind or were lately.
 	Lagging []UpstreamPosition
@@ -241,8 +241,16 @@
 }
 
 // StoreProofRequest asks a node up to which position of the store its copy is complete, and how long ago the store said
-// so. The answer is a StoreItems without items.
-type StoreProofRequest struct{ Number uint64 }
+// so. The answer is a StoreItems, without items unless Copy is set.
+type StoreProofRequest struct {
+	// Number identifies the request; zero means that the sender only wants to know whether there are changes after
+	// Position.
+	Number uint64
+	// Position is the position of the sender's copy.
+	Position StorePosition
+	// Copy asks for the whole copy, if it is newer than Position.
+	Copy bool
+}
 
 // TokenRequest asks a limiter for tokens, each of which permits one operation of an organisation. It also hands the
 // sender's shares of the rates to the limiter, for the time since the last answer.
