An answer of the store that is arriving is not given up

What callers saw: waits of seconds, and an older configuration, on nodes of the region that the store is not in, for long after the store had answered everybody again. Cause: a call was given up after 1.5 s whether or not data arrived. A large answer over a shared link takes longer; it is given up, asked for again, and the retries keep the link full (retries amplify an overload). Change: the time runs from the last data.

--- a/loomhost/watch.go
+++ b/loomhost/watch.go
@@ -163,8 +163,6 @@
 		a.items, a.position, a.err = store.Range(ctx, "")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+loomwatch.CallTimeout)
-	defer cancel()
 	a.items, a.position, a.err = store.Watch(ctx, "", a.base, wait)
 }
 
--- a/loommodel/watchfleet.go
+++ b/loommodel/watchfleet.go
@@ -239,7 +239,10 @@
 		}
 	})
 	f.after(wait+loomwatch.CallTimeout, func() {
-		n.finish(c, 0, func() { n.schedule.CallFailed(f.now, f.random.Uint64()) })
+		// An answer that is arriving is not given up.
+		if !c.answered {
+			n.finish(c, 0, func() { n.schedule.CallFailed(f.now, f.random.Uint64()) })
+		}
 	})
 }
 
--- a/store.go
+++ b/store.go
@@ -36,7 +36,8 @@
 type Store interface {
 	// Range returns all items under the prefix and the position up to which they are complete.
 	Range(ctx context.Context, prefix string) ([]StoreItem, StorePosition, error)
-	// Watch returns the changes after the position as soon as there are any, or none after the wait time.
+	// Watch returns the changes after the position as soon as there are any, or none after the wait time. It gives up
+	// when it has got no data for loomwatch.CallTimeout after that.
 	Watch(ctx context.Context, prefix string, after StorePosition, wait time.Duration) ([]StoreItem, StorePosition, error)
 	// Commit applies the transaction and returns its position.
 	Commit(ctx context.Context, txn StoreTxn) (StorePosition, error)
