A malformed record of the failover lease is replaced by a claim

What callers would see: no primary is replaced any more after something else has written the key of the failover lease. Cause: a record that cannot be decoded was left out; in a list of the whole store the lease then counted as vacant, and claims that expect no key were refused for ever. A record without a holder was treated likewise. Change: such a record names no holder, and a claim expects its position.

--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -64,6 +64,9 @@
 	} else {
 		c.holder = leaseHolder{name: e.Holder, incarnation: e.Incarnation, position: e.Position}
 	}
+	if !e.Deleted && e.Holder == "" {
+		c.holder.malformed, c.holder.vacantSince = true, max(s.now, 1)
+	}
 	r := &c.leaseKey
 	switch {
 	case c.isHolder(s):
@@ -134,6 +137,8 @@
 		r.requestLease(s)
 	case c.isNamedWithoutLease(s):
 		r.write(s, true, c.holder.position)
+	case c.holder.malformed:
+		r.write(s, true, c.holder.position)
 	default:
 		r.write(s, true, currantloom.StorePosition{})
 	}
--- a/loomfleet/coordinator_test.go
+++ b/loomfleet/coordinator_test.go
@@ -33,3 +33,26 @@
 		}
 	}
 }
+
+// TestMalformedLeaseRecord guards against a fleet that has no holder of the failover lease for ever, because something
+// else has written its key: a claim must replace that record.
+func TestMalformedLeaseRecord(t *testing.T) {
+	s := New(Config{Self: "vm-1", Location: testLocation, Address: "10.0.0.1:1", Incarnation: 1})
+	s.now = 2 * settleTime
+	odd := testStorePosition(7)
+	s.coordinator.handleLeaseChange(s, FailoverLeaseChange{Position: odd})
+	s.catalog.configuration = &currantloom.Configuration{Version: 1}
+	s.now += 2 * settleTime
+	s.coordinator.leaseKey.lease = currantloom.NewStoreLease(0, 9)
+	s.coordinator.leaseKey.ttl, s.coordinator.leaseKey.validUntil = s.now, 10*s.now
+	s.coordinator.tickLeaseKey(s)
+	for _, e := range s.effects {
+		if commit, ok := e.(StoreCommit); ok {
+			if !commit.Txn.Conditional || commit.Txn.Expected != odd {
+				t.Errorf("claim %+v, want one that replaces the record at %s", commit.Txn, odd)
+			}
+			return
+		}
+	}
+	t.Error("no claim")
+}
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -124,6 +124,7 @@
 
 // FailoverLeaseChange is a change of the failover lease's holder.
 type FailoverLeaseChange struct {
+	// Holder is empty if the key names none, because something else has written it.
 	Holder      currantloom.VMName
 	Incarnation uint64
 	Position    currantloom.StorePosition
--- a/loomfleet/registration.go
+++ b/loomfleet/registration.go
@@ -200,4 +200,6 @@
 	position    currantloom.StorePosition
 	// vacantSince is when the lease became vacant; zero if it is held or its state is unknown.
 	vacantSince time.Duration
+	// malformed says that the key exists and names no holder. A claim replaces it.
+	malformed bool
 }
