One odd entry in the store costs that entry only

What can happen here: no case ended a process or kept the other entries from being read, in a list or a watch (TestOddRegistrations, TestOddNodeRecords, 13 and 5 kinds). Records of nodes with such addresses would be dialled every second (read in the code). Each read logged the entry again.

--- a/loomhost/decode.go
+++ b/loomhost/decode.go
@@ -34,8 +34,8 @@
 		Position: item.Position, Deleted: item.Deleted,
 	}
 	if !item.Deleted {
-		var record nodeRecord
-		if err := json.Unmarshal(item.Value, &record); err != nil {
+		record, err := decodeNode(item.Value)
+		if err != nil {
 			c.logIgnoredItem(item, err)
 			return
 		}
@@ -47,13 +47,23 @@
 	e.Members = append(e.Members, change)
 }
 
+// decodeNode decodes the value of a node's key.
+func decodeNode(value []byte) (nodeRecord, error) {
+	var record nodeRecord
+	if err := json.Unmarshal(value, &record); err != nil {
+		return nodeRecord{}, err
+	}
+	return record, currantloom.CheckAddress(record.Address)
+}
+
+// addFailoverLease adds the record of the failover lease. A malformed one names no holder.
 func (c *storeCache) addFailoverLease(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
 	change := loomfleet.FailoverLeaseChange{Position: item.Position, Deleted: item.Deleted}
 	if !item.Deleted {
 		var record failoverLeaseRecord
 		if err := json.Unmarshal(item.Value, &record); err != nil {
 			c.logIgnoredItem(item, err)
-			return
+			record = failoverLeaseRecord{}
 		}
 		change.Holder, change.Incarnation = currantloom.VMName(record.Holder), record.Incarnation
 	}
@@ -79,8 +89,18 @@
 	}
 }
 
-// logIgnoredItem logs an item that cannot be decoded.
+// logIgnoredItem logs an item that cannot be decoded. An item is read more than once, but logged once.
 func (c *storeCache) logIgnoredItem(item currantloom.StoreItem, err error) {
+	c.mu.Lock()
+	logged := c.ignored[item.Key] == item.Position && !item.Position.IsZero()
+	if len(c.ignored) >= maxIgnoredItems {
+		clear(c.ignored)
+	}
+	c.ignored[item.Key] = item.Position
+	c.mu.Unlock()
+	if logged {
+		return
+	}
 	c.node.log.Enqueue(loomlog.Line{Event: "item", Warn: true, Fields: []any{
 		"key", item.Key, "version", item.Position, "reason", err, "outcome", "ignored",
 	}})
--- a/loomhost/fleet.go
+++ b/loomhost/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -49,9 +48,11 @@
 	var nodes []registeredNode
 	for key, item := range c.items {
 		name, ok := strings.CutPrefix(key, nodeKeyPrefix)
-		var record nodeRecord
+		if !ok {
+			continue
+		}
 		// A record that cannot be decoded was logged when it was read.
-		if ok && json.Unmarshal(item.Value, &record) == nil {
+		if record, err := decodeNode(item.Value); err == nil {
 			nodes = append(nodes, registeredNode{name: currantloom.VMName(name), record: record})
 		}
 	}
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -20,6 +20,9 @@
 	failoverLeaseKey = "duty"
 )
 
+// maxIgnoredItems bounds the memory of the malformed items that were logged.
+const maxIgnoredItems = 1000
+
 // storeCache keeps a copy of the platform's store and reports changes to the reducer.
 type storeCache struct {
 	node *Node
@@ -37,6 +40,8 @@
 	configurationVersion uint64
 	// invalidConfiguration is the position of the last configuration that was logged as invalid.
 	invalidConfiguration currantloom.StorePosition
+	// ignored are the positions of other items that were logged as malformed, by key.
+	ignored map[string]currantloom.StorePosition
 	// position is the position of the store up to which the items are complete; provenAt is the time for which an answer
 	// of the store proves that, zero if none does.
 	position currantloom.StorePosition
@@ -54,7 +59,7 @@
 func newStoreCache(n *Node) *storeCache {
 	return &storeCache{
 		node: n, items: make(map[string]currantloom.StoreItem), pushes: make(chan receivedPush, maxQueuedPushes),
-		asked: make(map[currantloom.VMName]bool),
+		asked: make(map[currantloom.VMName]bool), ignored: make(map[string]currantloom.StorePosition),
 	}
 }
 
