--- a/loomwatch/age.go
+++ b/loomwatch/age.go
@@ -9,7 +9,7 @@
 	directWait  = 2 * time.Second
 	watcherWait = time.Second
 	shortWait   = 300 * time.Millisecond
-	// CallTimeout is how long after its wait a call is given up.
+	// CallTimeout is how long after its wait a call without data is given up.
 	CallTimeout = 1500 * time.Millisecond
 	// batchDelay is the time between an answer with changes and the next call of a watcher, whose answer then holds all
 	// changes of that time.
