The test of hanging watchers starts from a follower that trusts them

Cause: since followers without a proof call the store by themselves, the follower of TestFollowerOfHangingWatchers was never fed by its watchers, and the test no longer showed the fault that it guards against. Change: a watcher over a link answers its requests for proofs, at first with a recent answer of the store and then with one that grows older. The bound is as before.

--- a/loomhost/follower_test.go
+++ b/loomhost/follower_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"currantloom.example/currantloom"
 	"currantloom.example/currantloom/loomfleet"
+	"currantloom.example/currantloom/loommesh"
 	"currantloom.example/currantloom/loomwatch"
 )
 
@@ -63,8 +68,54 @@
 	s.position = currantloom.NewStorePosition(1, revision)
 }
 
+// hangingWatcher answers requests for proofs. Its call to the store hangs since the given time, once that is set.
+type hangingWatcher struct {
+	mesh *loommesh.Mesh
+	// hangs is the time since which the call hangs in Unix nanoseconds, answers the number of requests answered.
+	hangs, answers atomic.Int64
+}
+
+func (h *hangingWatcher) MessageReceived(_ currantloom.VMName, link uint64, m currantloom.Message) {
+	request, ok := m.(currantloom.StoreProofRequest)
+	if !ok {
+		return
+	}
+	age := time.Duration(0)
+	if hangs := h.hangs.Load(); hangs > 0 {
+		age = time.Since(time.Unix(0, hangs))
+	}
+	h.answers.Add(1)
+	h.mesh.Respond(link, currantloom.StoreItems{
+		Delta: true, Base: storePositionAt(100), Position: storePositionAt(100), Request: request.Number, Age: age,
+	})
+}
+func (*hangingWatcher) OutboundLinkFailed(_ currantloom.VMName, _ bool, remove func()) { remove() }
+func (*hangingWatcher) InboundLinkClosed(uint64)                                       {}
+
+// startHangingWatcher returns a watcher and its address.
+func startHangingWatcher(t *testing.T) (*hangingWatcher, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &hangingWatcher{}
+	h.mesh = loommesh.New("watcher", h)
+	served := make(chan error, 1)
+	go func() { served <- h.mesh.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		if err := <-served; !errors.Is(err, net.ErrClosed) {
+			t.Error(err)
+		}
+		_ = h.mesh.Close()
+	})
+	return h, listener.Addr().String()
+}
+
 // startFollower starts the store cache of a follower in a fleet of 20 nodes, with the version 1 of the configuration.
-func startFollower(t *testing.T, store currantloom.Store) *storeCache {
+// All other nodes have the address of the watcher.
+func startFollower(t *testing.T, store currantloom.Store, watcher string) *storeCache {
 	t.Helper()
 	n := New(Config{
 		Reducer: loomfleet.Config{Self: "vm-1", Location: currantloom.NewLocation("ost", "linz")},
@@ -72,6 +123,10 @@
 	})
 	c := n.storeCache
 	c.items = newTestStoreCache("vm-1", 20).items
+	for key, item := range c.items {
+		item.Value = fmt.Appendf(nil, `{"address":%q,"domain":"linz","region":"ost"}`, watcher)
+		c.items[key] = item
+	}
 	c.adoptCopy("vm-9", currantloom.StoreItems{
 		Items: append(c.storeItems().Items, storeItem("configuration", "1", 1, 100)), Position: storePositionAt(100),
 	})
@@ -123,10 +178,17 @@
 func TestFollowerOfHangingWatchers(t *testing.T) {
 	store := &servingStore{position: storePositionAt(99)}
 	store.put("configuration", "1")
-	c := startFollower(t, store)
+	watcher, address := startHangingWatcher(t)
+	c := startFollower(t, store, address)
 	awaitWatch(t, store)
-	store.put("configuration", "2")
+	for end := time.Now().Add(configurationTime); watcher.answers.Load() < 6; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the follower does not ask its watchers for their proofs")
+		}
+	}
 	changedAt := time.Now()
+	watcher.hangs.Store(changedAt.UnixNano())
+	store.put("configuration", "2")
 	for configurationOf(c) != 2 {
 		age := time.Since(changedAt)
 		if age > configurationTime {
