review: case 1, acknowledged commits lost while a promotion is awaited

Cause: once a promotion was requested, nothing keeps the old primary from committing. If it and a replica that counted as gone come back before the promotion takes effect, it acknowledges commits that the new primary lacks.

--- /dev/null
+++ b/review/standin/world.go
@@ -0,0 +1,252 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// minLeaseTTL is minTtlMs of the settings.
+	minLeaseTTL = time.Second
+	// readyWithin is how long the nodes may take to become ready.
+	readyWithin = 15 * time.Second
+)
+
+// zones are the failure domains; each has one node and one upstream.
+var zones = []string{"ost-linz", "west-ibk", "ost-steyr"}
+
+// world is the platform, the database and the nodes of a case.
+type world struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	record   *record
+	trouble  bool
+	store    *store
+	database *database
+	platform *http.Server
+	nodes    []*node
+	dir      string
+	// program is the program under review, address that of the platform.
+	program, address string
+}
+
+// node is a node of this repository in its own process.
+type node struct {
+	name, zone                                string
+	sessionAddress, readyAddress, linkAddress string
+	command                                   *exec.Cmd
+	ended                                     sync.WaitGroup
+}
+
+func listen(ctx context.Context) (net.Listener, error) {
+	var c net.ListenConfig
+	return c.Listen(ctx, "tcp", "127.0.0.1:0")
+}
+
+// newWorld starts the platform, the database and the nodes, and waits until the nodes are ready.
+func newWorld(ctx context.Context, r *record, program string, trouble bool) (*world, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{record: r, trouble: trouble, store: newStore(), dir: dir, program: program}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	r.add("start, trouble %t", trouble)
+	if err := w.start(); err != nil {
+		w.close()
+		return nil, err
+	}
+	return w, nil
+}
+
+func (w *world) start() error {
+	database, err := startDatabase(w.ctx, w.record, w.store, zones)
+	if err != nil {
+		return err
+	}
+	w.database = database
+	w.store.put("op/config", configuration())
+	l, err := listen(w.ctx)
+	if err != nil {
+		return err
+	}
+	mux := w.store.handler()
+	mux.HandleFunc("POST /failover", w.database.serveFailover)
+	w.platform = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = w.platform.Serve(l) }()
+	w.address = l.Addr().String()
+	if err := w.newNodes(); err != nil {
+		return err
+	}
+	for _, n := range w.nodes {
+		if err := w.startNode(n); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady()
+}
+
+// configuration is op/config: a route of each type to the service.
+func configuration() []byte {
+	route := func(name, host, kind string, staleness int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "pathPrefix": "/", "type": kind, "timeoutMs": 800, "targetLatencyMs": 800,
+			"priority": 1, "service": serviceName, "attempts": 2, "maxStalenessMs": staleness,
+		}
+	}
+	value, _ := json.Marshal(map[string]any{
+		"version": 7,
+		"routes": []any{
+			route("r-1", "lepu270", "primary", 0), route("r-2", "fiti832", "read_own", 2500),
+			route("r-3", "xapu221", "bounded_staleness", 1500),
+		},
+		"services": []any{map[string]any{
+			"name": serviceName, "healthPath": "/healthz", "maxConnections": 16, "protocol": "h1", "tls": false,
+			"syncReplicas": 1,
+		}},
+		"limits": map[string]any{"txIdleMs": 3000},
+	})
+	return value
+}
+
+// newNodes chooses free ports for the nodes.
+func (w *world) newNodes() error {
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for _, zone := range zones {
+		n := &node{name: "frontend-" + zone + "-1", zone: zone}
+		for _, address := range []*string{&n.sessionAddress, &n.readyAddress, &n.linkAddress} {
+			l, err := listen(w.ctx)
+			if err != nil {
+				return err
+			}
+			listeners = append(listeners, l)
+			*address = l.Addr().String()
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	return nil
+}
+
+// settings is the settings file of a node, as DEPLOY.md shows it.
+func (w *world) settings(n *node) string {
+	return fmt.Sprintf(`nodeName: %q
+role: "node"
+machineClass: "frontend"
+serves: ["frontend", "control"]
+ip: "127.0.0.1"
+zone: %q
+region: %q
+zones: {ost-linz: "ost", west-ibk: "west", ost-steyr: "ost"}
+bindAddresses: {frontend: %q, readiness: %q, controlPlane: %q}
+seedNodes: [%q]
+bootstrap: true
+limits: {cpuQuota: 0.4, speedFactor: 1, memoryMb: 284, maxFds: 4300, linkMbps: 1000.0, diskMb: 0}
+discovery: "platform"
+entry: "vip"
+heartbeatMs: 1200
+contracts: ["base", "drain", "config", "cost", "recover", "sql", "platform"]
+bounds: {seedLagS: 3, reuseAfterS: 2, contactMs: 5000, ackTimeoutMs: 6000, catchUpS: 4, drainTimeoutMs: 7000,
+  gracePeriodS: 6, lossSlackMs: 200, configApplyMs: 4000, backMs: 250, maxSkewMs: 15000, recoveryS: 12,
+  enforceFencing: true, thawSlackMs: 300}
+platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576,
+  minTtlMs: 1000}
+cloud: {address: %q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
+`, n.name, n.zone, region(n.zone), n.sessionAddress, n.readyAddress,
+		n.linkAddress, w.nodes[0].linkAddress, w.address, w.address)
+}
+
+// region returns the region of a zone, which is the first part of its name.
+func region(zone string) string {
+	name, _, _ := strings.Cut(zone, "-")
+	return name
+}
+
+func (w *world) startNode(n *node) error {
+	path := filepath.Join(w.dir, n.name+".yaml")
+	if err := os.WriteFile(path, []byte(w.settings(n)), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(w.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	n.command = exec.Command(w.program, "platform") //nolint:gosec,noctx // the program is the one under review
+	n.command.Env = append(os.Environ(), "CURRANTLOOM_NODE_FILE="+path)
+	n.command.Stdout, n.command.Stderr = log, log
+	if err := n.command.Start(); err != nil {
+		n.command = nil
+		return err
+	}
+	w.record.add("%s started", n.name)
+	n.ended.Go(func() { _ = n.command.Wait() })
+	return nil
+}
+
+// awaitReady waits until all nodes answer the readiness probe with 200.
+func (w *world) awaitReady() error {
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, n := range w.nodes {
+			if w.isReady(n) {
+				ready++
+			}
+		}
+		if ready == len(w.nodes) {
+			w.record.add("all nodes are ready")
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: the nodes are not ready", errNotRun)
+}
+
+func (w *world) isReady(n *node) bool {
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	url := "http://" + n.readyAddress + "/currantloom/readyz"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil) //nolint:gosec // a loopback address
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request) //nolint:gosec // a loopback address
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// close ends the nodes and the stand-ins.
+func (w *world) close() {
+	w.cancel()
+	for _, n := range w.nodes {
+		if n.command != nil {
+			_ = n.command.Process.Signal(syscall.SIGKILL)
+			n.ended.Wait()
+		}
+	}
+	if w.platform != nil {
+		_ = w.platform.Close()
+	}
+	if w.database != nil {
+		w.database.close()
+	}
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.dir)
+	}
+}
