review: case 2, a failover goes on after another upstream leads

Cause: a holder that takes the duty over selects a candidate although the promotion of the earlier holder has taken effect meanwhile, and it does not pause the old primary, which is a replica by then.

--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -25,7 +25,10 @@
 )
 
 // entry is a commit in a log.
-type entry struct{ id, item, data string }
+type entry struct {
+	term           int
+	id, item, data string
+}
 
 // upstream is a server of the database. A server that is down keeps its log.
 type upstream struct {
@@ -54,10 +57,12 @@
 	record *record
 	store  *store
 
-	mu         sync.Mutex
-	upstreams  []*upstream
-	leader     *upstream
-	fence      uint64
+	mu        sync.Mutex
+	upstreams []*upstream
+	leader    *upstream
+	fence     uint64
+	// onFailover is told the holder of each call for a promotion that is accepted.
+	onFailover func(holder string)
 	statements []ran
 	tasks      sync.WaitGroup
 }
@@ -142,13 +147,23 @@
 }
 
 // position returns the end of the log. The lock is held.
-func (u *upstream) position() string { return strconv.Itoa(u.term) + "." + strconv.Itoa(len(u.log)) }
+func (u *upstream) position() string { return u.positionOf(len(u.log)) }
+
+// positionOf returns the position of the entry with the number: the term in which it was written, and the number. The
+// lock is held.
+func (u *upstream) positionOf(number int) string {
+	term := 1
+	if number > 0 {
+		term = u.log[number-1].term
+	}
+	return strconv.Itoa(term) + "." + strconv.Itoa(number)
+}
 
 // visible returns the position that replies to clients carry: on the leader, that of the newest commit that a replica
 // has received. The lock is held.
 func (d *database) visible(u *upstream) string {
 	if u == d.leader {
-		return strconv.Itoa(u.term) + "." + strconv.Itoa(u.acked)
+		return u.positionOf(u.acked)
 	}
 	return u.position()
 }
@@ -202,6 +217,9 @@
 	}
 	d.fence = fence
 	d.record.add("POST /failover %s by %s, fence %d: 200", body.ID, holder, fence)
+	if d.onFailover != nil {
+		d.onFailover(holder)
+	}
 	if !d.leads(u) {
 		d.tasks.Go(func() { d.promote(u, fence) })
 	}
