--- a/review/standin/handover.go
+++ b/review/standin/handover.go
@@ -18,8 +18,9 @@
 	350 * time.Millisecond, 370 * time.Millisecond,
 }
 
-// runHandover lets the primary crash for a short time, and restarts the node that has just called for a promotion, as in
-// a rolling restart; this is done a few times. Rule LOST: an acknowledged commit is in the log of the server that is promoted.
+// runHandover lets the primary crash for a short time, and restarts the node that has just called for a promotion, as
+// in a rolling restart; this is done a few times. Rule LOST: an acknowledged commit is in the log of the server that is
+// promoted.
 func runHandover(w *world) ([]string, error) {
 	var mu sync.Mutex
 	var writes []acked
