review: second reading of the cases against the issue

Cause: the report said more than was measured in some places, the check of case 4 compared texts but not shapes, and a script that was told to stop went on.

--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -48,8 +48,8 @@
 	listener   net.Listener
 }
 
-// ran is a statement that an upstream ran.
-type ran struct{ upstream, id, text string }
+// ran is a statement that an upstream ran, with the shape of its prepared statement; empty for any other.
+type ran struct{ upstream, id, text, shape string }
 
 // database is the service with its upstreams and the platform's knowledge of its leader. Statements, replication and
 // promotions run under one lock.
--- a/review/standin/text.go
+++ b/review/standin/text.go
@@ -104,7 +104,23 @@
 	if err := w.runSteps(steps); err != nil {
 		return nil, err
 	}
-	return w.unasked(steps), nil
+	return append(w.otherShapes(map[string]string{"a2": "q", "a4": shape}), w.unasked(steps)...), nil
+}
+
+// otherShapes returns the statements that ran another shape than their clients had prepared; prepared holds the shapes
+// by the ids of the statements.
+func (w *world) otherShapes(prepared map[string]string) []string {
+	var violations []string
+	d := w.database
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.statements {
+		if shape, ok := prepared[r.id]; ok && r.shape != shape {
+			violations = append(violations, fmt.Sprintf("%s ran %s with the shape %q, its client prepared %q", r.upstream,
+				r.id, r.shape, shape))
+		}
+	}
+	return violations
 }
 
 // withoutName removes the name of the prepared statement from the text of EXECUTE.
--- a/review/standin/upstreamconn.go
+++ b/review/standin/upstreamconn.go
@@ -213,7 +213,7 @@
 // execute runs a read or a write.
 func (c *upstreamConn) execute(id, text, after string) (string, bool) {
 	word, rest, _ := strings.Cut(text, " ")
-	writes := word == "WRITE"
+	writes, shape := word == "WRITE", ""
 	if word == "EXECUTE" {
 		name, arguments, _ := strings.Cut(rest, " ")
 		p, ok := c.prepared[name]
@@ -221,7 +221,7 @@
 			c.database.record.add("%s: %s %q: no statement of that name", c.upstream.id, id, text)
 			return "ERROR " + names.NoStatement + " " + name, true
 		}
-		writes, rest = p.writes, arguments
+		writes, shape, rest = p.writes, p.shape, arguments
 	}
 	item, data, _ := strings.Cut(rest, " ")
 	time.Sleep(workTime)
@@ -239,7 +239,7 @@
 	case !writes && !u.covers(after):
 		return "ERROR LAGGING", true
 	}
-	d.statements = append(d.statements, ran{upstream: u.id, id: id, text: text})
+	d.statements = append(d.statements, ran{upstream: u.id, id: id, text: text, shape: shape})
 	if !writes {
 		return names.Row + " " + u.value(item) + "\r\nCOMPLETE " + signature(u, id), true
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -196,15 +196,22 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// close ends the nodes and the stand-ins.
-func (w *world) close() {
-	w.cancel()
+// killNodes kills the processes of the nodes.
+func (w *world) killNodes() {
 	for _, n := range w.nodes {
 		if n.command != nil {
 			_ = n.command.Process.Signal(syscall.SIGKILL)
-			n.ended.Wait()
 		}
 	}
+}
+
+// close ends the nodes and the stand-ins.
+func (w *world) close() {
+	w.cancel()
+	w.killNodes()
+	for _, n := range w.nodes {
+		n.ended.Wait()
+	}
 	if w.platform != nil {
 		_ = w.platform.Close()
 	}
