review: acknowledged commits are lost around changes of primary (cases 1 to 3)

Cause: a promotion is ordered once the replicas known at that time are paused. What joins, restarts or changes after that can acknowledge commits that the promoted server lacks: the next holder goes on with its own failover after an accepted order (case 1), a new server of a release (case 2), a replica that restarts (case 3).

--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -61,8 +61,11 @@
 	upstreams []*upstream
 	leader    *upstream
 	fence     uint64
-	// onFailover is told the holder of each call for a promotion that is accepted.
-	onFailover func(holder string)
+	// onFailover is told the holder of each call for a promotion that is accepted, onPromotion the upstream.
+	onFailover  func(holder string)
+	onPromotion func(u *upstream)
+	// ids counts the ids of upstreams that were given out.
+	ids        int
 	statements []ran
 	tasks      sync.WaitGroup
 }
@@ -188,6 +191,20 @@
 	d.record.add("%s is back as %s, its log ends at %s", u.id, d.role(u), u.position())
 }
 
+// rejoin starts the process of an upstream again, with its log and under a new id. The registration of the old id is
+// removed like that of any upstream that is silent.
+func (d *database) rejoin(u *upstream) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, silentSince := u.id, u.beatAt
+	d.ids++
+	u.id = fmt.Sprintf("i-%08x", 0xb0000000+d.ids)
+	time.AfterFunc(time.Until(silentSince.Add(3*heartbeatInterval)), func() { d.store.drop("servers/" + old) })
+	u.down, u.paused, u.sequence, u.born = false, false, 0, time.Now().UnixMilli()
+	d.register(u)
+	d.record.add("%s is back as %s (%s), its log ends at %s", old, u.id, d.role(u), u.position())
+}
+
 // find returns the upstream with the id; nil if there is none.
 func (d *database) find(id string) *upstream {
 	for _, u := range d.upstreams {
@@ -221,6 +238,9 @@
 		d.onFailover(holder)
 	}
 	if !d.leads(u) {
+		if d.onPromotion != nil {
+			d.onPromotion(u)
+		}
 		d.tasks.Go(func() { d.promote(u, fence) })
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 
 var scenarios = map[string]scenario{
 	"lostcommit": runLostCommit,
+	"twocrashes": runTwoCrashes,
 	"handover":   runHandover,
 	"linefeed":   runLineFeed,
 	"blank":      runTrailingBlank,
