--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 case_dir=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$case_dir/../.." || exit 2
 [ -x target/review-standin ] && [ -x target/currantloom ] || { echo "not built"; exit 2; }
-exec target/review-standin twocrashes target/currantloom "$case_dir/record.txt"
+exec target/review-standin linefeed target/currantloom "$case_dir/record.txt"
