--- a/review/standin/lostanswer.go
+++ b/review/standin/lostanswer.go
@@ -35,6 +35,7 @@
 		}
 		time.Sleep(readPause)
 	}
+	w.database.recordStatements()
 	return violations, nil
 }
 
@@ -65,6 +66,15 @@
 	d.lostEvery = every
 }
 
+// recordStatements adds the statements that upstreams ran to the record.
+func (d *database) recordStatements() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, r := range d.statements {
+		d.record.add("%s ran %s %q", r.upstream, r.id, r.text)
+	}
+}
+
 // losesAnswer reports whether the answer to a line is lost.
 func (d *database) losesAnswer(line string) bool {
 	d.mu.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -73,6 +73,7 @@
 	defer w.close()
 	defer context.AfterFunc(ctx, func() {
 		w.killNodes()
+		_ = os.RemoveAll(w.dir)
 		r.add("result: %v", errNotRun)
 		r.close()
 		os.Exit(exitNotRun)
