Model: the longest tests run their subtests in parallel

Each simulation has a state of its own, so seeds, faults and causes run side by side; checks, seeds and bounds are as before, and those of TestNewLeaseHolderInLargeFleet are subtests now.

--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -16,6 +16,7 @@
 func TestEachFault(t *testing.T) {
 	for _, fault := range loommodel.Faults() {
 		t.Run(fault.String(), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(3) {
 				sim := startSimulation(t, 100*seed+uint64(fault), loommodel.Options{Clients: 16})
 				sim.ScheduleFault(fault, time.Second)
@@ -181,6 +182,7 @@
 	}
 	for name, cause := range causes {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			var gaps []time.Duration
 			for seed := range uint64(10) {
 				gaps = append(gaps, longestCommitGap(t, seed, cause))
@@ -455,20 +457,22 @@
 // because it has not asked their owners yet, and verifies or replaces them all at once.
 func TestNewLeaseHolderInLargeFleet(t *testing.T) {
 	for seed := range uint64(3) {
-		sim := startSimulation(t, seed, loommodel.Options{Nodes: 24, Services: 24, Clients: 48})
-		started := 0
-		sim.Trace = func(_ time.Duration, _ currantloom.VMName, d loomfleet.Decision) {
-			if d.Event == "failover" && d.Outcome == "started" {
-				started++
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := startSimulation(t, seed, loommodel.Options{Nodes: 24, Services: 24, Clients: 48})
+			started := 0
+			sim.Trace = func(_ time.Duration, _ currantloom.VMName, d loomfleet.Decision) {
+				if d.Event == "failover" && d.Outcome == "started" {
+					started++
+				}
 			}
-		}
-		sim.Run(3 * time.Second)
-		sim.Kill(sim.FailoverLeaseHolder(), 2*time.Second)
-		sim.Run(8 * time.Second)
-		if started > 0 || sim.Stats().Promotions > 0 {
-			t.Errorf("seed %d: %d failovers and %d promotions without a failed primary", seed, started,
-				sim.Stats().Promotions)
-		}
-		assertNoViolations(t, sim)
+			sim.Run(3 * time.Second)
+			sim.Kill(sim.FailoverLeaseHolder(), 2*time.Second)
+			sim.Run(8 * time.Second)
+			if started > 0 || sim.Stats().Promotions > 0 {
+				t.Errorf("%d failovers and %d promotions without a failed primary", started, sim.Stats().Promotions)
+			}
+			assertNoViolations(t, sim)
+		})
 	}
 }
--- a/loommodel/simulation_test.go
+++ b/loommodel/simulation_test.go
@@ -129,6 +129,7 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			size := int(seed)
 			if *fixedSize >= 0 {
 				size = *fixedSize
@@ -142,7 +143,10 @@
 func TestRandomFaultsBalanced(t *testing.T) {
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandomFaults(t, seed, int(seed), true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playRandomFaults(t, seed, int(seed), true)
+		})
 	}
 }
 
--- a/loommodel/watchfleet_test.go
+++ b/loommodel/watchfleet_test.go
@@ -66,6 +66,7 @@
 func TestConfigurationTime(t *testing.T) {
 	for name, options := range watchFleets {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for i := range *watchSeeds {
 				playWatchFaults(t, *firstWatchSeed+uint64(i), options)
 			}
