The oracle names the decisions that led to a lost commit

A violation of checkPromotion named the new primary, the term and the commit only.

The violation of the first commit that a promotion lacks lists them: time, node, outcome, upstream, position and reason.

--- a/loommodel/node.go
+++ b/loommodel/node.go
@@ -129,6 +129,7 @@
 	case loomfleet.Promote:
 		sim.cloud.promote(n, e)
 	case loomfleet.Decision:
+		sim.oracle.decisions.record(nodeDecision{at: sim.now, node: n.name, decision: e})
 		if sim.Trace != nil {
 			sim.Trace(sim.now, currantloom.VMName(n.name), e)
 		}
--- a/loommodel/oracle.go
+++ b/loommodel/oracle.go
@@ -54,6 +54,7 @@
 	// entryOfWrite holds the log entry of each write, by the id of its statement.
 	entryOfWrite map[string]*logEntry
 	ackedCommits map[currantloom.ServiceName][]*ackedCommit
+	decisions    decisionRing
 	violations   []string
 	stats        Stats
 }
@@ -165,14 +166,17 @@
 	}
 }
 
-// checkPromotion checks that the new primary holds every acknowledged commit.
+// checkPromotion checks that the new primary holds every acknowledged commit. The violation of the first one that it
+// lacks names the decisions that led to the promotion.
 func (o *oracle) checkPromotion(u *upstream) {
 	o.stats.Promotions++
+	decisions := o.decisions.describe(u.service.name)
 	for _, commit := range o.ackedCommits[u.service.name] {
 		if !commit.reportedLost && !slices.Contains(u.log, commit.entry) {
 			commit.reportedLost = true
-			o.addViolation("%s becomes primary of term %d without commit %d.%d", u.name, u.service.term,
-				commit.entry.term, commit.entry.index)
+			o.addViolation("%s becomes primary of term %d without commit %d.%d%s", u.name, u.service.term,
+				commit.entry.term, commit.entry.index, decisions)
+			decisions = ""
 		}
 	}
 }
