Model: a crashed upstream may return under a new id with its log

ReturnUnderNewID restarts a crashed upstream at its location with its log and a new registration; the old registration lapses after registrationLapse.

--- a/loommodel/outage.go
+++ b/loommodel/outage.go
@@ -24,11 +24,15 @@
 	}
 	generation := u.generation
 	sim.after(registrationLapse, func() {
-		if u.generation == generation && !u.responsive() {
-			sim.store.deregister(u)
+		if u.generation == generation && !u.responsive() || u.name != name {
+			sim.store.deregister(name, u.service)
+		}
+	})
+	sim.after(down, func() {
+		if u.generation == generation {
+			u.restart()
 		}
 	})
-	sim.after(down, func() { u.restart() })
 }
 
 // resetConns closes all connections and reports the loss to their nodes.
@@ -102,6 +106,9 @@
 	u.draining = true
 	sim.store.register(u)
 	sim.after(delay, func() {
+		if u.name != name {
+			return
+		}
 		u.draining = false
 		u.incarnation++
 		sim.Crash(name, false, time.Second)
--- a/loommodel/restore.go
+++ b/loommodel/restore.go
@@ -125,7 +125,7 @@
 func (s *store) removeSilentUpstreams() {
 	for _, u := range s.sim.upstreams {
 		if !u.responsive() {
-			s.deregister(u)
+			s.deregister(u.name, u.service)
 		}
 	}
 }
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -201,15 +201,15 @@
 }
 
 // deregister deletes the registration of an upstream.
-func (s *store) deregister(u *upstream) {
-	if _, ok := s.upstreams[u.name]; !ok {
+func (s *store) deregister(name string, service *service) {
+	if _, ok := s.upstreams[name]; !ok {
 		return
 	}
 	s.revision++
-	delete(s.upstreams, u.name)
+	delete(s.upstreams, name)
 	s.publish(loomfleet.CatalogChanged{Upstreams: []loomfleet.UpstreamChange{{
 		Position: s.position(), Deleted: true, Upstream: currantloom.Upstream{
-			Name: currantloom.UpstreamName(u.name), Service: u.service.name,
+			Name: currantloom.UpstreamName(name), Service: service.name,
 		},
 	}}})
 }
--- a/loommodel/upstream.go
+++ b/loommodel/upstream.go
@@ -97,6 +97,8 @@
 	reports uint64
 	// generation counts crashes and restarts; the work of an earlier generation is dropped.
 	generation int
+	// returns counts the returns under a new id.
+	returns int
 }
 
 func (u *upstream) responsive() bool { return u.alive && !u.hung }
