A holder of the failover lease settles the request of an earlier one

What callers saw, in the model: acknowledged commits lost. A primary crashes or hangs, the holder requests the promotion of a replica and is killed; the primary comes back, the other replica restarts, and commits are acknowledged with it as the receiver. The request is carried out 2 to 10 s late and makes an upstream lead that lacks them.

Cause: the next holder saw a primary that works and started no failover, so it neither voided the request nor judged anything. The void of an earlier holder's request covered only failovers that had paused replicas.

Change: a request for promotion is announced to all nodes before it is sent (BlockWrites with the successor). Each node now records the upstream, until the change has ended, the upstream leads, a later request is accepted, or lateRequestTime has passed. A holder that finds such a promotion unsettled while another upstream leads blocks writes and commits at once and changes the primary as planned: the old one steps down, its log is final, and the request has a higher fence, so the platform refuses the earlier one. A void of the earlier request was weighed; it blocks writes for 2 s, and trusts who leads.

--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -58,6 +58,8 @@
 		return "no primary", false
 	case u.drainingSince > 0:
 		return "primary is draining", true
+	case s.coordinator.promotionsOf(g.name).isUnsettled(s.now, g.primary):
+		return reasonUnsettled, true
 	case u.deletedAt > 0 && s.now-u.deletedAt > deletionGrace && !s.catalog.storeUnavailable:
 		return "registration of the primary was deleted", s.now-g.primaryProvenAt < s.proofTimeout()
 	case s.now >= g.ignoreStallUntil && s.areCommitsStalled(u) && s.enoughReplicasReachable(g):
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -49,6 +49,9 @@
 // reasonCommitsStalled is the reason of a failover whose primary is reachable but does not answer commits.
 const reasonCommitsStalled = "commits are not acknowledged"
 
+// reasonUnsettled is the reason of a failover because the request of an earlier holder may still take effect.
+const reasonUnsettled = "a promotion of an earlier holder may take effect"
+
 // reasonLeaseLost is the reason for ending a failover at a node that no longer holds the failover lease.
 const reasonLeaseLost = "failover lease lost"
 
@@ -148,6 +151,10 @@
 		Version: s.coordinator.leaseKey.position.Revision(), Outcome: "started",
 	})
 	switch {
+	case reason == reasonUnsettled:
+		// A commit that is acknowledged from now on may be missing at the upstream of that request.
+		s.broadcastBlockWrites(f, true, "")
+		s.enterStep(f, stepFence)
 	case planned:
 		s.enterStep(f, stepDrain)
 	case reason == reasonCommitsStalled:
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -325,6 +325,7 @@
 func (s *State) handleBlockWrites(m currantloom.BlockWrites) {
 	g := s.groupOf(m.Service)
 	g.writesBlockedUntil, g.commitsBlocked, g.successor = s.now+m.Duration, m.BlockCommits, m.Successor
+	s.coordinator.promotionsOf(m.Service).recordAnnounced(s.now, m.Successor)
 	s.log(Decision{Event: "hold", Service: m.Service, Age: m.Duration, Outcome: "held"})
 }
 
@@ -336,6 +337,7 @@
 		return
 	}
 	g.writesBlockedUntil = 0
+	s.coordinator.promotionsOf(m.Service).announced = ""
 	if m.Term > g.term || g.primary == "" {
 		g.term = max(g.term, m.Term)
 		g.setPrimary(s, m.Upstream, "announced")
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -28,6 +28,10 @@
 	// that the platform has accepted; it refuses every lower fence from then on. Each is zero if there is none.
 	inFlight, unanswered, accepted promotionRequest
 	acceptedAt                     time.Duration
+	// announced is the upstream whose promotion a holder of the failover lease, this node or another, announced last;
+	// empty if it is known that no request for it can take effect any more.
+	announced   currantloom.UpstreamName
+	announcedAt time.Duration
 }
 
 func (c *coordinator) promotionsOf(service currantloom.ServiceName) *promotions {
@@ -39,6 +43,18 @@
 	return p
 }
 
+func (p *promotions) recordAnnounced(now time.Duration, upstream currantloom.UpstreamName) {
+	if upstream != "" {
+		p.announced, p.announcedAt = upstream, now
+	}
+}
+
+// isUnsettled reports whether a promotion that a holder announced may still take effect although another upstream
+// leads. That holder may be gone, and this node does not know what became of its request.
+func (p *promotions) isUnsettled(now time.Duration, primary currantloom.UpstreamName) bool {
+	return p.announced != "" && p.announced != primary && now-p.announcedAt < lateRequestTime
+}
+
 func (p *promotions) recordSent(id uint64, upstream currantloom.UpstreamName, fence currantloom.Fence) {
 	if p.inFlight.id != 0 {
 		p.unanswered = p.inFlight
@@ -55,7 +71,13 @@
 	switch result {
 	case currantloom.PromoteAccepted:
 		p.accepted, p.acceptedAt = p.inFlight, now
+		if p.announced != p.inFlight.upstream {
+			p.announced = ""
+		}
 	case currantloom.PromoteRefused, currantloom.PromoteNotDone:
+		if p.announced == p.inFlight.upstream && !p.unanswered.fence.After(p.accepted.fence) {
+			p.announced = ""
+		}
 	default:
 		p.unanswered = p.inFlight
 	}
--- a/loomfleet/promotions_test.go
+++ b/loomfleet/promotions_test.go
@@ -113,3 +113,60 @@
 		t.Error("the failover did not end")
 	}
 }
+
+// TestUnsettledPromotion guards against a holder of the failover lease that lets a primary work on although an earlier
+// holder has announced the promotion of another upstream, whose request may be carried out late.
+func TestUnsettledPromotion(t *testing.T) {
+	announce := func(f *fixture, g *group) {
+		f.state.handleBlockWrites(currantloom.BlockWrites{Service: g.name, Duration: time.Second, Successor: "b"})
+	}
+	answer := func(f *fixture, g *group, id uint64, u currantloom.UpstreamName, result currantloom.PromoteResult) {
+		p := f.state.coordinator.promotionsOf(g.name)
+		p.recordSent(id, u, currantloom.NewFence(testStorePosition(9), uint8(id)))
+		p.recordResult(f.now, id, result)
+	}
+	for _, c := range []struct {
+		name   string
+		events func(f *fixture, g *group)
+		want   bool
+	}{
+		{"announced", announce, true},
+		{"nothing announced", func(*fixture, *group) {}, false},
+		{"no successor", func(f *fixture, g *group) {
+			f.state.handleBlockWrites(currantloom.BlockWrites{Service: g.name, Duration: time.Second})
+		}, false},
+		{"the change has ended", func(f *fixture, g *group) {
+			announce(f, g)
+			f.state.handlePrimaryChanged(currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
+		}, false},
+		{"a later request was accepted", func(f *fixture, g *group) {
+			announce(f, g)
+			answer(f, g, 1, g.primary, currantloom.PromoteAccepted)
+		}, false},
+		{"its own request was refused", func(f *fixture, g *group) {
+			announce(f, g)
+			answer(f, g, 1, "b", currantloom.PromoteRefused)
+		}, false},
+		{"a request got no answer, the next was refused", func(f *fixture, g *group) {
+			announce(f, g)
+			answer(f, g, 1, "b", currantloom.PromoteUnknown)
+			answer(f, g, 2, "b", currantloom.PromoteRefused)
+		}, true},
+		{"it was too long ago", func(f *fixture, g *group) {
+			announce(f, g)
+			f.state.coordinator.promotionsOf(g.name).announcedAt = f.now - lateRequestTime
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.now = time.Minute
+			f.configure(currantloom.ReadLatest)
+			f.holdLease()
+			g := f.state.groupOf(testService)
+			c.events(f, g)
+			if reason, _ := f.state.failoverReason(g); (reason == reasonUnsettled) != c.want {
+				t.Errorf("reason %q, changes the primary for an earlier request %t, want %t", reason, !c.want, c.want)
+			}
+		})
+	}
+}
--- a/loommodel/simulation.go
+++ b/loommodel/simulation.go
@@ -17,13 +17,15 @@
 )
 
 // Options configures the size of a simulation. Zero values select 3 nodes, 1 service, 12 clients, a replication lag of
-// 20 ms and a think time of 60 ms.
+// 20 ms, a think time of 60 ms and a promotion time of PromotionTime.
 type Options struct {
 	Nodes, Services, Clients int
 	// ReplicationLag is the mean time from the receipt of an entry at a replica until the replica applies it.
 	ReplicationLag time.Duration
 	// ThinkTime is the mean pause of a client between two operations.
 	ThinkTime time.Duration
+	// PromotionTime is the time from an accepted request for promotion until the upstream leads.
+	PromotionTime time.Duration
 	// BalanceReads is passed to the nodes.
 	BalanceReads bool
 }
@@ -43,6 +45,9 @@
 	if o.ThinkTime == 0 {
 		o.ThinkTime = 60 * time.Millisecond
 	}
+	if o.PromotionTime == 0 {
+		o.PromotionTime = PromotionTime
+	}
 	return o
 }
 
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -415,7 +415,7 @@
 func (sim *Simulation) DelayPromotions(percent int) { sim.cloud.delayedPercent = percent }
 
 const (
-	// PromotionTime is the time an upstream takes to become the primary.
+	// PromotionTime is the time an upstream takes to become the primary, unless the options set another one.
 	PromotionTime = 600 * time.Millisecond
 	// promoteTimeout is the time after which a node gives up a promotion request without a reply.
 	promoteTimeout = 800 * time.Millisecond
@@ -449,6 +449,6 @@
 	}
 	c.fences[e.Service] = e.Fence.Number()
 	// Whether the upstream leads already is judged when the promotion takes effect: another one may be on its way.
-	c.sim.after(PromotionTime, func() { u.promote() })
+	c.sim.after(c.sim.options.PromotionTime, func() { u.promote() })
 	return currantloom.PromoteAccepted
 }
