The owner refuses new work for an upstream that has drained too long

Callers saw requests sent to a server that was about to exit.

Cause: only the entry node judged the drain, by the time at which it had learnt of it. One that was cut off from the store learnt 1.6 s late.

Change: the owner refuses calls that open work, on arrival and before queued work starts, as not run, with a reason of its own at the end of the list. Statements of open transactions, verifications and commands of failovers are let through.

--- a/loomfleet/attempt.go
+++ b/loomfleet/attempt.go
@@ -59,6 +59,8 @@
 		r.avoidUntil[u.Name] = s.now + parkedRetryInterval
 	case currantloom.ReasonUnknownUpstream, currantloom.ReasonShuttingDown, currantloom.ReasonLinkFailed:
 		u.avoidOwnerUntil[c.vm] = s.now + avoidDuration/4
+	case currantloom.ReasonDrained:
+		r.avoidUntil[u.Name] = s.now + avoidDuration/4
 	case currantloom.ReasonWritesBlocked:
 		r.avoidUntil[u.Name] = s.now + parkedRetryInterval
 	}
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -12,8 +12,6 @@
 	// deletionGrace is how long an upstream is still used after its registration vanished without a drain: registrations
 	// that expired during an outage of the store are back within 2 s of its return.
 	deletionGrace = 2500 * time.Millisecond
-	// drainMargin is subtracted from the drain timeout.
-	drainMargin = time.Second
 	// forgetUpstreamAfter is how long a deleted upstream keeps its connections and its place in the group.
 	forgetUpstreamAfter = 10 * time.Second
 	// notPrimaryTTL is how long an upstream that refused to act as primary is not tried as primary only because its
@@ -96,7 +94,7 @@
 	if u.deletedAt > 0 && s.now-u.deletedAt > deletionGrace && !s.catalog.storeUnavailable {
 		return false
 	}
-	return u.drainingSince == 0 || s.now-u.drainingSince < s.config.DrainTimeout-drainMargin
+	return !u.isDrained(s)
 }
 
 // isTerminating reports whether the upstream is draining or its registration was deleted. It gets new work only if
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -122,6 +122,9 @@
 	case s.shutdown.requested && m.Mode < currantloom.CallVerifyPrimary && link != 0:
 		s.rejectJob(j, currantloom.ReasonShuttingDown)
 		return
+	case opensWork(m.Mode) && u.isDrained(s):
+		s.rejectJob(j, currantloom.ReasonDrained)
+		return
 	}
 	if m.MaxAge > 0 && !s.setRequired(j, u.group) {
 		s.rejectJob(j, currantloom.ReasonNoSample)
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -199,7 +199,7 @@
 
 // canStart reports whether a slot and a connection are free for the job and it is not blocked.
 func (p *pool) canStart(s *State, j *job) bool {
-	if j.startedAt > s.now {
+	if j.startedAt > s.now || j.opensWork() && p.upstream.isDrained(s) {
 		return false
 	}
 	if j.call.Mode >= currantloom.CallVerifyPrimary {
@@ -270,8 +270,8 @@
 	p.startJobs(s)
 }
 
-// rejectIfUnservable rejects a queued job that has waited too long, or needs the primary at an upstream that no longer
-// is.
+// rejectIfUnservable rejects a queued job that has waited too long, needs the primary at an upstream that no longer is,
+// or is new work at an upstream that takes none any more.
 func (p *pool) rejectIfUnservable(s *State, j *job) {
 	g := p.upstream.group
 	switch {
@@ -281,6 +281,9 @@
 	case j.conn == nil && j.needsPrimary() && g.primary != "" && g.primary != p.upstream.Name:
 		p.queue.remove(j)
 		s.rejectJob(j, currantloom.ReasonWritesBlocked)
+	case j.opensWork() && p.upstream.isDrained(s):
+		p.queue.remove(j)
+		s.rejectJob(j, currantloom.ReasonDrained)
 	}
 }
 
--- a/message.go
+++ b/message.go
@@ -134,13 +134,15 @@
 	ReasonNoSample
 	// ReasonCancelled means that the entry node withdrew the call while it was queued.
 	ReasonCancelled
+	// ReasonDrained means that the upstream drains and takes no new work any more.
+	ReasonDrained
 )
 
 // String returns the name that logs use.
 func (r CallFailureReason) String() string {
 	names := [...]string{
 		"replied", "queue", "unreachable", "unknown_upstream", "leaving", "no_transaction", "lost", "silent", "link",
-		"refused", "held", "no_sample", "cancelled",
+		"refused", "held", "no_sample", "cancelled", "drained",
 	}
 	if int(r) < len(names) {
 		return names[r]
