A drain counts from the earliest time at which a node knew

Cause: the registration doesn't say since when an upstream drains, and each node counted from when it learnt of it: late if it was cut off from the store, from its own start if it started meanwhile.

Change: a pong tells the age of the drains that the node has seen begin, by upstream and incarnation, and the earliest time counts. Ages that were told are not passed on, because each message would add its time to them. The field is left out while nothing drains, and pongs without it are read.

Before the change: TestDrainCountsFromEarliestNode/learnt_late: upstream b usable at 3.02s: true, want false TestDrainFoundAtStart/replica: upstream b usable at 340ms: true, want false TestDrainFoundAtStart/primary: upstream a usable at 340ms: true, want false TestDrainFoundAtStart/told_that_it_began_long_ago: upstream a usable at 340ms: true, want false TestEncodeDecode (a pong with drains): Drains:[] decoded All pass after it; TestArbitraryEvents draws drains in pongs, too.

--- a/loomfleet/arbitrary_test.go
+++ b/loomfleet/arbitrary_test.go
@@ -129,6 +129,7 @@
 			ConfigurationVersion: a.Uint64(), Upstreams: []currantloom.UpstreamHealth{a.health(), a.health()},
 			Samples:        []currantloom.PositionSample{a.sample()},
 			AckedPositions: []currantloom.AckedPosition{{Service: a.service(), Position: a.position()}},
+			Drains:         []currantloom.UpstreamDrain{{Upstream: a.upstream(), Incarnation: 1, Age: a.duration()}},
 		}
 	case 8:
 		return currantloom.UpstreamFailed{Health: a.health()}
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -59,9 +59,9 @@
 	// copy turned out not to have the registration; zero if it has it.
 	storePosition currantloom.StorePosition
 	missingSince  time.Duration
-	// drainingSince and deletedAt are when this node learnt that the upstream is draining or that its registration was
-	// deleted; zero if it is not.
-	drainingSince, deletedAt time.Duration
+	drain         drain
+	// deletedAt is when this node learnt that the registration was deleted; zero if it was not.
+	deletedAt time.Duration
 	// notPrimaryAt is when the upstream last refused to act as primary.
 	notPrimaryAt time.Duration
 	// avoidOwnerUntil holds the VMs that could not reach the upstream, each with the time until which it is not chosen
@@ -99,7 +99,7 @@
 
 // isTerminating reports whether the upstream is draining or its registration was deleted. It gets new work only if
 // there is no other upstream.
-func (u *upstream) isTerminating() bool { return u.drainingSince > 0 || u.deletedAt > 0 }
+func (u *upstream) isTerminating() bool { return u.drain.isOn() || u.deletedAt > 0 }
 
 func (s *State) handleCatalogChange(e CatalogChanged) {
 	era := e.Position.Era()
@@ -228,9 +228,9 @@
 	u.Upstream, u.storePosition, u.deletedAt, u.missingSince = e.Upstream, e.Position, 0, 0
 	switch {
 	case !e.Upstream.Draining:
-		u.drainingSince = 0
-	case u.drainingSince == 0:
-		u.drainingSince = s.now
+		u.drain = drain{}
+	case !u.drain.isOn():
+		u.drain.begin(s.now, before.Name == "")
 	}
 	if before != u.Upstream {
 		s.log(Decision{
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -56,7 +56,7 @@
 	switch {
 	case u == nil:
 		return "no primary", false
-	case u.drainingSince > 0:
+	case u.drain.isOn():
 		return "primary is draining", true
 	case s.coordinator.promotionsOf(g.name).isUnsettled(s.now, g.primary):
 		return reasonUnsettled, true
--- a/loomfleet/drain_test.go
+++ b/loomfleet/drain_test.go
@@ -81,6 +81,23 @@
 	}
 }
 
+// assertUsable checks whether the upstream gets new work.
+func (f *fixture) assertUsable(name currantloom.UpstreamName, want bool) {
+	f.Helper()
+	f.state.now = f.now
+	if got := f.state.catalog.upstreams[name].isUsable(f.state); got != want {
+		f.Errorf("upstream %s usable at %s: %t, want %t", name, f.now, got, want)
+	}
+}
+
+// tellDrain answers the pending ping to the other node with the age of a drain.
+func (f *fixture) tellDrain(drain currantloom.UpstreamDrain) {
+	f.Helper()
+	f.reduce(MessageReceived{Stamp: f.stamp(), From: "vm-2", Message: currantloom.Pong{
+		Number: f.state.members.byName["vm-2"].pingNumber, Drains: []currantloom.UpstreamDrain{drain},
+	}})
+}
+
 // TestOwnerRefusesDrained guards against an owner that sends new work to an upstream whose drain has lasted too long,
 // because the entry node learnt of the drain late.
 func TestOwnerRefusesDrained(t *testing.T) {
@@ -152,3 +169,105 @@
 		t.Errorf("%d attempts, finished: %t; want 1 to 8 and an end", attempts, r.finished)
 	}
 }
+
+// TestDrainCountsFromEarliestNode guards against a node that counts a drain from the time at which it learnt of it or
+// started, while other nodes have known it for longer.
+func TestDrainCountsFromEarliestNode(t *testing.T) {
+	const age = 4 * time.Second
+	told := currantloom.UpstreamDrain{Upstream: "b", Incarnation: 1, Age: age}
+	late := func(t *testing.T) *fixture {
+		f := newDrainFixture(t)
+		f.configure(currantloom.ReadBoundedStaleness)
+		f.addMember("vm-2")
+		f.apply(draining("b", false))
+		f.wait(pingInterval)
+		return f
+	}
+	t.Run("learnt late", func(t *testing.T) {
+		f := late(t)
+		asked := f.state.members.byName["vm-2"].pingSentAt
+		f.tellDrain(told)
+		f.now = asked - age + drainTestTimeout - drainMargin
+		f.assertUsable("b", false)
+	})
+	t.Run("learnt later by the other node", func(t *testing.T) {
+		f := late(t)
+		f.tellDrain(currantloom.UpstreamDrain{Upstream: "b", Incarnation: 1, Age: time.Millisecond})
+		f.now = time.Second + drainTestTimeout - drainMargin
+		f.assertUsable("b", false)
+	})
+	t.Run("of another process", func(t *testing.T) {
+		f := late(t)
+		f.tellDrain(currantloom.UpstreamDrain{Upstream: "b", Incarnation: 2, Age: time.Hour})
+		f.assertUsable("b", true)
+	})
+	t.Run("told what was seen only", func(t *testing.T) {
+		f := late(t)
+		f.tellDrain(told)
+		f.now = 2 * time.Second
+		f.state.now = f.now
+		want := []currantloom.UpstreamDrain{{Upstream: "b", Incarnation: 1, Age: time.Second}}
+		if got := f.state.buildPong(currantloom.Ping{}).Drains; !slices.Equal(got, want) {
+			t.Errorf("told %+v, want %+v: an age that is passed on grows with each message", got, want)
+		}
+	})
+}
+
+// TestDrainFoundAtStart guards against a process that starts while an upstream drains and uses it as if the drain had
+// just begun.
+func TestDrainFoundAtStart(t *testing.T) {
+	start := func(t *testing.T, primary bool) *fixture {
+		f := newDrainFixture(t)
+		f.now = TickInterval
+		name := currantloom.UpstreamName("b")
+		if primary {
+			name = "a"
+		}
+		f.reduce(CatalogChanged{
+			Stamp: f.stamp(), Snapshot: true, Position: testStorePosition(10),
+			Configuration: testConfiguration(1, currantloom.ReadBoundedStaleness),
+			Upstreams:     []UpstreamChange{testUpstream("c", false), draining(name, primary)},
+			Members: []MemberChange{{
+				VM:          currantloom.NewVM("vm-2", testLocation, "10.0.0.2:1", "", currantloom.VMLive),
+				Incarnation: 1, Position: testStorePosition(6),
+			}},
+		})
+		f.wait(pingInterval + TickInterval)
+		return f
+	}
+	t.Run("replica", func(t *testing.T) { start(t, false).assertUsable("b", false) })
+	t.Run("replica, nobody tells", func(t *testing.T) {
+		f := start(t, false)
+		f.wait(2 * suspectAfter)
+		f.assertUsable("b", false)
+	})
+	t.Run("primary", func(t *testing.T) { start(t, true).assertUsable("a", false) })
+	t.Run("primary, nobody tells", func(t *testing.T) {
+		f := start(t, true)
+		f.wait(suspectAfter)
+		f.assertUsable("a", true)
+	})
+	for _, c := range []struct {
+		name   string
+		age    time.Duration
+		usable bool
+	}{
+		{"told that it began lately", 2 * time.Second, true},
+		{"told that it began long ago", 10 * time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, true)
+			f.tellDrain(currantloom.UpstreamDrain{Upstream: "a", Incarnation: 1, Age: c.age})
+			f.assertUsable("a", c.usable)
+			if !f.state.catalog.upstreams["a"].isTerminating() {
+				t.Error("the upstream does not count as draining any more")
+			}
+		})
+	}
+	t.Run("not passed on", func(t *testing.T) {
+		f := start(t, false)
+		if got := f.state.buildPong(currantloom.Ping{}).Drains; len(got) > 0 {
+			t.Errorf("told %+v, but when the drain began is not known", got)
+		}
+	})
+}
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -247,7 +247,7 @@
 		Number: p.Number, ShuttingDown: s.shutdown.requested,
 		StoreReachable: !s.catalog.storeUnavailable && s.catalog.storeReachedAt > 0,
 		Upstreams:      s.owner.healthReports(s), Samples: s.owner.primarySamples(s),
-		ConfigurationVersion: s.configurationVersion(),
+		ConfigurationVersion: s.configurationVersion(), Drains: s.drainsSeen(),
 	}
 	for _, g := range s.catalog.sortedGroups {
 		if !g.ackedPosition.IsZero() && (g.name == p.Service || s.owner.pools[g.primary] != nil) {
@@ -294,6 +294,9 @@
 	for _, a := range p.AckedPositions {
 		s.groupOf(a.Service).recordAcked(a.Position)
 	}
+	for _, d := range p.Drains {
+		s.recordDrain(d, m.pingSentAt)
+	}
 }
 
 // recordSample records a sample of another node. Its age is subtracted from the time at which the question was sent, so
--- a/loomfleet/readexplanation_test.go
+++ b/loomfleet/readexplanation_test.go
@@ -15,7 +15,7 @@
 	f.state.config.BalanceReads = true
 	g := f.state.groupOf(testService)
 	g.find("b").load.recordReport(testSelf, 300*time.Millisecond, currantloom.UpstreamLoad{Jobs: 9}, f.now)
-	g.find("a").drainingSince = 1
+	g.find("a").drain.begin(1, false)
 	f.state.now = f.now + 100*time.Millisecond
 	route := currantloom.Route{ReadPolicy: currantloom.ReadBoundedStaleness, MaxAge: time.Second}
 	before := g.find("b").load
--- a/loomfleet/restore_test.go
+++ b/loomfleet/restore_test.go
@@ -193,7 +193,7 @@
 		draining.Position, draining.Upstream.Draining, draining.Upstream.Sequence = testStorePosition(30), true, 4
 		f.reduce(CatalogChanged{Stamp: f.stamp(), Position: draining.Position, Upstreams: []UpstreamChange{draining}})
 		f.reduce(f.restored(1, testUpstream("a", true), testUpstream("b", false), testUpstream("c", false)))
-		if f.state.catalog.upstreams["b"].drainingSince == 0 {
+		if !f.state.catalog.upstreams["b"].drain.isOn() {
 			t.Error("an older report of the copy undid the drain")
 		}
 	})
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -55,7 +55,9 @@
 			}},
 			Samples:        []currantloom.PositionSample{sample},
 			AckedPositions: []currantloom.AckedPosition{{Service: "s", Position: position}},
+			Drains:         []currantloom.UpstreamDrain{{Upstream: "u", Incarnation: 1 << 40, Age: 3 * time.Second}},
 		},
+		currantloom.Pong{Number: 8},
 		currantloom.UpstreamFailed{Health: currantloom.UpstreamHealth{
 			Name: "u", Service: "s", Reachable: true, ConnectFailed: true, CommitsStalled: true,
 			OpenWriteTransactions: 2, QueueWait: time.Second, Load: load, Position: position,
@@ -107,6 +109,21 @@
 	}
 }
 
+// TestPongOfEarlierVersion guards against a node that cannot read the pong of a node without Drains, and against pongs
+// that grow while nothing drains.
+func TestPongOfEarlierVersion(t *testing.T) {
+	earlier := []byte{byte(kindPong), 7, 0xc3, 0xc2, 9, 0x90, 0x90, 0x90}
+	want := currantloom.Pong{Number: 7, ShuttingDown: true, ConfigurationVersion: 9}
+	got, err := decode(earlier)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v, %v, want %+v", got, err, want)
+	}
+	data, err := encode(want)
+	if err != nil || !bytes.Equal(data[lengthPrefixSize:], earlier) {
+		t.Errorf("encoded %x, %v, want %x", data[lengthPrefixSize:], err, earlier)
+	}
+}
+
 // TestLoadSize guards against reports of the load that cost more than a few bytes: they are part of each result.
 func TestLoadSize(t *testing.T) {
 	size := func(l currantloom.UpstreamLoad) int {
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -242,9 +242,30 @@
 			Service: currantloom.ServiceName(d.text()), Position: d.position(),
 		})
 	}
+	m.Drains = d.drains()
 	return m
 }
 
+// drains reads the last field of a pong, which nodes of earlier versions do not send.
+func (d *decoder) drains() []currantloom.UpstreamDrain {
+	if d.err != nil || d.isAtEnd() {
+		return nil
+	}
+	var drains []currantloom.UpstreamDrain
+	for range d.listLength() {
+		drains = append(drains, currantloom.UpstreamDrain{
+			Upstream: currantloom.UpstreamName(d.text()), Incarnation: decodeField(d, d.in.DecodeInt64), Age: d.duration(),
+		})
+	}
+	return drains
+}
+
+// isAtEnd reports whether all fields of the message have been read.
+func (d *decoder) isAtEnd() bool {
+	_, err := d.in.PeekCode()
+	return err != nil
+}
+
 func (d *decoder) upstreamHealth() currantloom.UpstreamHealth {
 	return currantloom.UpstreamHealth{
 		Name: currantloom.UpstreamName(d.text()), Service: currantloom.ServiceName(d.text()), Reachable: d.flag(),
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -279,6 +279,20 @@
 		e.text(string(a.Service))
 		e.position(a.Position)
 	}
+	e.drains(m.Drains)
+}
+
+// drains writes the last field of a pong, which is left out if it is empty.
+func (e *encoder) drains(drains []currantloom.UpstreamDrain) {
+	if len(drains) == 0 {
+		return
+	}
+	e.listLength(len(drains))
+	for _, d := range drains {
+		e.text(string(d.Upstream))
+		e.setError(e.out.EncodeInt(d.Incarnation))
+		e.duration(d.Age)
+	}
 }
 
 func (e *encoder) upstreamHealth(u currantloom.UpstreamHealth) {
--- a/message.go
+++ b/message.go
@@ -191,6 +191,14 @@
 	Position LogPosition
 }
 
+// UpstreamDrain says how long a node has known that an upstream drains.
+type UpstreamDrain struct {
+	Upstream    UpstreamName
+	Incarnation int64
+	// Age is the time from learning of it to building the message.
+	Age time.Duration
+}
+
 // Pong answers a Ping with what the node has observed itself.
 type Pong struct {
 	Number       uint64
@@ -202,6 +210,8 @@
 	Upstreams            []UpstreamHealth
 	Samples              []PositionSample
 	AckedPositions       []AckedPosition
+	// Drains are the upstreams that drain now and that the node has seen begin to.
+	Drains []UpstreamDrain
 }
 
 // UpstreamFailed is an unsolicited message to the holder of the failover lease: the sender can no longer reach a
