KNOWN-RED: the request of a holder that nobody heard announce it

As in TestKilledHolderLateRequest, but the holder is cut off from the other nodes before its request, so the next holder has not heard of the promotion and lets the primary work on until the request is carried out.

No change of logic: the evidence would have to be in the store, in the value of the lease's key.

--- a/loommodel/holder_test.go
+++ b/loommodel/holder_test.go
@@ -128,20 +128,23 @@
 		for seed := *holderSeed; seed < *holderSeed+uint64(*holderSeeds); seed++ {
 			t.Run(fmt.Sprintf("%s/%d", cause.name, seed), func(t *testing.T) {
 				t.Parallel()
-				playKilledHolder(t, seed, cause)
+				playKilledHolder(t, seed, cause, false)
 			})
 		}
 	}
 }
 
 // playKilledHolder kills the holder after its request, which is carried out late, and restarts the replica that was not
-// requested.
-func playKilledHolder(t *testing.T, seed uint64, cause changeCause) {
+// requested. With unheard the holder is cut off from the other nodes before.
+func playKilledHolder(t *testing.T, seed uint64, cause changeCause, unheard bool) {
 	t.Helper()
 	sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
 	sim.Run(time.Second)
 	sim.DelayPromotions(100)
 	primary := sim.Primary(0)
+	if unheard {
+		cutOffFromNodes(sim, sim.FailoverLeaseHolder())
+	}
 	cause.apply(sim)
 	holder, candidate := runUntilOrder(sim, 4*time.Second)
 	sim.Kill(holder, 8*time.Second)
@@ -157,3 +160,18 @@
 	assertNoViolations(t, sim)
 	assertServing(t, sim)
 }
+
+// TestUnheardAnnouncement guards against the same loss if the holder is also cut off from the other nodes before its
+// request, so that none of them hears of it.
+func TestUnheardAnnouncement(t *testing.T) {
+	playKilledHolder(t, 1, changeCauses[1], true)
+}
+
+// cutOffFromNodes cuts a node off from all other nodes.
+func cutOffFromNodes(sim *loommodel.Simulation, cutOff string) {
+	for _, name := range sim.Nodes() {
+		if name != cutOff {
+			sim.Partition(cutOff, name, true)
+		}
+	}
+}
