loomfleet: a registration that lapses beside an outage of the store removes no log

Callers saw: nothing that is known to be this fault.

Cause: isRemoved counted the time since the registration vanished, also while the store was unavailable. An upstream cannot register again in that time. The grace also did not start again when the store came back if the registration had vanished just before the store did, so the log counted as lost at once. catalog.go and detection.go do ask whether the store is available before they use the same time.

Change: isRemoved counts up to the time at which the store was last reached, and the return of the store restarts the grace of each registration whose grace had not ended before. A log that was gone before the outage stays gone, so it keeps no failover waiting.

Evidence: TestRemovedWhileStoreUnavailable/missing_since_shortly_before failed before with "the log of c counts: false, want true" three times, and passes now.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -25,9 +25,13 @@
 func (s *State) maxMissingStatuses(g *group) int { return max(0, s.service(g.name).SyncReplicas-1) }
 
 // isRemoved reports whether the upstream's registration has been missing for longer than deletionGrace. Its log then
-// counts as lost.
+// counts as lost. Time in which the store is unavailable does not count, because upstreams cannot register again.
 func (u *upstream) isRemoved(s *State) bool {
-	return u.deletedAt > 0 && s.now-u.deletedAt > deletionGrace
+	until := s.now
+	if s.catalog.storeUnavailable {
+		until = s.catalog.storeReachedAt
+	}
+	return u.deletedAt > 0 && until-u.deletedAt > deletionGrace
 }
 
 // selectCandidate returns the first upstream in the order of preference whose promotion is shown to be safe. If there
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -284,10 +284,11 @@
 	c.storeUnavailable, c.storeReachedAt = false, s.now
 }
 
-// restartDeletionGrace restarts the grace of registrations that vanished while the store was unavailable.
+// restartDeletionGrace restarts the grace of registrations that vanished while the store was unavailable, and of those
+// whose grace had not ended before: neither could be written again.
 func (c *catalog) restartDeletionGrace(now time.Duration) {
 	for _, u := range c.upstreams {
-		if u.deletedAt > 0 && u.deletedAt >= c.storeReachedAt {
+		if u.deletedAt > 0 && c.storeReachedAt-u.deletedAt <= deletionGrace {
 			u.deletedAt = now
 		}
 		if u.missingSince > 0 {
