A replica whose registration has lapsed counts in a promotion as long as it answers

Callers saw: nothing that is known to be this fault.

Cause: an upstream counted as removed 2.5 s after its registration vanished, also where only its lease had lapsed. Its log was left out, even if it had answered the pause with a longer one than that of the candidate. After 10 s it was forgotten and no longer paused, so the old primary went on to acknowledge commits that it alone received.

Change: an upstream is removed only if, besides, no node reports that it reaches it; one that has answered a pause of the failover counts as well. For this the preferred owner keeps connecting to an upstream whose registration was deleted without a drain, and reports it while it answers. One that answers is not forgotten. A reachable replica without a registration no longer keeps a failover for stalled commits from starting.

TestRemovedUpstreamAnswers failed before with "the log of c counts: false, want true" and "all replicas are paused" for the promotion of the shorter log. All tests of loomfleet and loommodel pass.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -13,25 +13,32 @@
 		switch {
 		case u.Name == f.oldPrimary:
 			c.primary = u.Upstream
-		case !u.isRemoved(s):
+		case !u.isRemoved(s) || isHalted(f, u):
 			c.others = append(c.others, u.Upstream)
 		}
 	}
 	return c
 }
 
+// isHalted reports whether the upstream has answered a pause of the failover, which shows that it is alive.
+func isHalted(f *failover, u *upstream) bool {
+	_, ok := f.proof.haltOf(u.Upstream)
+	return ok
+}
+
 // maxMissingStatuses is the number of replicas whose log positions need not be known, because with several synchronous
 // replicas at least one of the others holds every acknowledged commit.
 func (s *State) maxMissingStatuses(g *group) int { return max(0, s.service(g.name).SyncReplicas-1) }
 
-// isRemoved reports whether the upstream's registration has been missing for longer than deletionGrace. Its log then
-// counts as lost. Time in which the store is unavailable does not count, because upstreams cannot register again.
+// isRemoved reports whether the upstream's registration has been missing for longer than deletionGrace, and no node
+// reaches the upstream. Its log then counts as lost. Time in which the store is unavailable does not count, because
+// upstreams cannot register again.
 func (u *upstream) isRemoved(s *State) bool {
 	until := s.now
 	if s.catalog.storeUnavailable {
 		until = s.catalog.storeReachedAt
 	}
-	return u.deletedAt > 0 && until-u.deletedAt > deletionGrace
+	return u.deletedAt > 0 && until-u.deletedAt > deletionGrace && !s.isReportedReachable(u)
 }
 
 // selectCandidate returns the first upstream in the order of preference whose promotion is shown to be safe. If there
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -12,7 +12,8 @@
 	// deletionGrace is how long an upstream is still used after its registration vanished without a drain: registrations
 	// that expired during an outage of the store are back within 2 s of its return.
 	deletionGrace = 2500 * time.Millisecond
-	// forgetUpstreamAfter is how long a deleted upstream keeps its connections and its place in the group.
+	// forgetUpstreamAfter is how long a deleted upstream keeps its connections and its place in the group, unless a node
+	// still reaches it.
 	forgetUpstreamAfter = 10 * time.Second
 	// notPrimaryTTL is how long an upstream that refused to act as primary is not tried as primary only because its
 	// registration says so.
@@ -97,6 +98,10 @@
 	return !u.isDrained(s)
 }
 
+// hasLapsed reports whether the registration was deleted without a drain. The upstream may be alive and hold commits,
+// so its owner keeps connecting to it until it is forgotten.
+func (u *upstream) hasLapsed() bool { return u.deletedAt > 0 && !u.drain.isOn() }
+
 // isTerminating reports whether the upstream is draining or its registration was deleted. It gets new work only if
 // there is no other upstream.
 func (u *upstream) isTerminating() bool { return u.drain.isOn() || u.deletedAt > 0 }
@@ -310,7 +315,7 @@
 	s.checkConfigurationProof()
 	for _, name := range s.catalog.upstreamNames() {
 		u := s.catalog.upstreams[name]
-		if u.deletedAt > 0 && !s.catalog.storeUnavailable && s.now-u.deletedAt > forgetUpstreamAfter {
+		if u.isRemoved(s) && !s.catalog.storeUnavailable && s.now-u.deletedAt > forgetUpstreamAfter {
 			s.catalog.departed[name] = departedUpstream{incarnation: u.Incarnation, at: s.now}
 			s.catalog.restoring = true
 			s.forgetUpstream(u)
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -107,7 +107,7 @@
 func (s *State) enoughReplicasReachable(g *group) bool {
 	unreachable := 0
 	for _, u := range g.upstreams {
-		if u.Name != g.primary && !u.isRemoved(s) && (u.deletedAt > 0 || !s.isReportedReachable(u)) {
+		if u.Name != g.primary && !u.isRemoved(s) && !s.isReportedReachable(u) {
 			unreachable++
 		}
 	}
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -228,7 +228,7 @@
 func (o *ownerState) healthReports(s *State) []currantloom.UpstreamHealth {
 	var reports []currantloom.UpstreamHealth
 	for _, p := range o.sortedPools() {
-		if p.upstream.deletedAt > 0 || !p.isInUse(s) {
+		if !p.isInUse(s) || p.upstream.deletedAt > 0 && !p.isReachable(s) {
 			continue
 		}
 		reports = append(reports, p.health(s))
@@ -351,7 +351,7 @@
 func (s *State) tickOwner() {
 	for _, name := range s.catalog.upstreamNames() {
 		u := s.catalog.upstreams[name]
-		if s.owner.pools[name] == nil && u.deletedAt == 0 && s.isPreferredOwner(u) {
+		if s.owner.pools[name] == nil && s.isPreferredOwner(u) {
 			s.poolOf(u)
 		}
 	}
--- a/loomfleet/placement.go
+++ b/loomfleet/placement.go
@@ -116,7 +116,7 @@
 func (s *State) isPreferredOwner(u *upstream) bool {
 	for _, vm := range s.ownerCandidates(u) {
 		if vm == s.config.Self {
-			return !s.shutdown.requested && u.isUsable(s)
+			return !s.shutdown.requested && (u.isUsable(s) || u.hasLapsed())
 		}
 		if s.isEligibleOwner(vm) && u.avoidOwnerUntil[vm] <= s.now {
 			return false
--- a/loomfleet/removed_test.go
+++ b/loomfleet/removed_test.go
@@ -7,13 +7,13 @@
 	"currantloom.example/currantloom"
 )
 
-// deleteUpstream deletes the registration of an upstream.
-func (f *fixture) deleteUpstream(name currantloom.UpstreamName) *upstream {
+// deleteReplica deletes the registration of c.
+func (f *fixture) deleteReplica() *upstream {
 	f.Helper()
 	f.reduce(CatalogChanged{Stamp: f.stamp(), Position: testStorePosition(30), Upstreams: []UpstreamChange{
-		{Position: testStorePosition(30), Upstream: testUpstream(name, false).Upstream, Deleted: true},
+		{Position: testStorePosition(30), Upstream: testUpstream("c", false).Upstream, Deleted: true},
 	}})
-	return f.state.catalog.upstreams[name]
+	return f.state.catalog.upstreams["c"]
 }
 
 // newRemovalFixture returns a node that reaches the store, and another one that reports an upstream as reachable.
@@ -58,7 +58,7 @@
 func TestRemovedWhileStoreUnavailable(t *testing.T) {
 	t.Run("missing since shortly before", func(t *testing.T) {
 		f := newRemovalFixture(t)
-		u := f.deleteUpstream("c")
+		u := f.deleteReplica()
 		f.advance(deletionGrace / 2)
 		f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
 		f.reduce(StoreWatchFailed{Stamp: f.stamp()})
@@ -73,7 +73,7 @@
 	})
 	t.Run("missing for long before", func(t *testing.T) {
 		f := newRemovalFixture(t)
-		u := f.deleteUpstream("c")
+		u := f.deleteReplica()
 		f.advance(deletionGrace + 1)
 		f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
 		f.reduce(StoreWatchFailed{Stamp: f.stamp()})
@@ -82,3 +82,55 @@
 		f.assertLogCounts(u, false)
 	})
 }
+
+// TestRemovedUpstreamAnswers guards against a promotion that leaves out the log of an upstream which is alive although
+// its registration has lapsed, and against one that waits for longer for an upstream that is gone.
+func TestRemovedUpstreamAnswers(t *testing.T) {
+	t.Run("reported as reachable", func(t *testing.T) {
+		f := newRemovalFixture(t, "c")
+		u := f.deleteReplica()
+		f.advance(deletionGrace + 1)
+		f.assertLogCounts(u, true)
+		f.advance(forgetUpstreamAfter)
+		f.state.tickCatalog()
+		if f.state.catalog.upstreams["c"] == nil {
+			t.Error("an upstream that receives commits is forgotten, and paused no more")
+		}
+	})
+	t.Run("paused", func(t *testing.T) {
+		f := newRemovalFixture(t)
+		u := f.deleteReplica()
+		f.advance(deletionGrace + 1)
+		fo := &failover{group: u.group, oldPrimary: "a"}
+		fo.proof.record(u.Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 8)}})
+		b := u.group.find("b").Upstream
+		fo.proof.record(b, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
+		if got := fo.proof.judge(f.state.promotionCase(fo), b); got != basisLongerLog {
+			t.Errorf("%q for the promotion of the shorter log, want %q", got, basisLongerLog)
+		}
+	})
+	t.Run("gone", func(t *testing.T) {
+		f := newRemovalFixture(t)
+		u := f.deleteReplica()
+		f.advance(deletionGrace)
+		f.assertLogCounts(u, true)
+		f.advance(1)
+		f.assertLogCounts(u, false)
+		f.advance(forgetUpstreamAfter - deletionGrace)
+		f.state.tickCatalog()
+		if f.state.catalog.upstreams["c"] != nil {
+			t.Errorf("still known %s after its registration was deleted", forgetUpstreamAfter)
+		}
+	})
+}
+
+// TestStallWithLapsedRegistration guards against commits that stall for as long as the registration of a reachable
+// replica is missing, because the replica counts as unreachable.
+func TestStallWithLapsedRegistration(t *testing.T) {
+	f := newRemovalFixture(t, "b", "c")
+	u := f.deleteReplica()
+	f.advance(deletionGrace + 1)
+	if !f.state.enoughReplicasReachable(u.group) {
+		t.Error("a reachable replica counts as unreachable")
+	}
+}
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -36,6 +36,8 @@
 	failoverLease *failoverLeaseRecord
 	// missedChanges holds the nodes that may have missed a change and need a snapshot.
 	missedChanges map[string]bool
+	// lapsed holds the upstreams that cannot write their registrations.
+	lapsed map[string]bool
 	// copies are earlier states, the oldest first. See restore.go.
 	copies []storeCopy
 }
@@ -188,8 +190,11 @@
 	}
 }
 
-// register writes the registration of an upstream.
+// register writes the registration of an upstream, if it reaches the store.
 func (s *store) register(u *upstream) {
+	if s.lapsed[u.name] {
+		return
+	}
 	s.revision++
 	change := loomfleet.UpstreamChange{Position: s.position(), Upstream: currantloom.Upstream{
 		Name: currantloom.UpstreamName(u.name), Service: u.service.name, Address: u.name, Location: u.location,
