--- a/loommodel/overlap_test.go
+++ b/loommodel/overlap_test.go
@@ -170,6 +170,26 @@
 	}
 }
 
+// addShortRestart adds a restart of a replica, which ends its pause.
+func (d *overlapDraw) addShortRestart(at time.Duration) {
+	down := d.between(10*time.Millisecond, 200*time.Millisecond)
+	d.add(at, "short restart of a replica", func() {
+		d.sim.Crash(d.pick(replicasOf(d.sim, d.sim.Primary(0))), false, down)
+	})
+}
+
+// addIsolation adds a cut of a node from all other nodes. It still reaches the upstreams and the store.
+func (d *overlapDraw) addIsolation(at, lasts time.Duration) {
+	d.add(at, "isolate node", func() {
+		isolated := nodeWithoutLease(d.sim)
+		for _, name := range d.sim.Nodes() {
+			if name != isolated {
+				d.sim.PartitionFor(isolated, name, true, lasts)
+			}
+		}
+	})
+}
+
 // play runs the events in the order of their times until the given time.
 func (d *overlapDraw) play(until time.Duration) {
 	slices.SortStableFunc(d.events, func(a, b overlapEvent) int { return cmp.Compare(a.at, b.at) })
@@ -185,13 +205,19 @@
 	}
 }
 
-// drawOverlappingChanges draws two changes of primary that overlap, and up to five events around them.
+// drawOverlappingChanges draws two changes of primary that overlap, and around them restarts of replicas, an isolated
+// node and up to five other events.
 func drawOverlappingChanges(sim *loommodel.Simulation, seed uint64) *overlapDraw {
 	d := &overlapDraw{sim: sim, random: rand.New(rand.NewPCG(seed, seed+1))}
 	first := d.between(500*time.Millisecond, 1500*time.Millisecond)
 	second := first + d.between(50*time.Millisecond, 2500*time.Millisecond)
 	d.addChange(first)
 	d.addChange(second)
+	d.addShortRestart(first + d.between(0, 1500*time.Millisecond))
+	d.addShortRestart(second + d.between(0, 1500*time.Millisecond))
+	if d.random.IntN(2) == 0 {
+		d.addIsolation(first-500*time.Millisecond, d.between(2*time.Second, 6*time.Second))
+	}
 	for range 1 + d.random.IntN(5) {
 		d.addDisturbance(d.between(max(0, first-time.Second), second+2*time.Second))
 	}
@@ -206,7 +232,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			sim := startSimulation(t, seed, loommodel.Options{
-				Nodes: 3 + int(seed%3), Clients: 24, ThinkTime: 20 * time.Millisecond,
+				Nodes: 3 + int(seed%3), Clients: 40, ThinkTime: 10 * time.Millisecond,
 			})
 			d := drawOverlappingChanges(sim, seed)
 			d.play(overlapTime)
