A resumption and the evidence of a promotion are logged

Change: a line 'resume' when a replica is told to receive again, and one with the verdict of the call: may_have_run means that it may still be carried out. Before an order, a line with outcome=evidence for each halted upstream.

Evidence: TestResumptionIsLogged, before: 'outcomes [], want [requested ran]'. After: passes; go test ./loomfleet passes.

--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -1,6 +1,10 @@
 package loomfleet
 
-import "currantloom.example/currantloom"
+import (
+	"time"
+
+	"currantloom.example/currantloom"
+)
 
 // endFailover announces the primary and resumes replication at the paused replicas, after earlier requests for
 // promotion were voided.
@@ -78,10 +82,13 @@
 	if !ok {
 		vm = s.config.Self
 	}
+	s.log(Decision{Event: "resume", Service: u.Service, Upstream: u.Name, VM: vm, Outcome: "requested"})
+	sentAt := s.now
 	s.sendFailoverCall(u, vm, currantloom.CallFailover, currantloom.Command{Kind: currantloom.CommandResumeReplication},
 		func(result currantloom.CallResult) {
 			confirmed := result.Verdict == currantloom.Ran && result.Reply.Code == currantloom.ReplyOK
 			current := s.catalog.upstreams[u.Name] == u && s.coordinator.failovers[u.Service] == nil
+			s.logResumptionResult(u, vm, result, sentAt)
 			if confirmed || retries == 0 || !current || !s.coordinator.isActing(s) {
 				return
 			}
@@ -89,3 +96,17 @@
 			s.resumeReplica(u, retries-1)
 		})
 }
+
+// logResumptionResult logs the answer to a resumption, or that it got none: it may then still be carried out.
+func (s *State) logResumptionResult(
+	u *upstream, vm currantloom.VMName, result currantloom.CallResult, sentAt time.Duration,
+) {
+	d := Decision{
+		Event: "resume", Service: u.Service, Upstream: u.Name, VM: vm, Age: s.now - sentAt,
+		Reason: result.Reason.String(), Outcome: result.Verdict.String(),
+	}
+	if status := result.Reply.ReplicationStatus; status != nil {
+		d.Position, d.Version = status.Received, uint64(status.Term)
+	}
+	s.log(d)
+}
--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -152,6 +152,7 @@
 		// The primary answers, so it can be stopped before its successor is chosen for good.
 	case basis.isSafe():
 		f.candidate, f.basis = candidate.Name, basis
+		s.logEvidence(f)
 		s.enterStep(f, stepPromote)
 	case basis == basisLacksCommit:
 		s.handleNoCandidate(f, candidate)
@@ -160,6 +161,18 @@
 	}
 }
 
+// logEvidence logs the halts that the promotion is judged by.
+func (s *State) logEvidence(f *failover) {
+	for _, u := range f.group.upstreams {
+		if h, ok := f.proof.haltOf(u.Upstream); ok {
+			s.log(Decision{
+				Event: "order", Service: f.group.name, Upstream: u.Name, Position: h.log.received, Version: uint64(h.term),
+				Age: s.now - h.at, Outcome: "evidence",
+			})
+		}
+	}
+}
+
 // mayFindBetterCandidate reports whether replicas may still report that are preferred to those that have.
 func (s *State) mayFindBetterCandidate(f *failover, c promotionCase) bool {
 	final, ok := f.proof.finalLog(c.primary)
