A replica that may still resume does not count as halted

Callers lost acknowledged commits: after a change of primary whose resumption got no answer, the next one promoted a replica without them.

Cause: a resumption has no term, so one that is carried out late ends the pause of the next change. The evidence stayed valid: the replica received again, and let the old primary acknowledge, after its pause was judged.

Change: the node records the resumptions that are pending or got no answer. For 15 s, or until the process restarts, such a replica does not count as halted beside another candidate. It may be the candidate itself: if it receives, it only holds more. A primary that has stepped down needs no halts, so planned changes don't wait. So that a lost primary is replaced within 8 s, after 2.5 s of a failover such a replica counts once its log stayed as it is for 0.4 s; it is paused again meanwhile. An answer with another log in the same term is logged as 'resumed'. Weighed: strict for the whole 15 s (no writes for that long after a crash); asking for the status before each pause (shows a resumption, prevents none).

The model delays replication commands by 2 to 12 s and loses their answers (DelayCommands).

What remains: resumptions of an earlier holder of the failover lease are not known to the next one; within the 2.5 s bound the loss is unlikely, not excluded; a 'resumed' answer after the request is logged, the request is not superseded.

--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -83,11 +83,13 @@
 		vm = s.config.Self
 	}
 	s.log(Decision{Event: "resume", Service: u.Service, Upstream: u.Name, VM: vm, Outcome: "requested"})
-	sentAt := s.now
+	sentAt, process := s.now, u.Upstream
+	s.groupOf(u.Service).resumptions.recordSent(process)
 	s.sendFailoverCall(u, vm, currantloom.CallFailover, currantloom.Command{Kind: currantloom.CommandResumeReplication},
 		func(result currantloom.CallResult) {
 			confirmed := result.Verdict == currantloom.Ran && result.Reply.Code == currantloom.ReplyOK
 			current := s.catalog.upstreams[u.Name] == u && s.coordinator.failovers[u.Service] == nil
+			s.groupOf(u.Service).resumptions.recordResult(process, result.Verdict, s.now)
 			s.logResumptionResult(u, vm, result, sentAt)
 			if confirmed || retries == 0 || !current || !s.coordinator.isActing(s) {
 				return
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -25,6 +25,8 @@
 type group struct {
 	name      currantloom.ServiceName
 	upstreams []*upstream
+	// resumptions are those that this node has sent as the holder of the failover lease.
+	resumptions resumptions
 	// primary is the upstream that is believed to be the primary in the term; empty if none is known.
 	primary currantloom.UpstreamName
 	term    currantloom.Term
--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -134,7 +134,8 @@
 	if f.planned && s.awaitsStepDown(f) {
 		return
 	}
-	c := s.promotionCase(f)
+	c := s.judgedCase(f)
+	s.pauseDoubtful(f, c)
 	for _, missing := range f.proof.missing(c) {
 		s.pauseReplica(f, s.catalog.upstreams[missing.Name])
 	}
@@ -173,6 +174,19 @@
 	}
 }
 
+// pauseDoubtful pauses the replicas again that may still resume, so that it shows whether they did.
+func (s *State) pauseDoubtful(f *failover, c promotionCase) {
+	if s.now-max(f.haltedAt, f.stepStartedAt) < primaryProbeInterval {
+		return
+	}
+	f.haltedAt = s.now
+	for _, u := range f.group.upstreams {
+		if u.Name != f.oldPrimary && slices.Contains(c.doubtful, u.Name) {
+			s.pauseReplica(f, u)
+		}
+	}
+}
+
 // mayFindBetterCandidate reports whether replicas may still report that are preferred to those that have.
 func (s *State) mayFindBetterCandidate(f *failover, c promotionCase) bool {
 	final, ok := f.proof.finalLog(c.primary)
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -22,7 +22,8 @@
 //
 // Evidence is the answer to a pause that the upstream has carried out, which it does only if the term of the pause is
 // above that of every primary so far. It is void once an upstream reports a newer term or acts as primary, and once the
-// upstream restarts. That an upstream is a replica after it was asked to step down shows nothing: another one may lead.
+// upstream restarts. A resumption that was sent before and got no answer may end the pause later. That an upstream is a
+// replica after it was asked to step down shows nothing: another one may lead.
 //
 // The zero value holds no evidence.
 type promotionProof struct {
@@ -42,7 +43,8 @@
 	incarnation int64
 	term        currantloom.Term
 	log         replicaLog
-	at          time.Duration
+	// at is when the last pause was answered, since is when one was first answered with this log.
+	at, since time.Duration
 }
 
 // replicaLog is the end of an upstream's log, and the newest term in which it has led or received.
@@ -69,13 +71,15 @@
 	haltPaused
 	// haltPrimary: the upstream acts as primary.
 	haltPrimary
+	// haltResumed: the upstream is paused, but has received since it was paused in the same term.
+	haltResumed
 	// haltNewerTerm: another upstream has led since, so all evidence is void.
 	haltNewerTerm
 )
 
 // String returns the name that logs use.
 func (o haltOutcome) String() string {
-	return [...]string{"ignored", "replica", "paused", "primary", "newer_term"}[o]
+	return [...]string{"ignored", "replica", "paused", "primary", "resumed", "newer_term"}[o]
 }
 
 // restart drops the evidence. Later commands have a term above this one and every term seen.
@@ -90,6 +94,7 @@
 func (p *promotionProof) observe(
 	u currantloom.Upstream, command currantloom.Command, status currantloom.ReplicationStatus, at time.Duration,
 ) haltOutcome {
+	before, wasHalted := p.haltOf(u)
 	delete(p.halts, u.Name)
 	if status.Primary && status.Term >= p.leaderTerm {
 		p.leader, p.leaderTerm = u.Name, status.Term
@@ -114,7 +119,15 @@
 	case command.Term < p.term:
 		return haltIgnored
 	}
-	p.record(u, halt{term: command.Term, log: replicaLog{term: status.Term, received: status.Received}, at: at})
+	h := halt{term: command.Term, log: replicaLog{term: status.Term, received: status.Received}, at: at, since: at}
+	unchanged := wasHalted && before.log == h.log
+	if unchanged {
+		h.since = before.since
+	}
+	p.record(u, h)
+	if wasHalted && !unchanged {
+		return haltResumed
+	}
 	return haltPaused
 }
 
@@ -169,6 +182,10 @@
 	// maxMissing is the number of others that need not be halted, because with several synchronous replicas at least one
 	// of the rest holds every acknowledged commit.
 	maxMissing int
+	// doubtful are the upstreams that may still carry out a resumption that was sent before they were paused.
+	doubtful []currantloom.UpstreamName
+	// acceptsDoubt says that one of them counts as halted once its log has stayed as it is for haltConfirmTime.
+	acceptsDoubt bool
 }
 
 // promotionBasis says what makes a promotion safe, or why it is not shown to be.
@@ -182,6 +199,7 @@
 	basisNotHalted     promotionBasis = "the candidate is not halted"
 	basisLacksCommit   promotionBasis = "the candidate lacks an acknowledged commit"
 	basisMissingReport promotionBasis = "a replica does not report"
+	basisMayResume     promotionBasis = "a replica may still resume"
 	basisLongerLog     promotionBasis = "another log is longer"
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
 )
@@ -206,6 +224,8 @@
 		return basisLacksCommit
 	case p.hasLongerLog(c, h.log):
 		return basisLongerLog
+	case len(p.missing(c))+p.doubtfulOthers(c, candidate) > c.maxMissing:
+		return basisMayResume
 	case steppedDown && c.now-final.at < newcomerTime:
 		return basisNewcomers
 	default:
@@ -221,6 +241,20 @@
 	})
 }
 
+// doubtfulOthers counts the upstreams, other than the primary and the candidate, that are halted and may resume. If the
+// candidate does, it only holds more.
+func (p *promotionProof) doubtfulOthers(c promotionCase, candidate currantloom.Upstream) int {
+	count := 0
+	for _, u := range c.others {
+		h, ok := p.haltOf(u)
+		confirmed := c.acceptsDoubt && h.at-h.since >= haltConfirmTime
+		if ok && !confirmed && u.Name != candidate.Name && slices.Contains(c.doubtful, u.Name) {
+			count++
+		}
+	}
+	return count
+}
+
 // hasLongerLog reports whether a halted replica has a longer log.
 func (p *promotionProof) hasLongerLog(c promotionCase, log replicaLog) bool {
 	return slices.ContainsFunc(c.others, func(u currantloom.Upstream) bool {
--- a/loomfleet/promotionproof_test.go
+++ b/loomfleet/promotionproof_test.go
@@ -23,7 +23,10 @@
 	term  currantloom.Term
 	// held is the term of the pause in effect; zero if there is none.
 	held currantloom.Term
-	log  []proofEntry
+	// resuming says that the process has a resumption under way that got no answer, doubtful is the process that had.
+	resuming bool
+	doubtful int64
+	log      []proofEntry
 }
 
 // proofAnswer is the answer to a command that has not arrived yet.
@@ -106,10 +109,19 @@
 func (w *proofWorld) restartServer() {
 	s := w.any()
 	s.Incarnation++
-	s.held = 0
+	s.held, s.resuming = 0, false
 	w.note("%s restarts", s.Name)
 }
 
+// resumeLate carries out a resumption of an earlier change.
+func (w *proofWorld) resumeLate() {
+	s := w.any()
+	if s.resuming {
+		s.held, s.resuming = 0, false
+		w.note("%s resumes late", s.Name)
+	}
+}
+
 // promote makes a server lead the next term, which ends all pauses.
 func (w *proofWorld) promote(s *proofServer) {
 	if s.leads {
@@ -159,6 +171,9 @@
 		if s != w.target {
 			c.others = append(c.others, s.Upstream)
 		}
+		if s.doubtful == s.Incarnation {
+			c.doubtful = append(c.doubtful, s.Name)
+		}
 	}
 	return c
 }
@@ -194,13 +209,19 @@
 	if s := w.leader(); s != nil {
 		w.target = s
 	}
+	for _, s := range w.servers {
+		if w.IntN(6) == 0 {
+			s.resuming, s.doubtful = true, s.Incarnation
+			w.note("%s has a resumption under way", s.Name)
+		}
+	}
 	w.proof.restart(currantloom.Term(w.IntN(int(w.newest) + 1)))
 	w.note("%s is to be replaced; commands of term %d", w.target.Name, w.proof.term)
 }
 
 // step draws an event of the change. Until one of its commands has taken effect, the request of an earlier holder may.
 func (w *proofWorld) step() {
-	switch w.IntN(11) {
+	switch w.IntN(12) {
 	case 0:
 		w.commit()
 	case 1:
@@ -215,6 +236,8 @@
 		w.send(w.target, currantloom.CommandReplicationStatus)
 	case 10:
 		w.send(w.target, currantloom.CommandPauseReplication)
+	case 11:
+		w.resumeLate()
 	case 5, 6, 7:
 		w.deliver()
 	case 8:
@@ -232,11 +255,13 @@
 // replicas restart and new ones start. Otherwise the replicas stay paused, which the node has to see to.
 func (w *proofWorld) untilEffect(basis promotionBasis) {
 	for range w.IntN(12) {
-		switch w.IntN(4) {
+		switch w.IntN(5) {
 		case 0:
 			w.commit()
 		case 1:
 			w.replicate()
+		case 4:
+			w.resumeLate()
 		case 2:
 			if basis == basisSteppedDown {
 				w.restartServer()
@@ -305,7 +330,8 @@
 }
 
 // TestPromotionProof guards against a promotion that loses an acknowledged commit although the evidence says that it is
-// safe, over drawn orders of commits, commands, late answers, restarts, unknown terms and new replicas.
+// safe, over drawn orders of commits, commands, late answers, late resumptions, restarts, unknown terms and new
+// replicas.
 func TestPromotionProof(t *testing.T) {
 	const seeds, steps = 30000, 60
 	safe := make(map[promotionBasis]int)
--- a/loommodel/upstream.go
+++ b/loommodel/upstream.go
@@ -93,6 +93,8 @@
 	// lostReplyPercent is the percentage of statements whose reply is lost, lateWritePercent that of writes outside a
 	// transaction that take effect seconds later and without a reply.
 	lostReplyPercent, lateWritePercent int
+	// delayedCommandPercent is the percentage of replication commands that take effect late and without a reply.
+	delayedCommandPercent int
 	// reports counts the registrations that the process has written.
 	reports uint64
 	// generation counts crashes and restarts; the work of an earlier generation is dropped.
@@ -206,7 +208,7 @@
 		done(currantloom.Reply{})
 	case currantloom.CommandReplicationStatus, currantloom.CommandPauseReplication,
 		currantloom.CommandResumeReplication, currantloom.CommandStepDown:
-		done(u.replicationCommand(c))
+		u.runReplicationCommand(conn, c, done)
 	default:
 		u.runStatement(conn, c, done)
 	}
