--- a/loommodel/latecommands_test.go
+++ b/loommodel/latecommands_test.go
@@ -44,15 +44,7 @@
 		}
 		sim.Drain(primary, 9*time.Second)
 		sim.Run(2*time.Second + time.Duration(seed%7)*300*time.Millisecond)
-		primary = sim.Primary(0)
-		cutOff := nodeWithoutLease(sim)
-		for _, name := range sim.Nodes() {
-			if name != cutOff {
-				sim.Partition(cutOff, name, true)
-				sim.Partition(primary, name, true)
-			}
-		}
-		sim.Partition(cutOff, "store", true)
+		cutOffWithPrimary(sim, sim.Primary(0))
 		sim.Run(time.Duration(3+(seed+round)%4) * time.Second)
 		sim.Heal()
 		sim.Run(4 * time.Second)
@@ -92,3 +84,57 @@
 		})
 	}
 }
+
+// TestLateResumptionOfEarlierHolder guards against the same with a resumption of an earlier holder of the failover
+// lease.
+func TestLateResumptionOfEarlierHolder(t *testing.T) {
+	for i := range *commandSeedCount {
+		seed := *firstCommandSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 20, ThinkTime: 20 * time.Millisecond})
+			playEarlierHolder(sim, seed)
+			assertNoViolations(t, sim)
+		})
+	}
+}
+
+// playEarlierHolder kills the holder of the failover lease after a planned change, and then cuts the primary off from
+// all nodes but one.
+func playEarlierHolder(sim *loommodel.Simulation, seed uint64) {
+	sim.Run(time.Second)
+	for round := range uint64(3) {
+		primary := sim.Primary(0)
+		if primary == "" {
+			sim.Run(time.Second)
+			continue
+		}
+		for _, name := range replicasOf(sim, primary) {
+			sim.DelayCommands(name, 40)
+		}
+		sim.Drain(primary, 9*time.Second)
+		sim.Run(1500*time.Millisecond + time.Duration(seed%7)*150*time.Millisecond)
+		sim.Kill(sim.FailoverLeaseHolder(), 500*time.Millisecond)
+		sim.Run(2500 * time.Millisecond)
+		cutOffWithPrimary(sim, sim.Primary(0))
+		sim.Run(time.Duration(3+(seed+round)%4) * time.Second)
+		sim.Heal()
+		sim.Run(4 * time.Second)
+		for _, name := range sim.Upstreams() {
+			sim.DelayCommands(name, 0)
+		}
+	}
+}
+
+// cutOffWithPrimary cuts the primary, and one node that does not hold the failover lease, off from all other nodes, and
+// the node from the store.
+func cutOffWithPrimary(sim *loommodel.Simulation, primary string) {
+	cutOff := nodeWithoutLease(sim)
+	for _, name := range sim.Nodes() {
+		if name != cutOff {
+			sim.Partition(cutOff, name, true)
+			sim.Partition(primary, name, true)
+		}
+	}
+	sim.Partition(cutOff, "store", true)
+}
