loomfleet: a lost log counts among the replicas that a promotion need not know

Callers saw: nothing; all sites in force have one synchronous replica.

Cause: with several synchronous replicas a promotion leaves out syncReplicas - 1 reports, because one of the other logs holds every acknowledged commit. A log that is gone was not counted: of two receivers of a commit one may have been removed while the other does not report, so the halted replicas may lack it.

Change: within logLossWindow after a log was lost, by removal or by a restart without the log, every other upstream has to report. The window is the one that already decides how long the newest acknowledged commits are waited for.

Evidence: TestLostLogBesideMissingReport failed before with "all replicas are paused", want "a replica does not report", both for a removed and for a forgotten replica, and passes now. All tests of loomfleet pass. What remains: a node that started within logLossWindow does not know of logs that were lost before its start.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -27,8 +27,14 @@
 }
 
 // maxMissingStatuses is the number of replicas whose log positions need not be known, because with several synchronous
-// replicas at least one of the others holds every acknowledged commit.
-func (s *State) maxMissingStatuses(g *group) int { return max(0, s.service(g.name).SyncReplicas-1) }
+// replicas at least one of the others holds every acknowledged commit. If a log was lost within logLossWindow, it may
+// have been one of those, so all others have to be known.
+func (s *State) maxMissingStatuses(g *group) int {
+	if g.logLostAt > 0 && s.now-g.logLostAt <= logLossWindow {
+		return 0
+	}
+	return max(0, s.service(g.name).SyncReplicas-1)
+}
 
 // isRemoved reports whether the upstream's registration has been missing for longer than deletionGrace, and no node
 // reaches the upstream. Its log then counts as lost. Time in which the store is unavailable does not count, because
--- a/loomfleet/removed_test.go
+++ b/loomfleet/removed_test.go
@@ -134,3 +134,44 @@
 		t.Error("a reachable replica counts as unreachable")
 	}
 }
+
+// TestLostLogBesideMissingReport guards against a promotion that loses a commit of two synchronous replicas: one of
+// them is gone and the other does not report, so the halted replicas may lack it.
+func TestLostLogBesideMissingReport(t *testing.T) {
+	judge := func(f *fixture) promotionBasis {
+		configuration := testConfiguration(2, currantloom.ReadLatest)
+		service := configuration.Services[testService]
+		service.SyncReplicas = 2
+		configuration.Services[testService] = service
+		f.reduce(CatalogChanged{
+			Stamp: f.stamp(), Position: testStorePosition(31), Configuration: configuration,
+			Upstreams: []UpstreamChange{testUpstream("d", false)},
+		})
+		g := f.state.groupOf(testService)
+		fo := &failover{group: g, oldPrimary: "a"}
+		for _, u := range g.upstreams {
+			if u.Name != "d" && u.deletedAt == 0 {
+				fo.proof.record(u.Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
+			}
+		}
+		return fo.proof.judge(f.state.promotionCase(fo), g.find("b").Upstream)
+	}
+	t.Run("one does not report", func(t *testing.T) {
+		if got := judge(newRemovalFixture(t)); got != basisAllPaused {
+			t.Errorf("%q, want %q", got, basisAllPaused)
+		}
+	})
+	for name, gone := range map[string]time.Duration{
+		"another is removed": deletionGrace + 1, "another is forgotten": forgetUpstreamAfter + 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newRemovalFixture(t)
+			f.deleteReplica()
+			f.advance(gone)
+			f.state.tickCatalog()
+			if got := judge(f); got != basisMissingReport {
+				t.Errorf("%q, want %q", got, basisMissingReport)
+			}
+		})
+	}
+}
