--- a/loommodel/latecommands_test.go
+++ b/loommodel/latecommands_test.go
@@ -32,8 +32,15 @@
 // playLateResumptions changes the primary again and again while replicas carry out commands late and the holder of the
 // failover lease, but not all other nodes, is cut off from the primary.
 func playLateResumptions(sim *loommodel.Simulation, seed uint64) {
+	playLateCommands(sim, seed, 4, func() { sim.Run(2*time.Second + time.Duration(seed%7)*300*time.Millisecond) })
+	sim.Run(16 * time.Second)
+}
+
+// playLateCommands drains the primary once in each round while the replicas carry out commands late. After each drain
+// it calls afterDrain, and then cuts the primary and a node off for some seconds.
+func playLateCommands(sim *loommodel.Simulation, seed, rounds uint64, afterDrain func()) {
 	sim.Run(time.Second)
-	for round := range uint64(4) {
+	for round := range rounds {
 		primary := sim.Primary(0)
 		if primary == "" {
 			sim.Run(time.Second)
@@ -43,7 +50,7 @@
 			sim.DelayCommands(name, 40)
 		}
 		sim.Drain(primary, 9*time.Second)
-		sim.Run(2*time.Second + time.Duration(seed%7)*300*time.Millisecond)
+		afterDrain()
 		cutOffWithPrimary(sim, sim.Primary(0))
 		sim.Run(time.Duration(3+(seed+round)%4) * time.Second)
 		sim.Heal()
@@ -52,7 +59,6 @@
 			sim.DelayCommands(name, 0)
 		}
 	}
-	sim.Run(16 * time.Second)
 }
 
 // TestFailoverAfterLateResumptions guards against a primary that is replaced too late because all replicas may still
@@ -102,28 +108,11 @@
 // playEarlierHolder kills the holder of the failover lease after a planned change, and then cuts the primary off from
 // all nodes but one.
 func playEarlierHolder(sim *loommodel.Simulation, seed uint64) {
-	sim.Run(time.Second)
-	for round := range uint64(3) {
-		primary := sim.Primary(0)
-		if primary == "" {
-			sim.Run(time.Second)
-			continue
-		}
-		for _, name := range replicasOf(sim, primary) {
-			sim.DelayCommands(name, 40)
-		}
-		sim.Drain(primary, 9*time.Second)
+	playLateCommands(sim, seed, 3, func() {
 		sim.Run(1500*time.Millisecond + time.Duration(seed%7)*150*time.Millisecond)
 		sim.Kill(sim.FailoverLeaseHolder(), 500*time.Millisecond)
 		sim.Run(2500 * time.Millisecond)
-		cutOffWithPrimary(sim, sim.Primary(0))
-		sim.Run(time.Duration(3+(seed+round)%4) * time.Second)
-		sim.Heal()
-		sim.Run(4 * time.Second)
-		for _, name := range sim.Upstreams() {
-			sim.DelayCommands(name, 0)
-		}
-	}
+	})
 }
 
 // cutOffWithPrimary cuts the primary, and one node that does not hold the failover lease, off from all other nodes, and
