A holder that stops does not settle the request of an earlier one by a word

What callers saw, in the model: acknowledged commits lost. A holder of the failover lease is stopped while it settles the request of a killed one; the late request takes effect after that.

Cause: a failover that ends because of a shutdown announced the primary unless a request of the node's own was pending. The announcement let writes go at all nodes, and made them forget the earlier holder's promotion.

--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -31,7 +31,7 @@
 	previousHolder currantloom.VMName
 	// failovers are the failovers in progress, by service.
 	failovers map[currantloom.ServiceName]*failover
-	// promotions holds the requests for promotion that this node has sent, by service.
+	// promotions holds the requests for promotion that this node has sent, or heard announced, by service.
 	promotions map[currantloom.ServiceName]*promotions
 	lastFence  currantloom.Fence
 	// tookOverAt is when this node took the failover lease over from another one; zero if it did not.
--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -20,7 +20,9 @@
 		Event: "failover", Service: g.name, Upstream: g.primary, Version: uint64(g.term), Reason: reason,
 		Age: s.now - f.startedAt, Outcome: "ended",
 	})
-	if reason == reasonLeaseLost || reason == reasonShutdown && s.hasPendingPromotion(g) {
+	pending := s.coordinator.promotionsOf(g.name)
+	unsettled := pending.isUnsettled(s.now, g.primary)
+	if reason == reasonLeaseLost || reason == reasonShutdown && (s.hasPendingPromotion(g) || unsettled) {
 		// The next holder of the failover lease may be changing the primary: it alone says when writes and replicas go on.
 		// If it is not, the blocking runs out, and it notices the stalled commits.
 		return
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -111,7 +111,8 @@
 	if g.primary == "" || f.step == stepVoid {
 		return false
 	}
-	if s.hasPendingPromotion(g) {
+	unsettled := reason != reasonOtherPrimary && c.promotionsOf(g.name).isUnsettled(s.now, g.primary)
+	if s.hasPendingPromotion(g) || unsettled {
 		return true
 	}
 	// If another primary leads meanwhile, the request of the earlier holder is the one that has taken effect.
--- /dev/null
+++ b/loomfleet/unsettled_test.go
@@ -0,0 +1,52 @@
+package loomfleet
+
+import (
+	"testing"
+	"time"
+
+	"currantloom.example/currantloom"
+)
+
+// newUnsettledFixture returns a holder of the failover lease that has heard an earlier holder announce the promotion of
+// b while a leads.
+func newUnsettledFixture(t *testing.T) (*fixture, *group) {
+	t.Helper()
+	f := newFixture(t)
+	f.now = time.Second
+	f.configure(currantloom.ReadLatest)
+	f.holdLease()
+	f.addMember("vm-2")
+	f.wait(pingInterval)
+	f.answerPings()
+	g := f.state.groupOf(testService)
+	g.setPrimary(f.state, "a", "reported")
+	f.state.handleBlockWrites(currantloom.BlockWrites{
+		Service: testService, Duration: blockWritesDuration, BlockCommits: true, Successor: "b",
+	})
+	return f, g
+}
+
+// startPause starts a failover at the step in which replicas are paused.
+func (f *fixture) startPause(g *group, reason string, planned bool) *failover {
+	f.state.startFailover(g, reason, planned)
+	fo := f.state.coordinator.failovers[g.name]
+	fo.fence = f.state.coordinator.leaseKey.position
+	f.state.enterStep(fo, stepPause)
+	return fo
+}
+
+// TestShutdownWhileUnsettled guards against a holder that shuts down while it settles the request of an earlier one, and
+// tells all nodes that the primary stays: they let writes go and forget the request.
+func TestShutdownWhileUnsettled(t *testing.T) {
+	f, g := newUnsettledFixture(t)
+	f.startPause(g, reasonUnsettled, true)
+	f.state.effects = nil
+	f.state.endFailovers(reasonShutdown)
+	for _, e := range f.state.effects {
+		if s, ok := e.(Send); ok {
+			if m, ok := s.Message.(currantloom.PrimaryChanged); ok {
+				t.Errorf("%s is told %+v", s.VM.Name(), m)
+			}
+		}
+	}
+}
--- a/loommodel/holder_test.go
+++ b/loommodel/holder_test.go
@@ -134,11 +134,19 @@
 	}
 }
 
-// playKilledHolder kills the holder after its request, which is carried out late, and restarts the replica that was not
-// requested. With unheard the holder is cut off from the other nodes before.
+// playKilledHolder kills the holder after its request, which is carried out late, and checks that no commit is lost.
 func playKilledHolder(t *testing.T, seed uint64, cause changeCause, unheard bool) {
 	t.Helper()
 	sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
+	killHolderAfterRequest(sim, seed, cause, unheard)
+	sim.Run(12 * time.Second)
+	assertNoViolations(t, sim)
+	assertServing(t, sim)
+}
+
+// killHolderAfterRequest kills the holder after its request, which is carried out late, and restarts the replica that
+// was not requested. With unheard the holder is cut off from the other nodes before.
+func killHolderAfterRequest(sim *loommodel.Simulation, seed uint64, cause changeCause, unheard bool) {
 	sim.Run(time.Second)
 	sim.DelayPromotions(100)
 	primary := sim.Primary(0)
@@ -156,9 +164,6 @@
 			sim.Crash(name, false, 50*time.Millisecond)
 		}
 	}
-	sim.Run(12 * time.Second)
-	assertNoViolations(t, sim)
-	assertServing(t, sim)
 }
 
 // TestUnheardAnnouncement guards against the same loss if the holder is also cut off from the other nodes before its
@@ -175,3 +180,33 @@
 		}
 	}
 }
+
+// TestSettlingHolderStops guards against a holder of the failover lease that is stopped while it settles the request of
+// an earlier one: it announced that the primary stays, and the late request lost commits.
+func TestSettlingHolderStops(t *testing.T) {
+	for _, cause := range changeCauses[1:3] {
+		for seed := *holderSeed; seed < *holderSeed+uint64(*holderSeeds); seed++ {
+			t.Run(fmt.Sprintf("%s/%d", cause.name, seed), func(t *testing.T) {
+				t.Parallel()
+				sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 20 * time.Millisecond})
+				settling := ""
+				sim.Trace = func(_ time.Duration, vm currantloom.VMName, d loomfleet.Decision) {
+					if settling == "" && d.Event == "failover" && d.Outcome == "fence" && d.Reason == settlingReason {
+						settling = string(vm)
+					}
+				}
+				killHolderAfterRequest(sim, seed, cause, false)
+				for i := 0; settling == "" && i < 6000; i++ {
+					sim.Run(time.Millisecond)
+				}
+				sim.Stop(settling, 8*time.Second)
+				sim.Run(14 * time.Second)
+				assertNoViolations(t, sim)
+				assertServing(t, sim)
+			})
+		}
+	}
+}
+
+// settlingReason is the logged reason of a failover that settles the request of an earlier holder.
+const settlingReason = "a promotion of an earlier holder may take effect"
