Writes stay blocked until an unsettled promotion is replaced

A failover that settles the request of an earlier holder blocked writes once, for 3 s, when it started. If the fence or the pauses took longer, writes went on while the earlier request could still take effect; an acknowledged commit can be lost then. It renews the blocking now until its own request is sent, as the later steps do.

Evidence: before, TestWritesBlockedWhileUnsettled failed with "step pause: writes go on since 1s"; it passes now.

--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -192,6 +192,7 @@
 	if f.isReplacedByOther() && s.handleOtherPrimary(f) {
 		return
 	}
+	s.renewUnsettledBlock(f)
 	if s.now < f.retryAt {
 		return
 	}
@@ -237,6 +238,15 @@
 	}
 }
 
+// renewUnsettledBlock keeps writes blocked while the request of an earlier holder may take effect and this node has not
+// requested a promotion that replaces it.
+func (s *State) renewUnsettledBlock(f *failover) {
+	unsettled := s.coordinator.promotionsOf(f.group.name).isUnsettled(s.now, f.oldPrimary)
+	if f.reason == reasonUnsettled && f.step < stepPromote && unsettled {
+		s.renewBlockWrites(f, "")
+	}
+}
+
 // broadcast sends a message to all live members.
 func (s *State) broadcast(m currantloom.Message) {
 	for _, peer := range s.members.sorted {
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -26,6 +26,15 @@
 	return f, g
 }
 
+// tickFailoverFor ticks a failover for a while, or until it has left the step.
+func (f *fixture) tickFailoverFor(fo *failover, d time.Duration) {
+	for end, step := f.now+d, fo.step; f.now < end && fo.step == step && f.state.coordinator.failovers[testService] == fo; {
+		f.now += TickInterval
+		f.state.now = f.now
+		f.state.tickFailover(fo)
+	}
+}
+
 // startPause starts a failover at the step in which replicas are paused.
 func (f *fixture) startPause(g *group, reason string, planned bool) *failover {
 	f.state.startFailover(g, reason, planned)
@@ -50,3 +59,14 @@
 		}
 	}
 }
+
+// TestWritesBlockedWhileUnsettled guards against writes that go on because the failover which settles an earlier request
+// takes longer than one blocking lasts.
+func TestWritesBlockedWhileUnsettled(t *testing.T) {
+	f, g := newUnsettledFixture(t)
+	fo := f.startPause(g, reasonUnsettled, true)
+	f.tickFailoverFor(fo, blockWritesDuration+time.Second)
+	if g.writesBlockedUntil <= f.now {
+		t.Errorf("step %s: writes go on since %s", fo.step, f.now-g.writesBlockedUntil)
+	}
+}
