A holder settles its own announcement when its change has ended

Other nodes forget an announced promotion when the change has ended; the holder itself remembered its own for 15 s. A registration of the old primary within that time started another change, and blocked writes, for nothing.

Evidence: before, TestOwnAnnouncementIsSettled failed with 'reason "a promotion of an earlier holder may take effect" for another change'; it passes now.

--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -28,6 +28,9 @@
 		return
 	}
 	g.writesBlockedUntil = 0
+	if !unsettled {
+		pending.announced = ""
+	}
 	if g.primary != "" {
 		s.broadcast(currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
 	}
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -70,3 +70,27 @@
 		t.Errorf("step %s: writes go on since %s", fo.step, f.now-g.writesBlockedUntil)
 	}
 }
+
+// TestOwnAnnouncementIsSettled guards against a holder that takes its own promotion for one that may still take effect
+// after the upstream has led, and changes the primary again.
+func TestOwnAnnouncementIsSettled(t *testing.T) {
+	f, g := newUnsettledFixture(t)
+	f.state.coordinator.promotionsOf(testService).announced = ""
+	fo := f.startPause(g, "primary is unreachable", false)
+	fo.candidate = "b"
+	f.state.enterStep(fo, stepPromote)
+	f.reduce(PromoteAnswered{
+		Stamp: f.stamp(), Service: testService, PromotionID: fo.promotionID, Result: currantloom.PromoteAccepted,
+	})
+	f.now += TickInterval
+	f.state.now = f.now
+	g.recordPrimary(f.state, "b", currantloom.NewLogPosition(2, 7), f.now)
+	f.state.tickFailover(fo)
+	if f.state.coordinator.failovers[testService] != nil {
+		t.Fatal("the failover did not end")
+	}
+	g.setPrimary(f.state, "a", "reported")
+	if reason, _ := f.state.failoverReason(g); reason == reasonUnsettled {
+		t.Errorf("reason %q for another change", reason)
+	}
+}
