A failover for stalled commits waits until replicas in doubt count

Such a failover ended after 1.5 s without a candidate, but a replica that may still resume counts as halted only after 2.5 s. For up to 15 s each try paused all replicas and sent new resumptions, and none could succeed. It goes on now as long as the doubt is what it waits for.

Evidence: before, TestStalledCommitsBesideDoubt failed with "step pause, current: false after 1.5s; want a request for promotion"; it passes now.

--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// pauseDoubtful pauses the replicas again that may still resume, so that it shows whether they did.
+// pauseDoubtful pauses the replicas again that may still resume, to detect whether they have received since.
 func (s *State) pauseDoubtful(f *failover, c promotionCase) {
 	if s.now-max(f.haltedAt, f.stepStartedAt) < primaryProbeInterval {
 		return
@@ -220,6 +220,8 @@
 		Event: "failover", Service: f.group.name, Age: s.now - f.startedAt, Reason: string(basis), Outcome: "waiting",
 	})
 	switch {
+	case basis == basisMayResume && s.now-f.startedAt <= maxDoubtWait+haltConfirmTime:
+		// It counts as halted soon.
 	case f.reason == reasonCommitsStalled:
 		f.group.ignoreStallUntil = s.now + stallRetryPause
 		s.endFailover(f, string(basis))
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -94,3 +94,30 @@
 		t.Errorf("reason %q for another change", reason)
 	}
 }
+
+// TestStalledCommitsBesideDoubt guards against a failover for stalled commits that ends before a replica which may still
+// resume counts as halted, again and again.
+func TestStalledCommitsBesideDoubt(t *testing.T) {
+	f := newFixture(t)
+	f.now = time.Second
+	f.configure(currantloom.ReadLatest)
+	f.holdLease()
+	g := f.state.groupOf(testService)
+	g.resumptions.recordSent(g.find("c").Upstream)
+	g.resumptions.recordResult(g.find("c").Upstream, currantloom.MayHaveRun, f.now)
+	fo := f.startPause(g, reasonCommitsStalled, false)
+	current := func() bool { return f.state.coordinator.failovers[testService] == fo }
+	for f.now < 8*time.Second && current() && fo.step == stepPause {
+		pause := currantloom.Command{Kind: currantloom.CommandPauseReplication, Term: fo.proof.term}
+		for name, index := range map[currantloom.UpstreamName]currantloom.LogIndex{"b": 8, "c": 7} {
+			fo.commandPending[name] = false
+			fo.proof.observe(g.find(name).Upstream, pause, currantloom.ReplicationStatus{
+				Term: 1, Held: pause.Term, Received: currantloom.NewLogPosition(1, index),
+			}, f.now)
+		}
+		f.tickFailoverFor(fo, TickInterval)
+	}
+	if !current() || fo.step == stepPause {
+		t.Errorf("step %s, current: %t after %s; want a request for promotion", fo.step, current(), f.now-fo.startedAt)
+	}
+}
