A store that fails again and again does not keep a lost log for ever

Each return of the store restarted the whole grace of a registration that had vanished less than 2.5 s before the outage. With a store that fails every two seconds an upstream that is gone counted for ever, and kept failovers waiting. The grace starts again once; after that an outage only suspends it.

Evidence: before, TestGoneBesideFailingStore failed with "the log of c counts: true, want false"; it passes now, as does TestRemovedWhileStoreUnavailable.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -63,6 +63,8 @@
 	drain         drain
 	// deletedAt is when this node learnt that the registration was deleted; zero if it was not.
 	deletedAt time.Duration
+	// graceRestarted says that deletionGrace was restarted since, because the store was unavailable.
+	graceRestarted bool
 	// notPrimaryAt is when the upstream last refused to act as primary.
 	notPrimaryAt time.Duration
 	// avoidOwnerUntil holds the VMs that could not reach the upstream, each with the time until which it is not chosen
@@ -265,7 +267,7 @@
 	if u.deletedAt > 0 {
 		return
 	}
-	u.deletedAt = max(s.now, 1)
+	u.deletedAt, u.graceRestarted = max(s.now, 1), false
 	u.group.logLostAt = u.deletedAt
 	s.log(Decision{
 		Event: "upstream", Upstream: u.Name, Service: u.Service, Version: u.storePosition.Revision(), Outcome: "gone",
@@ -289,12 +291,17 @@
 	c.storeUnavailable, c.storeReachedAt = false, s.now
 }
 
-// restartDeletionGrace restarts the grace of registrations that vanished while the store was unavailable, and of those
-// whose grace had not ended before: neither could be written again.
+// restartDeletionGrace restarts the grace of registrations that vanished while the store was unavailable, and once that
+// of those whose grace had not ended before: upstreams cannot register during an outage. A store that fails again and
+// again only suspends the grace, so that an upstream that is gone does not count for ever.
 func (c *catalog) restartDeletionGrace(now time.Duration) {
 	for _, u := range c.upstreams {
-		if u.deletedAt > 0 && c.storeReachedAt-u.deletedAt <= deletionGrace {
-			u.deletedAt = now
+		switch {
+		case u.deletedAt == 0 || c.storeReachedAt-u.deletedAt > deletionGrace:
+		case u.deletedAt >= c.storeReachedAt || !u.graceRestarted:
+			u.deletedAt, u.graceRestarted = now, true
+		default:
+			u.deletedAt += now - c.storeReachedAt
 		}
 		if u.missingSince > 0 {
 			u.missingSince = now
--- a/loomfleet/removed_test.go
+++ b/loomfleet/removed_test.go
@@ -175,3 +175,20 @@
 		})
 	}
 }
+
+// TestGoneBesideFailingStore guards against an upstream that is gone and counts for ever because the store fails every
+// two seconds.
+func TestGoneBesideFailingStore(t *testing.T) {
+	f := newRemovalFixture(t)
+	u := f.deleteReplica()
+	for range 8 {
+		for range 8 {
+			f.advance(deletionGrace / 10)
+			f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
+		}
+		f.reduce(StoreWatchFailed{Stamp: f.stamp()})
+		f.advance(deletionGrace / 25)
+		f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
+	}
+	f.assertLogCounts(u, false)
+}
