An old report does not keep an upstream without a registration

A log counts as long as a node reports that it reaches the upstream. In fleets of more than 16 other VMs a VM that nobody asks again kept its last report, so an upstream that is gone was known, and its owner tried to connect, without end. VMs with such a report are asked again each second.

Evidence: before, TestOldReportKeepsNoUpstream failed with "known 20s after its registration was deleted"; it passes now.

--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -155,6 +155,11 @@
 			targets[m.vm.Name()] = pingInterval
 		}
 	}
+	for _, m := range s.members.sorted {
+		if s.reachesDeleted(m) {
+			targets[m.vm.Name()] = largeFleetPingInterval
+		}
+	}
 	if !s.coordinator.leaseKey.position.IsZero() {
 		for _, u := range s.catalog.upstreams {
 			s.addOwnerTarget(targets, u, largeFleetPingInterval)
@@ -168,6 +173,15 @@
 	return targets
 }
 
+// reachesDeleted reports whether a VM has reported that it reaches an upstream whose registration was deleted. The
+// upstream is kept because of that report, so the report must not grow old.
+func (s *State) reachesDeleted(m *member) bool {
+	return slices.ContainsFunc(m.healthReports, func(r currantloom.UpstreamHealth) bool {
+		u, ok := s.catalog.upstreams[r.Name]
+		return ok && r.Reachable && u.deletedAt > 0
+	})
+}
+
 // addOwnerTarget adds the likely owner of the upstream.
 func (s *State) addOwnerTarget(targets map[currantloom.VMName]time.Duration, u *upstream, interval time.Duration) {
 	for _, vm := range s.ownerCandidates(u) {
--- a/loomfleet/removed_test.go
+++ b/loomfleet/removed_test.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -192,3 +193,27 @@
 	}
 	f.assertLogCounts(u, false)
 }
+
+// TestOldReportKeepsNoUpstream guards against an upstream that is kept in a large fleet by the report of a VM that is
+// not asked again.
+func TestOldReportKeepsNoUpstream(t *testing.T) {
+	f := newFixture(t)
+	f.now = time.Second
+	f.configure(currantloom.ReadLatest)
+	for i := range smallFleetSize + 2 {
+		f.addMember(currantloom.VMName(fmt.Sprintf("vm-%d", i+2)))
+	}
+	f.wait(pingInterval)
+	reporter := f.state.members.sorted[5]
+	f.state.sendPing(reporter, "")
+	f.reduce(MessageReceived{Stamp: f.stamp(), From: reporter.vm.Name(), Message: currantloom.Pong{
+		Number:    reporter.pingNumber,
+		Upstreams: []currantloom.UpstreamHealth{{Name: "c", Service: testService, Reachable: true}},
+	}})
+	f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
+	u := f.deleteReplica()
+	f.wait(2 * forgetUpstreamAfter)
+	if f.state.catalog.upstreams["c"] != nil {
+		t.Errorf("known %s after its registration was deleted", f.now-u.deletedAt)
+	}
+}
