A primary that leads after another one has stepped down is asked to step down

The proof kept the term of the last answered request to step down for all upstreams. A primary that led again after a restart, or another one, was then only paused for the rest of the step, which a primary ignores, so its log did not become final.

Evidence: before, TestStepDownOfNextLeader failed for the same and for another upstream ('command pause, want one to step down'); it passes now, as do the model's tests of failovers.

--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -107,6 +107,8 @@
 	}
 	switch {
 	case status.Primary:
+		// One that leads again after it stepped down, or another one, has to step down.
+		p.stepDownTerm = 0
 		return haltPrimary
 	case command.Kind != currantloom.CommandPauseReplication:
 		if command.Kind == currantloom.CommandStepDown {
--- a/loomfleet/promotionproof_test.go
+++ b/loomfleet/promotionproof_test.go
@@ -358,3 +358,24 @@
 		t.Errorf("promotions that were judged safe: %v, too few to say anything", safe)
 	}
 }
+
+// TestStepDownOfNextLeader guards against a primary that is only paused because another one, or its own earlier
+// process, has stepped down before: a primary ignores a pause.
+func TestStepDownOfNextLeader(t *testing.T) {
+	for _, next := range []currantloom.UpstreamName{"a", "b"} {
+		t.Run(string(next), func(t *testing.T) {
+			var p promotionProof
+			p.restart(1)
+			answer := func(name currantloom.UpstreamName, primary bool) {
+				u := currantloom.Upstream{Name: name, Incarnation: 1}
+				p.observe(u, p.stepDownCommand(u), currantloom.ReplicationStatus{Term: 1, Primary: primary}, 0)
+			}
+			answer("a", true)
+			answer("a", false)
+			answer(next, true)
+			if c := p.stepDownCommand(currantloom.Upstream{Name: next}); c.Kind != currantloom.CommandStepDown {
+				t.Errorf("command %+v, want one to step down", c)
+			}
+		})
+	}
+}
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -28,7 +28,8 @@
 
 // tickFailoverFor ticks a failover for a while, or until it has left the step.
 func (f *fixture) tickFailoverFor(fo *failover, d time.Duration) {
-	for end, step := f.now+d, fo.step; f.now < end && fo.step == step && f.state.coordinator.failovers[testService] == fo; {
+	step, failovers := fo.step, f.state.coordinator.failovers
+	for end := f.now + d; f.now < end && fo.step == step && failovers[testService] == fo; {
 		f.now += TickInterval
 		f.state.now = f.now
 		f.state.tickFailover(fo)
@@ -44,7 +45,7 @@
 	return fo
 }
 
-// TestShutdownWhileUnsettled guards against a holder that shuts down while it settles the request of an earlier one, and
+// TestShutdownWhileUnsettled guards against a holder that shuts down while it settles the request of an earlier one and
 // tells all nodes that the primary stays: they let writes go and forget the request.
 func TestShutdownWhileUnsettled(t *testing.T) {
 	f, g := newUnsettledFixture(t)
@@ -60,7 +61,7 @@
 	}
 }
 
-// TestWritesBlockedWhileUnsettled guards against writes that go on because the failover which settles an earlier request
+// TestWritesBlockedWhileUnsettled guards against writes that go on because the failover that settles an earlier request
 // takes longer than one blocking lasts.
 func TestWritesBlockedWhileUnsettled(t *testing.T) {
 	f, g := newUnsettledFixture(t)
@@ -71,8 +72,8 @@
 	}
 }
 
-// TestOwnAnnouncementIsSettled guards against a holder that takes its own promotion for one that may still take effect
-// after the upstream has led, and changes the primary again.
+// TestOwnAnnouncementIsSettled guards against a holder that takes its own promotion for one that may still take
+// effect after the upstream has led, and changes the primary again.
 func TestOwnAnnouncementIsSettled(t *testing.T) {
 	f, g := newUnsettledFixture(t)
 	f.state.coordinator.promotionsOf(testService).announced = ""
@@ -95,8 +96,8 @@
 	}
 }
 
-// TestStalledCommitsBesideDoubt guards against a failover for stalled commits that ends before a replica which may still
-// resume counts as halted, again and again.
+// TestStalledCommitsBesideDoubt guards against failovers for stalled commits that all end before a replica which may
+// still resume counts as halted.
 func TestStalledCommitsBesideDoubt(t *testing.T) {
 	f := newFixture(t)
 	f.now = time.Second
