--- a/review/casekit/database.go
+++ b/review/casekit/database.go
@@ -14,7 +14,7 @@
 
 const (
 	heartbeat   = 1200 * time.Millisecond
-	promoteTime = 600 * time.Millisecond
+	promoteTime = 1000 * time.Millisecond
 	runTime     = 5 * time.Millisecond
 )
 
@@ -50,6 +50,10 @@
 	commits []string
 	// rolledBack are the ids of commits that a promotion has rolled back.
 	rolledBack []string
+	// lateBy is how much later calls to promote are carried out, without an answer; zero for none. called gets a value at
+	// each of them.
+	lateBy time.Duration
+	called chan struct{}
 }
 
 // server is a server of the service. Its fields are guarded by the lock of the database.
@@ -63,6 +67,8 @@
 	received int
 	held     int
 	alive    bool
+	// dark says that nothing reaches the server and nothing comes from it, except from servers that are dark as well.
+	dark bool
 	// quietUntil is the time until which the server does not report.
 	quietUntil time.Time
 	conns      map[net.Conn]bool
@@ -100,7 +106,7 @@
 // report writes the entry of the server. Without a change the store has no event of it.
 func (v *server) report(changed bool) {
 	v.db.mu.Lock()
-	silent := !v.alive || time.Now().Before(v.quietUntil)
+	silent := !v.alive || v.dark || time.Now().Before(v.quietUntil)
 	v.entry.Sequence++
 	value, _ := json.Marshal(v.entry)
 	v.db.mu.Unlock()
@@ -153,36 +159,52 @@
 	}
 }
 
-// servePromotion answers POST /failover.
+// servePromotion answers POST /failover, unless calls get no answer.
 func (db *database) servePromotion(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Service string `json:"service"`
-		ID      string `json:"id"`
-	}
-	fence, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
-	_ = json.NewDecoder(r.Body).Decode(&body)
+	var call promotion
+	call.fence, _ = strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	call.holder = r.Header.Get("X-Lease-Holder")
+	_ = json.NewDecoder(r.Body).Decode(&call)
 	db.mu.Lock()
-	defer db.mu.Unlock()
-	db.log.add("failover of %s to %s, fence %d from %s", body.Service, body.ID, fence, r.Header.Get("X-Lease-Holder"))
-	if fence < db.seenFence[body.Service] {
-		w.WriteHeader(http.StatusConflict)
+	lateBy := db.lateBy
+	db.mu.Unlock()
+	if lateBy == 0 {
+		w.WriteHeader(db.carryOut(call))
 		return
 	}
-	db.seenFence[body.Service] = fence
+	db.log.note("the call of %s to promote %s gets no answer", call.holder, call.ID)
+	time.AfterFunc(lateBy, func() { db.carryOut(call) })
+	select {
+	case db.called <- struct{}{}:
+	default:
+	}
+	<-r.Context().Done()
+}
+
+// promotion is a call to promote a server.
+type promotion struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+	fence   uint64
+	holder  string
+}
+
+// carryOut carries a call out and returns its status.
+func (db *database) carryOut(call promotion) int {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	status := http.StatusConflict
 	for _, v := range db.servers {
-		if v.id != body.ID {
+		if v.id != call.ID || !v.alive || v.dark || call.fence < db.seenFence[call.Service] {
 			continue
 		}
-		if !v.alive {
-			break
-		}
+		status, db.seenFence[call.Service] = http.StatusOK, call.fence
 		if v != db.leader {
 			time.AfterFunc(promoteTime, func() { db.promote(v) })
 		}
-		w.WriteHeader(http.StatusOK)
-		return
 	}
-	w.WriteHeader(http.StatusConflict)
+	db.log.note("the call of %s to promote %s, fence %d: %d", call.holder, call.ID, call.fence, status)
+	return status
 }
 
 func (db *database) promote(v *server) {
@@ -205,20 +227,41 @@
 	}
 }
 
-// commit appends a commit at a primary, and reports whether a replica has received it. The lock is held.
+// maxCommitWait is how long a commit waits for a replica.
+const maxCommitWait = 5 * time.Second
+
+// commit appends a commit at a primary, waits until a replica has received it, and reports whether one has. The lock is
+// held, but not during the wait.
 func (v *server) commit(id string) bool {
-	db := v.db
-	db.logTerms = append(db.logTerms[:v.received], db.term)
+	db, term := v.db, v.db.term
+	db.logTerms = append(db.logTerms[:v.received], term)
 	db.commits = append(db.commits[:v.received], id)
 	v.received++
-	acked := false
-	for _, other := range db.servers {
-		if other != v && other.alive && other.held == 0 {
-			other.received = v.received
-			acked = true
+	number := v.received
+	for end := time.Now().Add(maxCommitWait); time.Now().Before(end); {
+		if db.leader != v || db.term != term {
+			return false
+		}
+		db.replicate()
+		for _, other := range db.servers {
+			if other != v && other.received >= number {
+				return true
+			}
+		}
+		db.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		db.mu.Lock()
+	}
+	return false
+}
+
+// replicate gives the log of the primary to the replicas that receive. The lock is held.
+func (db *database) replicate() {
+	for _, v := range db.servers {
+		if db.leader != nil && v != db.leader && v.alive && v.held == 0 && v.dark == db.leader.dark {
+			v.received = db.leader.received
 		}
 	}
-	return acked
 }
 
 // position returns the position of the server's log. The lock is held.
@@ -241,6 +284,51 @@
 	return last > term || last == term && v.received >= number
 }
 
+// setDark makes servers dark, or ends that: connections that were open are then gone. Entries go after three
+// heartbeats.
+func (db *database) setDark(dark bool, servers ...*server) {
+	db.mu.Lock()
+	for _, v := range servers {
+		v.dark = dark
+		for conn := range v.conns {
+			if !dark {
+				_ = conn.Close()
+			}
+		}
+	}
+	db.mu.Unlock()
+	for _, v := range servers {
+		db.log.note("server %s is dark: %t", v.id, dark)
+		if !dark {
+			v.report(true)
+			continue
+		}
+		time.AfterFunc(3*heartbeat, func() {
+			db.mu.Lock()
+			still := v.dark
+			db.mu.Unlock()
+			if still {
+				db.store.drop("servers/" + v.id)
+			}
+		})
+	}
+}
+
+// awaitLight waits while the server is dark. It returns false if it was: the connection is gone then.
+func (v *server) awaitLight() bool {
+	waited := false
+	for {
+		v.db.mu.Lock()
+		dark := v.dark
+		v.db.mu.Unlock()
+		if !dark {
+			return !waited
+		}
+		waited = true
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // stayQuiet makes the server report next after a pause.
 func (v *server) stayQuiet(pause time.Duration) {
 	v.db.mu.Lock()
@@ -270,7 +358,7 @@
 	v := c.server
 	text, ok := c.line()
 	fields := strings.Fields(text)
-	if !ok || len(fields) < 3 || fields[0] != "STARTUP" {
+	if !ok || !v.awaitLight() || len(fields) < 3 || fields[0] != "STARTUP" {
 		return
 	}
 	if fields[1] != v.db.name || len(fields) > 3 && fields[3] != v.id {
@@ -288,11 +376,15 @@
 			return
 		}
 		rest, isQuery := strings.CutPrefix(text, "QUERY ")
-		if !isQuery {
+		if !isQuery || !v.awaitLight() {
 			return
 		}
 		id, statement, _ := strings.Cut(rest, " ")
-		if _, err := c.conn.Write([]byte(c.answer(id, statement))); err != nil {
+		reply := c.answer(id, statement)
+		if !v.awaitLight() {
+			return
+		}
+		if _, err := c.conn.Write([]byte(reply)); err != nil {
 			return
 		}
 	}
@@ -428,9 +520,7 @@
 		v.held = max(v.held, term)
 	case word == "RESUME":
 		v.held = 0
-		if db.leader != nil && db.leader != v {
-			v.received = db.leader.received
-		}
+		db.replicate()
 	case word == "STEPDOWN" && db.leader == v && db.term < term:
 		db.leader, v.entry.Role = nil, "replica"
 	}
--- a/review/casekit/fleet.go
+++ b/review/casekit/fleet.go
@@ -83,10 +83,12 @@
 }
 
 func (n *node) kill() {
-	_ = n.command.Process.Signal(syscall.SIGKILL)
+	n.signal(syscall.SIGKILL)
 	<-n.ended
 }
 
+func (n *node) signal(s syscall.Signal) { _ = n.command.Process.Signal(s) }
+
 // isReady asks as the platform's load balancer does.
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second}
--- a/review/casekit/freshholder.go
+++ b/review/casekit/freshholder.go
@@ -1,20 +1,17 @@
 package main
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 const (
-	outageRounds = 6
-	outageTime   = 4500 * time.Millisecond
+	outageRounds = 5
+	outageTime   = 3900 * time.Millisecond
 	roundTime    = 16 * time.Second
 )
 
 // runFreshHolder checks LOST: the store is down until the entries of the servers have expired, and the process that
 // holds the failover lease is killed and starts again as the store returns.
 func runFreshHolder(recordPath, binary string) (bool, error) {
-	b, err := newBench(recordPath, binary, 3, configuration(7, "primary", ""))
+	b, err := newBench(recordPath, binary, configuration(7, 800))
 	if err != nil {
 		return false, err
 	}
@@ -36,6 +33,8 @@
 	for round := range time.Duration(outageRounds) {
 		b.waitUntil(first + round*roundTime)
 		if b.trouble {
+			b.store.put("op/config", configuration(9+2*int(round), 800+int(round)))
+			time.Sleep(60 * time.Millisecond)
 			if err := b.outage(); err != nil {
 				return false, err
 			}
@@ -56,12 +55,7 @@
 // outage lets the store be silent, and kills the holder of the failover lease, which starts again as the store returns.
 // The entries come back within two seconds, that of the primary and of one replica last.
 func (b *bench) outage() error {
-	holder := b.nodes[0]
-	for _, n := range b.nodes {
-		if strings.Contains(b.store.value("duty"), n.name) {
-			holder = n
-		}
-	}
+	holder := b.holder()
 	b.log.note("the store goes down; %s holds the failover lease", holder.name)
 	b.store.goDown()
 	time.Sleep(outageTime - 400*time.Millisecond)
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -36,14 +37,20 @@
 // serviceName is the name of the service, databaseName the one that clients ask for.
 const serviceName, databaseName = "dele69a", "huno02x"
 
-func configuration(version int, kind, extra string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/","type":%q,"timeoutMs":800,`+
-		`"targetLatencyMs":800,"priority":1,"service":%q,"attempts":2%s}],"services":[{"name":%q,"healthPath":"/healthz",`+
+// configuration returns a configuration with one route, whose time limit is in milliseconds.
+func configuration(version, timeout int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/","type":"primary","timeoutMs":%d,`+
+		`"targetLatencyMs":800,"priority":1,"service":%q,"attempts":2}],"services":[{"name":%q,"healthPath":"/healthz",`+
 		`"maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1}],"limits":{"txIdleMs":3000}}`,
-		version, databaseName, kind, serviceName, extra, serviceName)
+		version, databaseName, timeout, serviceName, serviceName)
 }
 
-func newBench(recordPath, binary string, nodeCount int, config string) (*bench, error) {
+// places are the names of the nodes in the order of their start, and their zones.
+var places = []struct{ node, zone string }{
+	{"frontend-ost-steyr-1", "ost-steyr"}, {"frontend-ost-linz-2", "ost-linz"}, {"frontend-ost-linz-1", "ost-linz"},
+}
+
+func newBench(recordPath, binary, config string) (*bench, error) {
 	dir, err := os.MkdirTemp("", "review-case-")
 	if err != nil {
 		return nil, err
@@ -69,8 +76,8 @@
 	mux.HandleFunc("POST /failover", b.db.servePromotion)
 	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}).Serve(cloud) }()
 	b.clients = &clients{log: log, database: databaseName}
-	for i := range nodeCount {
-		n, err := newNode(binary, dir, fmt.Sprintf("frontend-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), zones[i%2],
+	for i, place := range places {
+		n, err := newNode(binary, dir, place.node, fmt.Sprintf("127.0.0.%d", 11+i), place.zone,
 			cloud.Addr().String(), b.store, b.seeds)
 		if err != nil {
 			return nil, err
@@ -90,11 +97,13 @@
 	return []string{fmt.Sprintf(`"%s:%d"`, b.nodes[0].ip, b.nodes[0].ports[2])}
 }
 
+// startNodes starts the nodes within 0.3 s.
 func (b *bench) startNodes() error {
 	for _, n := range b.nodes {
 		if err := n.start(); err != nil {
 			return err
 		}
+		time.Sleep(startSpread / time.Duration(len(b.nodes)))
 	}
 	return nil
 }
@@ -115,6 +124,19 @@
 	return fmt.Errorf("not all nodes are ready")
 }
 
+// holder returns the node that holds the failover lease.
+func (b *bench) holder() *node {
+	for _, n := range b.nodes {
+		if strings.Contains(b.store.value("duty"), n.name) {
+			return n
+		}
+	}
+	return b.nodes[0]
+}
+
+// startSpread is the time within which all nodes start.
+const startSpread = 300 * time.Millisecond
+
 // waitUntil sleeps until a time of the record.
 func (b *bench) waitUntil(at time.Duration) { time.Sleep(at - b.log.now()) }
 
@@ -159,7 +181,7 @@
 		return exitFailed
 	}
 	run, ok := map[string]func(string, string) (bool, error){
-		"odd-entry": runOddEntry, "fresh-holder": runFreshHolder,
+		"odd-entry": runOddEntry, "fresh-holder": runFreshHolder, "late-promotion": runLatePromotion,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
--- a/review/casekit/oddentry.go
+++ b/review/casekit/oddentry.go
@@ -11,7 +11,7 @@
 // runOddEntry checks RECOVER: the store holds an entry of another writer in which fields are missing, the primary is
 // lost for good, and all processes are killed right after a configuration was acknowledged.
 func runOddEntry(recordPath, binary string) (bool, error) {
-	b, err := newBench(recordPath, binary, 3, configuration(7, "primary", ""))
+	b, err := newBench(recordPath, binary, configuration(7, 800))
 	if err != nil {
 		return false, err
 	}
@@ -42,7 +42,7 @@
 	b.waitUntil(12 * time.Second)
 	b.db.servers[0].crash()
 	b.waitUntil(14 * time.Second)
-	b.store.put("op/config", configuration(9, "primary", ""))
+	b.store.put("op/config", configuration(9, 800))
 	fault := b.log.now()
 	for _, n := range b.nodes {
 		n.kill()
