--- a/review/casekit/database.go
+++ b/review/casekit/database.go
@@ -54,6 +54,8 @@
 	// each of them.
 	lateBy time.Duration
 	called chan struct{}
+	// roundTrip is how much later each reply arrives, because the servers are in another region than the nodes.
+	roundTrip time.Duration
 }
 
 // server is a server of the service. Its fields are guarded by the lock of the database.
@@ -86,7 +88,7 @@
 			conns: make(map[net.Conn]bool),
 		}
 		v.entry = entry{
-			Service: name, Address: v.address, Zone: zone, Version: "v1", Capacity: 4, Phase: "ready", Role: "replica",
+			Service: name, Address: v.address, Zone: zone, Version: "v1", Capacity: 2, Phase: "ready", Role: "replica",
 			Born: time.Now().UnixMilli(),
 		}
 		if i == 0 {
@@ -150,7 +152,11 @@
 		v.conns[conn] = true
 		v.db.mu.Unlock()
 		go func() {
-			(&serverConn{server: v, conn: conn, in: bufio.NewReader(conn)}).serve()
+			c := &serverConn{server: v, conn: conn, in: bufio.NewReader(conn)}
+			c.serve()
+			if c.replies != nil {
+				close(c.replies)
+			}
 			_ = conn.Close()
 			v.db.mu.Lock()
 			delete(v.conns, conn)
@@ -347,6 +353,8 @@
 	wrote  bool
 	term   int
 	names  map[string]string
+	// replies are those on their way; nil if there was none yet.
+	replies chan delayedReply
 }
 
 func (c *serverConn) line() (string, bool) {
@@ -380,16 +388,42 @@
 			return
 		}
 		id, statement, _ := strings.Cut(rest, " ")
+		arrived := time.Now()
 		reply := c.answer(id, statement)
-		if !v.awaitLight() {
-			return
-		}
-		if _, err := c.conn.Write([]byte(reply)); err != nil {
+		if !v.awaitLight() || !c.write(reply, arrived) {
 			return
 		}
 	}
 }
 
+// maxReplies bounds the replies on their way on a connection.
+const maxReplies = 1000
+
+// write writes a reply, later by the round trip if there is one. It reports false if the connection has ended.
+func (c *serverConn) write(reply string, arrived time.Time) bool {
+	if c.server.db.roundTrip == 0 {
+		_, err := c.conn.Write([]byte(reply))
+		return err == nil
+	}
+	if c.replies == nil {
+		c.replies = make(chan delayedReply, maxReplies)
+		go func() {
+			for r := range c.replies {
+				time.Sleep(time.Until(r.at))
+				_, _ = c.conn.Write([]byte(r.text))
+			}
+		}()
+	}
+	c.replies <- delayedReply{text: reply, at: arrived.Add(c.server.db.roundTrip)}
+	return true
+}
+
+// delayedReply is a reply on its way.
+type delayedReply struct {
+	text string
+	at   time.Time
+}
+
 // answer runs a statement and returns its reply.
 func (c *serverConn) answer(id, statement string) string {
 	after := ""
--- a/review/casekit/fleet.go
+++ b/review/casekit/fleet.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -117,25 +118,35 @@
 	nodes    []*node
 	lastID   atomic.Uint64
 	stopped  atomic.Bool
+	// key is the key of the sessions.
+	key atomic.Value
 
 	mu       sync.Mutex
 	outcomes []outcome
 }
 
+func newClients(log *record) *clients {
+	c := &clients{log: log, database: databaseName}
+	c.key.Store("key")
+	return c
+}
+
 const clientDeadline = 3 * time.Second
 
-// send sends one operation to a node and records what became of it. Retries are operations of their own here.
-func (c *clients) send(n *node, text string) {
-	o := outcome{at: c.log.now(), id: fmt.Sprintf("%016x", 0xabc0000000+c.lastID.Add(1)), text: text}
-	o.result = c.operate(n, o)
+// send sends an operation, of one statement or more, to a node and records what became of it. Retries are operations of
+// their own here.
+func (c *clients) send(n *node, texts ...string) {
+	o := outcome{at: c.log.now(), id: fmt.Sprintf("%016x", 0xabc0000000+c.lastID.Add(1)), text: strings.Join(texts, "; ")}
+	o.result = c.operate(n, o, texts)
 	o.served = strings.HasPrefix(o.result, "COMPLETE ") && o.result != "COMPLETE -"
-	c.log.add("sent at %.3f to %s: %s %s -> %s", o.at.Seconds(), n.name, o.id, text, o.result)
+	c.log.add("sent at %.3f to %s: %s %s -> %s", o.at.Seconds(), n.name, o.id, o.text, o.result)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.outcomes = append(c.outcomes, o)
 }
 
-func (c *clients) operate(n *node, o outcome) string {
+// operate runs the statements in a session of its own and returns the answer to the last one, or the first failure.
+func (c *clients) operate(n *node, o outcome, texts []string) string {
 	conn, err := dial(n.clientAddress())
 	if err != nil {
 		return "no connection"
@@ -143,12 +154,28 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(clientDeadline))
 	in := bufio.NewReader(conn)
-	_, _ = fmt.Fprintf(conn, "STARTUP %s key\r\n", c.database)
+	_, _ = fmt.Fprintf(conn, "STARTUP %s %v\r\n", c.database, c.key.Load())
 	first, err := in.ReadString('\n')
 	if err != nil || !strings.HasPrefix(first, "READY ") {
 		return "startup: " + strings.TrimSpace(first)
 	}
-	_, _ = fmt.Fprintf(conn, "QUERY %s %s\r\n", o.id, o.text)
+	result := ""
+	for i, text := range texts {
+		id := o.id
+		if i < len(texts)-1 {
+			id = fmt.Sprintf("%s-%d", o.id, i)
+		}
+		if result = ask(conn, in, id, text); !strings.HasPrefix(result, "COMPLETE ") {
+			return result
+		}
+	}
+	_, _ = fmt.Fprint(conn, "TERMINATE\r\n")
+	return result
+}
+
+// ask sends a statement and returns its answer without the rows.
+func ask(conn net.Conn, in *bufio.Reader, id, text string) string {
+	_, _ = fmt.Fprintf(conn, "QUERY %s %s\r\n", id, text)
 	result := ""
 	for {
 		line, err := in.ReadString('\n')
@@ -156,7 +183,6 @@
 		case err != nil:
 			return "no answer"
 		case strings.HasPrefix(line, "READY "):
-			_, _ = fmt.Fprint(conn, "TERMINATE\r\n")
 			return result
 		case !strings.HasPrefix(line, "DATAROW "):
 			result = strings.TrimSpace(line)
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -37,12 +37,15 @@
 // serviceName is the name of the service, databaseName the one that clients ask for.
 const serviceName, databaseName = "dele69a", "huno02x"
 
-// configuration returns a configuration with one route, whose time limit is in milliseconds.
-func configuration(version, timeout int) string {
+// configuration returns a configuration with one route, whose time limit is in milliseconds, and without tenants.
+func configuration(version, timeout int) string { return tenantConfiguration(version, timeout, "") }
+
+// tenantConfiguration returns a configuration with one route and tenants.
+func tenantConfiguration(version, timeout int, tenants string) string {
 	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/","type":"primary","timeoutMs":%d,`+
 		`"targetLatencyMs":800,"priority":1,"service":%q,"attempts":2}],"services":[{"name":%q,"healthPath":"/healthz",`+
-		`"maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1}],"limits":{"txIdleMs":3000}}`,
-		version, databaseName, timeout, serviceName, serviceName)
+		`"maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1}],"limits":{"txIdleMs":3000}%s}`,
+		version, databaseName, timeout, serviceName, serviceName, tenants)
 }
 
 // places are the names of the nodes in the order of their start, and their zones.
@@ -75,7 +78,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /failover", b.db.servePromotion)
 	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}).Serve(cloud) }()
-	b.clients = &clients{log: log, database: databaseName}
+	b.clients = newClients(log)
 	for i, place := range places {
 		n, err := newNode(binary, dir, place.node, fmt.Sprintf("127.0.0.%d", 11+i), place.zone,
 			cloud.Addr().String(), b.store, b.seeds)
@@ -181,7 +184,8 @@
 		return exitFailed
 	}
 	run, ok := map[string]func(string, string) (bool, error){
-		"odd-entry": runOddEntry, "fresh-holder": runFreshHolder, "late-promotion": runLatePromotion,
+		"fresh-holder": runFreshHolder, "odd-entry": runOddEntry, "late-promotion": runLatePromotion,
+		"withdrawn-commit": runWithdrawnCommit,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
