--- a/review/casekit/freshholder.go
+++ b/review/casekit/freshholder.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	outageRounds = 5
+	outageRounds = 6
 	outageTime   = 3900 * time.Millisecond
 	roundTime    = 16 * time.Second
 )
