--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if RECOVER was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 kit=../../target/review-2/casekit
 program=../../target/currantloom
@@ -7,4 +7,4 @@
 	echo "build the deploy file's programs and run review/build-2.sh first"
 	exit 2
 fi
-exec "$kit" odd-entry record.txt "$program"
+exec "$kit" late-promotion record.txt "$program"
--- a/review/casekit/database.go
+++ b/review/casekit/database.go
@@ -54,6 +54,8 @@
 	// each of them.
 	lateBy time.Duration
 	called chan struct{}
+	// promoted gets a value at each accepted call to promote another server; nil if nobody waits for it.
+	promoted chan struct{}
 	// roundTrip is how much later each reply arrives, because the servers are in another region than the nodes.
 	roundTrip time.Duration
 }
@@ -207,6 +209,10 @@
 		status, db.seenFence[call.Service] = http.StatusOK, call.fence
 		if v != db.leader {
 			time.AfterFunc(promoteTime, func() { db.promote(v) })
+			select {
+			case db.promoted <- struct{}{}:
+			default:
+			}
 		}
 	}
 	db.log.note("the call of %s to promote %s, fence %d: %d", call.holder, call.ID, call.fence, status)
@@ -309,17 +315,28 @@
 			v.report(true)
 			continue
 		}
+		id := v.id
 		time.AfterFunc(3*heartbeat, func() {
 			db.mu.Lock()
 			still := v.dark
 			db.mu.Unlock()
 			if still {
-				db.store.drop("servers/" + v.id)
+				db.store.drop("servers/" + id)
 			}
 		})
 	}
 }
 
+// rename gives servers new ids, as servers that crashed and come back with their logs have.
+func (db *database) rename(servers ...*server) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	for _, v := range servers {
+		v.id += "-2"
+		v.entry.Born = time.Now().UnixMilli()
+	}
+}
+
 // awaitLight waits while the server is dark. It returns false if it was: the connection is gone then.
 func (v *server) awaitLight() bool {
 	waited := false
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -185,7 +185,7 @@
 	}
 	run, ok := map[string]func(string, string) (bool, error){
 		"fresh-holder": runFreshHolder, "odd-entry": runOddEntry, "late-promotion": runLatePromotion,
-		"withdrawn-commit": runWithdrawnCommit, "moved-route": runMovedRoute,
+		"withdrawn-commit": runWithdrawnCommit, "moved-route": runMovedRoute, "missed-hold": runMissedHold,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
