Keep the platform's names of the review's stand-ins out of Go code

Cause: TestPlatformNamesStayInPackage allows them in package platform only. Change: they stand in files beside the code, as in review/standin.

--- a/review/casekit/database.go
+++ b/review/casekit/database.go
@@ -20,16 +20,9 @@
 
 // entry is what a server says of itself in the store.
 type entry struct {
-	Service      string `json:"service"`
-	Address      string `json:"address"`
-	Zone         string `json:"zone"`
-	Version      string `json:"version"`
-	Capacity     int    `json:"capacity"`
-	Phase        string `json:"phase"`
-	WarmupLeftMS int    `json:"warmupLeftMs"`
-	Sequence     int    `json:"sequence"`
-	Role         string `json:"dbRole"`
-	Born         int64  `json:"born"`
+	zone, role string
+	sequence   int
+	born       int64
 }
 
 // database is a service: a primary and its replicas with one log.
@@ -89,12 +82,9 @@
 			db: db, id: fmt.Sprintf("i-%d%s", i+1, name), address: l.Addr().String(), listener: l, alive: true,
 			conns: make(map[net.Conn]bool),
 		}
-		v.entry = entry{
-			Service: name, Address: v.address, Zone: zone, Version: "v1", Capacity: 2, Phase: "ready", Role: "replica",
-			Born: time.Now().UnixMilli(),
-		}
+		v.entry = entry{zone: zone, role: "replica", born: time.Now().UnixMilli()}
 		if i == 0 {
-			v.entry.Role = "primary"
+			v.entry.role = "primary"
 			db.leader = v
 		}
 		db.servers = append(db.servers, v)
@@ -111,14 +101,15 @@
 func (v *server) report(changed bool) {
 	v.db.mu.Lock()
 	silent := !v.alive || v.dark || time.Now().Before(v.quietUntil)
-	v.entry.Sequence++
-	value, _ := json.Marshal(v.entry)
+	v.entry.sequence++
+	value := fill(entryFile, "SERVICE", v.db.name, "ADDRESS", v.address, "ZONE", v.entry.zone, "ROLE", v.entry.role,
+		"SEQUENCE", strconv.Itoa(v.entry.sequence), "BORN", strconv.FormatInt(v.entry.born, 10))
 	v.db.mu.Unlock()
 	if silent {
 		return
 	}
-	if changed || !v.db.store.putQuietly("servers/"+v.id, string(value)) {
-		v.db.store.put("servers/"+v.id, string(value))
+	if changed || !v.db.store.putQuietly("servers/"+v.id, value) {
+		v.db.store.put("servers/"+v.id, value)
 	}
 }
 
@@ -170,8 +161,8 @@
 // servePromotion answers POST /failover, unless calls get no answer.
 func (db *database) servePromotion(w http.ResponseWriter, r *http.Request) {
 	var call promotion
-	call.fence, _ = strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
-	call.holder = r.Header.Get("X-Lease-Holder")
+	call.fence, _ = strconv.ParseUint(r.Header.Get(names.FenceHeader), 10, 64)
+	call.holder = r.Header.Get(names.HolderHeader)
 	_ = json.NewDecoder(r.Body).Decode(&call)
 	db.mu.Lock()
 	lateBy := db.lateBy
@@ -222,10 +213,10 @@
 func (db *database) promote(v *server) {
 	db.mu.Lock()
 	if db.leader != nil {
-		db.leader.entry.Role = "replica"
+		db.leader.entry.role = "replica"
 	}
 	db.term++
-	db.leader, v.entry.Role, v.held = v, "primary", 0
+	db.leader, v.entry.role, v.held = v, "primary", 0
 	db.rolledBack = append(db.rolledBack, db.commits[v.received:]...)
 	db.logTerms, db.commits = db.logTerms[:v.received], db.commits[:v.received]
 	for _, other := range db.servers {
@@ -333,7 +324,7 @@
 	defer db.mu.Unlock()
 	for _, v := range servers {
 		v.id += "-2"
-		v.entry.Born = time.Now().UnixMilli()
+		v.entry.born = time.Now().UnixMilli()
 	}
 }
 
@@ -444,7 +435,7 @@
 // answer runs a statement and returns its reply.
 func (c *serverConn) answer(id, statement string) string {
 	after := ""
-	if rest, ok := strings.CutPrefix(statement, "AFTERLSN "); ok {
+	if rest, ok := strings.CutPrefix(statement, names.After); ok {
 		after, statement, _ = strings.Cut(rest, " ")
 	}
 	word, rest, _ := strings.Cut(statement, " ")
@@ -472,7 +463,7 @@
 func (c *serverConn) run(id, statement, word, rest, after string) string {
 	v, db := c.server, c.server.db
 	switch word {
-	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+	case "STATUS", "PAUSE", "RESUME", names.StepDown:
 		return c.control(word, rest)
 	case "RESET":
 		clear(c.names)
@@ -502,7 +493,7 @@
 		if word == "COMMIT" {
 			c.state = "I"
 		}
-		return c.fail("READONLY")
+		return c.fail(names.NotPrimary)
 	}
 	return c.runWork(id, statement, word, rest)
 }
@@ -514,14 +505,14 @@
 		name, _, _ := strings.Cut(rest, " ")
 		shape, ok := c.names[name]
 		if !ok {
-			return c.fail("NOSTMT")
+			return c.fail(names.NoStatement)
 		}
 		writes = strings.HasPrefix(shape, "WRITE")
 	}
 	switch {
 	case word == "BEGIN":
 		if rest != "READ" && db.leader != v {
-			return c.fail("READONLY")
+			return c.fail(names.NotPrimary)
 		}
 		c.state, c.plain, c.wrote, c.term = "T", rest != "READ", false, db.term
 		return done
@@ -533,7 +524,7 @@
 		}
 		return db.signed(v)
 	case writes && (db.leader != v || c.state == "T" && !c.plain):
-		return c.fail("READONLY")
+		return c.fail(names.NotPrimary)
 	case writes && c.state == "T":
 		c.wrote = true
 		db.ran(v, id, statement)
@@ -546,7 +537,7 @@
 		return db.signed(v)
 	case word == "READ" || word == "EXECUTE":
 		db.ran(v, id, statement)
-		return "DATAROW x\r\n" + db.signed(v)
+		return names.Row + " x\r\n" + db.signed(v)
 	default:
 		return c.fail("MALFORMED")
 	}
@@ -572,12 +563,12 @@
 	case word == "RESUME":
 		v.held = 0
 		db.replicate()
-	case word == "STEPDOWN" && db.leader == v && db.term < term:
-		db.leader, v.entry.Role = nil, "replica"
+	case word == names.StepDown && db.leader == v && db.term < term:
+		db.leader, v.entry.role = nil, "replica"
 	}
 	role := "replica"
 	if db.leader == v {
 		role = "primary"
 	}
-	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 %d\r\n", role, db.term, v.position(), v.held, len(v.conns)) + done
+	return names.Row + fmt.Sprintf(" %s %d %s %d 0 0 %d\r\n", role, db.term, v.position(), v.held, len(v.conns)) + done
 }
--- a/review/casekit/fleet.go
+++ b/review/casekit/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,25 +36,9 @@
 		}
 		n.ports[i] = port
 	}
-	text := fmt.Sprintf(`nodeName: %q
-role: "node"
-machineClass: "frontend"
-serves: ["frontend", "control"]
-ip: %q
-zone: %q
-region: "ost"
-zones: {ost-linz: "ost", ost-steyr: "ost"}
-bindAddresses: {frontend: "%s:%d", readiness: "%s:%d", controlPlane: "%s:%d"}
-internalPorts: [7440, 7455]
-seedNodes: [%s]
-bootstrap: true
-limits: {cpuQuota: 0.4, speedFactor: 1, memoryMb: 284, maxFds: 4300, linkMbps: 1000.0, diskMb: 0}
-heartbeatMs: 1200
-bounds: {contactMs: 5000, drainTimeoutMs: 7000, gracePeriodS: 6, lossSlackMs: 200, configApplyMs: 4000, backMs: 250,
-  maxSkewMs: 15000, recoveryS: 12, enforceFencing: true}
-platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, minTtlMs: 1000}
-cloud: {address: %q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
-`, name, ip, zone, ip, n.ports[0], ip, n.ports[1], ip, n.ports[2], strings.Join(seeds(), ", "), s.address, cloud)
+	text := fill(settingsFile, "NODE", name, "IP", ip, "ZONE", zone, "PORT1", strconv.Itoa(n.ports[0]), "PORT2",
+		strconv.Itoa(n.ports[1]), "PORT3", strconv.Itoa(n.ports[2]), "SEEDS", strings.Join(seeds(), ", "),
+		"STORE", s.address, "CLOUD", cloud)
 	return n, os.WriteFile(n.settings(), []byte(text), 0o600)
 }
 
@@ -69,7 +54,7 @@
 	defer func() { _ = log.Close() }()
 	//nolint:gosec // The caller names the program to test.
 	n.command = exec.CommandContext(context.Background(), n.binary, "platform")
-	n.command.Env = append(os.Environ(), "CURRANTLOOM_NODE_FILE="+n.settings())
+	n.command.Env = append(os.Environ(), names.SettingsVariable+"="+n.settings())
 	n.command.Stdout, n.command.Stderr = log, log
 	if err := n.command.Start(); err != nil {
 		return err
@@ -94,7 +79,7 @@
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second}
 	//nolint:gosec,noctx // The address is that of a process of this case, and the client has a timeout.
-	r, err := c.Get(fmt.Sprintf("http://%s:%d/currantloom/readyz", n.ip, n.ports[1]))
+	r, err := c.Get(fmt.Sprintf("http://%s:%d%s", n.ip, n.ports[1], names.ReadyPath))
 	if err != nil {
 		return false
 	}
@@ -184,7 +169,7 @@
 			return "no answer"
 		case strings.HasPrefix(line, "READY "):
 			return result
-		case !strings.HasPrefix(line, "DATAROW "):
+		case !strings.HasPrefix(line, names.Row):
 			result = strings.TrimSpace(line)
 		}
 	}
--- a/review/casekit/freshholder.go
+++ b/review/casekit/freshholder.go
@@ -33,7 +33,7 @@
 	for round := range time.Duration(outageRounds) {
 		b.waitUntil(first + round*roundTime)
 		if b.trouble {
-			b.store.put("op/config", configuration(9+2*int(round), 800+int(round)))
+			b.store.put(names.ConfigurationKey, configuration(9+2*int(round), 800+int(round)))
 			time.Sleep(60 * time.Millisecond)
 			if err := b.outage(); err != nil {
 				return false, err
--- a/review/casekit/main.go
+++ b/review/casekit/main.go
@@ -37,17 +37,6 @@
 // serviceName is the name of the service, databaseName the one that clients ask for.
 const serviceName, databaseName = "dele69a", "huno02x"
 
-// configuration returns a configuration with one route, whose time limit is in milliseconds, and without tenants.
-func configuration(version, timeout int) string { return tenantConfiguration(version, timeout, "") }
-
-// tenantConfiguration returns a configuration with one route and tenants.
-func tenantConfiguration(version, timeout int, tenants string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/","type":"primary","timeoutMs":%d,`+
-		`"targetLatencyMs":800,"priority":1,"service":%q,"attempts":2}],"services":[{"name":%q,"healthPath":"/healthz",`+
-		`"maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1}],"limits":{"txIdleMs":3000}%s}`,
-		version, databaseName, timeout, serviceName, serviceName, tenants)
-}
-
 // places are the names of the nodes in the order of their start, and their zones.
 var places = []struct{ node, zone string }{
 	{"frontend-ost-steyr-1", "ost-steyr"}, {"frontend-ost-linz-2", "ost-linz"}, {"frontend-ost-linz-1", "ost-linz"},
@@ -66,7 +55,7 @@
 	if b.store, err = startStore(); err != nil {
 		return nil, err
 	}
-	b.store.put("op/config", config)
+	b.store.put(names.ConfigurationKey, config)
 	zones := []string{"ost-linz", "ost-steyr", "ost-linz"}
 	if b.db, err = startDatabase(serviceName, b.store, log, zones); err != nil {
 		return nil, err
--- a/review/casekit/movedroute.go
+++ b/review/casekit/movedroute.go
@@ -20,11 +20,7 @@
 )
 
 func movedConfiguration(version int, service string) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":"/","type":"read_own",`+
-		`"timeoutMs":800,"targetLatencyMs":1500,"priority":1,"service":%q,"attempts":2,"maxStalenessMs":2500}],"services":[`+
-		`{"name":%q,"healthPath":"/healthz","maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1},`+
-		`{"name":%q,"healthPath":"/healthz","maxConnections":16,"protocol":"h1","tls":false,"syncReplicas":1}],`+
-		`"limits":{"txIdleMs":3000}}`, version, databaseName, service, serviceName, otherServiceName)
+	return routeConfiguration(version, 800, names.OwnReads, service, "")
 }
 
 // runMovedRoute checks the gate's bound on requests that are refused or fail: a route is moved to another service while
@@ -58,7 +54,7 @@
 	}
 	b.waitUntil(8 * time.Second)
 	if b.trouble {
-		b.store.put("op/config", movedConfiguration(9, otherServiceName))
+		b.store.put(names.ConfigurationKey, movedConfiguration(9, otherServiceName))
 		b.log.note("version 9 moves the route to another service")
 	}
 	sent.Wait()
--- a/review/casekit/oddentry.go
+++ b/review/casekit/oddentry.go
@@ -24,8 +24,7 @@
 		if err != nil {
 			return false, err
 		}
-		odd := fmt.Sprintf(`{"service":%q,"address":"127.0.0.1:%d","capacity":2,"phase":"ready","dbRole":"replica"}`,
-			serviceName, port)
+		odd := fill(oddEntryFile, "SERVICE", serviceName, "ADDRESS", fmt.Sprintf("127.0.0.1:%d", port))
 		b.store.put("servers/i-0ther", odd)
 		b.log.note("another writer puts servers/i-0ther: %s", odd)
 	}
@@ -42,7 +41,7 @@
 	b.waitUntil(12 * time.Second)
 	b.db.servers[0].crash()
 	b.waitUntil(14 * time.Second)
-	b.store.put("op/config", configuration(9, 800))
+	b.store.put(names.ConfigurationKey, configuration(9, 800))
 	fault := b.log.now()
 	for _, n := range b.nodes {
 		n.kill()
--- a/review/casekit/store.go
+++ b/review/casekit/store.go
@@ -55,13 +55,13 @@
 		lastLease: 1000, changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /currantloom/kv-key", s.serveKey)
-	mux.HandleFunc("GET /currantloom/kv-range", s.serveRange)
-	mux.HandleFunc("GET /currantloom/kv-watch", s.serveWatch)
-	mux.HandleFunc("POST /currantloom/kv-txn", s.serveTxn)
-	mux.HandleFunc("POST /currantloom/kv-lease", s.serveLease)
-	mux.HandleFunc("POST /currantloom/kv-keep/{id}", s.serveKeep)
-	mux.HandleFunc("DELETE /currantloom/kv-lease-end/{id}", s.serveEnd)
+	mux.HandleFunc(names.KeyCall, s.serveKey)
+	mux.HandleFunc(names.RangeCall, s.serveRange)
+	mux.HandleFunc(names.WatchCall, s.serveWatch)
+	mux.HandleFunc(names.TxnCall, s.serveTxn)
+	mux.HandleFunc(names.LeaseCall, s.serveLease)
+	mux.HandleFunc(names.KeepCall, s.serveKeep)
+	mux.HandleFunc(names.LeaseEndCall, s.serveEnd)
 	go func() { _ = (&http.Server{Handler: s.guard(mux), ReadHeaderTimeout: time.Minute}).Serve(l) }()
 	go s.expire()
 	return s, nil
@@ -281,7 +281,7 @@
 	}
 }
 
-// transaction is the body of kv-txn.
+// transaction is the body of a transaction.
 type transaction struct {
 	Expected []struct {
 		Key      string `json:"key"`
--- a/review/casekit/withdrawncommit.go
+++ b/review/casekit/withdrawncommit.go
@@ -19,10 +19,9 @@
 	maxUnserved = 0.6
 )
 
-// tenants returns the tenants of a configuration. The first one holds one key at a time, by its number.
-func tenants(key int) string {
-	return fmt.Sprintf(`,"tenants":[{"name":"miny420","apiKeys":["%s"],"priority":1},`+
-		`{"name":"rolu133","apiKeys":["iqrh4jcda9rgy35ieisp"],"priority":1}]`, tenantKey(key))
+// keyConfiguration returns a configuration with two tenants. The first one holds one key, by its number.
+func keyConfiguration(version, key int) string {
+	return routeConfiguration(version, 800, "primary", serviceName, fill(tenantsFile, "KEY", tenantKey(key)))
 }
 
 func tenantKey(number int) string { return fmt.Sprintf("3fgfwrz56aw63is47q%02d", number) }
@@ -30,7 +29,7 @@
 // runWithdrawnCommit checks the gate's bound on requests that are refused or fail: keys of a tenant are replaced while
 // its clients commit transactions. The servers are in another region than the nodes.
 func runWithdrawnCommit(recordPath, binary string) (bool, error) {
-	b, err := newBench(recordPath, binary, tenantConfiguration(7, 800, tenants(0)))
+	b, err := newBench(recordPath, binary, keyConfiguration(7, 0))
 	if err != nil {
 		return false, err
 	}
@@ -62,7 +61,7 @@
 	b.waitUntil(6 * time.Second)
 	for i := range revocations {
 		if b.trouble {
-			b.store.put("op/config", tenantConfiguration(9+2*i, 800, tenants(i+1)))
+			b.store.put(names.ConfigurationKey, keyConfiguration(9+2*i, i+1))
 			changing.key.Store(tenantKey(i + 1))
 			b.log.note("version %d replaces the key of tenant miny420", 9+2*i)
 		}
