--- /dev/null
+++ b/review/casekit/database.go
@@ -0,0 +1,442 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	heartbeat   = 1200 * time.Millisecond
+	promoteTime = 600 * time.Millisecond
+	runTime     = 5 * time.Millisecond
+)
+
+// entry is what a server says of itself in the store.
+type entry struct {
+	Service      string `json:"service"`
+	Address      string `json:"address"`
+	Zone         string `json:"zone"`
+	Version      string `json:"version"`
+	Capacity     int    `json:"capacity"`
+	Phase        string `json:"phase"`
+	WarmupLeftMS int    `json:"warmupLeftMs"`
+	Sequence     int    `json:"sequence"`
+	Role         string `json:"dbRole"`
+	Born         int64  `json:"born"`
+}
+
+// database is a service: a primary and its replicas with one log.
+type database struct {
+	name  string
+	store *store
+	log   *record
+
+	mu      sync.Mutex
+	servers []*server
+	// term is the newest term, leader the primary of it; nil if it is lost.
+	term      int
+	leader    *server
+	logTerms  []int
+	seenFence map[string]uint64
+	lastRun   int
+	// log entries by number, from 1: the id of the statement that committed.
+	commits []string
+	// rolledBack are the ids of commits that a promotion has rolled back.
+	rolledBack []string
+}
+
+// server is a server of the service. Its fields are guarded by the lock of the database.
+type server struct {
+	db       *database
+	id       string
+	address  string
+	listener net.Listener
+	entry    entry
+	// received is the number of commits that the server has; logTerm is the term of the newest one.
+	received int
+	held     int
+	alive    bool
+	// quietUntil is the time until which the server does not report.
+	quietUntil time.Time
+	conns      map[net.Conn]bool
+}
+
+func startDatabase(name string, s *store, log *record, zones []string) (*database, error) {
+	db := &database{name: name, store: s, log: log, term: 1, seenFence: make(map[string]uint64)}
+	for i, zone := range zones {
+		l, err := listen("127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		v := &server{
+			db: db, id: fmt.Sprintf("i-%d%s", i+1, name), address: l.Addr().String(), listener: l, alive: true,
+			conns: make(map[net.Conn]bool),
+		}
+		v.entry = entry{
+			Service: name, Address: v.address, Zone: zone, Version: "v1", Capacity: 4, Phase: "ready", Role: "replica",
+			Born: time.Now().UnixMilli(),
+		}
+		if i == 0 {
+			v.entry.Role = "primary"
+			db.leader = v
+		}
+		db.servers = append(db.servers, v)
+	}
+	for _, v := range db.servers {
+		v.report(true)
+		go v.accept()
+		go v.beat()
+	}
+	return db, nil
+}
+
+// report writes the entry of the server. Without a change the store has no event of it.
+func (v *server) report(changed bool) {
+	v.db.mu.Lock()
+	silent := !v.alive || time.Now().Before(v.quietUntil)
+	v.entry.Sequence++
+	value, _ := json.Marshal(v.entry)
+	v.db.mu.Unlock()
+	if silent {
+		return
+	}
+	if changed || !v.db.store.putQuietly("servers/"+v.id, string(value)) {
+		v.db.store.put("servers/"+v.id, string(value))
+	}
+}
+
+func (v *server) beat() {
+	for range time.Tick(heartbeat) {
+		v.report(false)
+	}
+}
+
+// crash ends the server for good: its connections are closed, and its entry goes after three heartbeats.
+func (v *server) crash() {
+	v.db.mu.Lock()
+	v.alive = false
+	if v.db.leader == v {
+		v.db.leader = nil
+	}
+	_ = v.listener.Close()
+	for conn := range v.conns {
+		_ = conn.Close()
+	}
+	v.db.mu.Unlock()
+	v.db.log.add("server %s crashes for good", v.id)
+	time.AfterFunc(3*heartbeat, func() { v.db.store.drop("servers/" + v.id) })
+}
+
+func (v *server) accept() {
+	for {
+		conn, err := v.listener.Accept()
+		if err != nil {
+			return
+		}
+		v.db.mu.Lock()
+		v.conns[conn] = true
+		v.db.mu.Unlock()
+		go func() {
+			(&serverConn{server: v, conn: conn, in: bufio.NewReader(conn)}).serve()
+			_ = conn.Close()
+			v.db.mu.Lock()
+			delete(v.conns, conn)
+			v.db.mu.Unlock()
+		}()
+	}
+}
+
+// servePromotion answers POST /failover.
+func (db *database) servePromotion(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Service string `json:"service"`
+		ID      string `json:"id"`
+	}
+	fence, _ := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	db.log.add("failover of %s to %s, fence %d from %s", body.Service, body.ID, fence, r.Header.Get("X-Lease-Holder"))
+	if fence < db.seenFence[body.Service] {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	db.seenFence[body.Service] = fence
+	for _, v := range db.servers {
+		if v.id != body.ID {
+			continue
+		}
+		if !v.alive {
+			break
+		}
+		if v != db.leader {
+			time.AfterFunc(promoteTime, func() { db.promote(v) })
+		}
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusConflict)
+}
+
+func (db *database) promote(v *server) {
+	db.mu.Lock()
+	if db.leader != nil {
+		db.leader.entry.Role = "replica"
+	}
+	db.term++
+	db.leader, v.entry.Role, v.held = v, "primary", 0
+	db.rolledBack = append(db.rolledBack, db.commits[v.received:]...)
+	db.logTerms, db.commits = db.logTerms[:v.received], db.commits[:v.received]
+	for _, other := range db.servers {
+		other.received = min(other.received, v.received)
+		other.held = 0
+	}
+	db.log.add("server %s leads term %d with %d commits", v.id, db.term, v.received)
+	db.mu.Unlock()
+	for _, other := range db.servers {
+		other.report(true)
+	}
+}
+
+// commit appends a commit at a primary, and reports whether a replica has received it. The lock is held.
+func (v *server) commit(id string) bool {
+	db := v.db
+	db.logTerms = append(db.logTerms[:v.received], db.term)
+	db.commits = append(db.commits[:v.received], id)
+	v.received++
+	acked := false
+	for _, other := range db.servers {
+		if other != v && other.alive && other.held == 0 {
+			other.received = v.received
+			acked = true
+		}
+	}
+	return acked
+}
+
+// position returns the position of the server's log. The lock is held.
+func (v *server) position() string {
+	if v.received == 0 {
+		return fmt.Sprintf("%d.0", v.db.term)
+	}
+	return fmt.Sprintf("%d.%d", v.db.logTerms[v.received-1], v.received)
+}
+
+// covers reports whether the log has a position. The lock is held.
+func (v *server) covers(text string) bool {
+	termText, numberText, _ := strings.Cut(text, ".")
+	term, _ := strconv.Atoi(termText)
+	number, _ := strconv.Atoi(numberText)
+	last := v.db.term
+	if v.received > 0 {
+		last = v.db.logTerms[v.received-1]
+	}
+	return last > term || last == term && v.received >= number
+}
+
+// stayQuiet makes the server report next after a pause.
+func (v *server) stayQuiet(pause time.Duration) {
+	v.db.mu.Lock()
+	v.quietUntil = time.Now().Add(pause)
+	v.db.mu.Unlock()
+	time.AfterFunc(pause, func() { v.report(true) })
+}
+
+// serverConn is a connection to a server.
+type serverConn struct {
+	server *server
+	conn   net.Conn
+	in     *bufio.Reader
+	state  string
+	plain  bool
+	wrote  bool
+	term   int
+	names  map[string]string
+}
+
+func (c *serverConn) line() (string, bool) {
+	text, err := c.in.ReadString('\n')
+	return strings.TrimSuffix(text, "\r\n"), err == nil
+}
+
+func (c *serverConn) serve() {
+	v := c.server
+	text, ok := c.line()
+	fields := strings.Fields(text)
+	if !ok || len(fields) < 3 || fields[0] != "STARTUP" {
+		return
+	}
+	if fields[1] != v.db.name || len(fields) > 3 && fields[3] != v.id {
+		_, _ = fmt.Fprintf(c.conn, "ERROR MISROUTED %s\r\n", v.id)
+		return
+	}
+	c.state, c.names = "I", make(map[string]string)
+	v.db.mu.Lock()
+	position := v.position()
+	v.db.mu.Unlock()
+	_, _ = fmt.Fprintf(c.conn, "READY I %s\r\n", position)
+	for {
+		text, ok := c.line()
+		if !ok || text == "TERMINATE" {
+			return
+		}
+		rest, isQuery := strings.CutPrefix(text, "QUERY ")
+		if !isQuery {
+			return
+		}
+		id, statement, _ := strings.Cut(rest, " ")
+		if _, err := c.conn.Write([]byte(c.answer(id, statement))); err != nil {
+			return
+		}
+	}
+}
+
+// answer runs a statement and returns its reply.
+func (c *serverConn) answer(id, statement string) string {
+	after := ""
+	if rest, ok := strings.CutPrefix(statement, "AFTERLSN "); ok {
+		after, statement, _ = strings.Cut(rest, " ")
+	}
+	word, rest, _ := strings.Cut(statement, " ")
+	isWork := word == "READ" || word == "WRITE" || word == "EXECUTE" || word == "COMMIT"
+	if isWork {
+		time.Sleep(runTime)
+	}
+	v, db := c.server, c.server.db
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	body := c.run(id, statement, word, rest, after)
+	return body + fmt.Sprintf("READY %s %s\r\n", c.state, v.position())
+}
+
+func (c *serverConn) fail(code string) string {
+	if c.state == "T" {
+		c.state = "E"
+	}
+	return fmt.Sprintf("ERROR %s %s\r\n", code, c.server.id)
+}
+
+const done = "COMPLETE -\r\n"
+
+// run executes a statement. The lock is held.
+func (c *serverConn) run(id, statement, word, rest, after string) string {
+	v, db := c.server, c.server.db
+	switch word {
+	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+		return c.control(word, rest)
+	case "RESET":
+		clear(c.names)
+		return done
+	case "SET":
+		return done
+	case "PREPARE":
+		name, shape, _ := strings.Cut(rest, " ")
+		c.names[name] = shape
+		return done
+	case "DEALLOC":
+		delete(c.names, rest)
+		return done
+	case "ROLLBACK":
+		c.state, c.wrote = "I", false
+		return done
+	}
+	switch {
+	case c.state == "E" && word == "COMMIT":
+		c.state = "I"
+		return fmt.Sprintf("ERROR ABORTED %s\r\n", v.id)
+	case c.state == "E":
+		return c.fail("MALFORMED")
+	case after != "" && !v.covers(after):
+		return c.fail("LAGGING")
+	case c.state == "T" && c.plain && (db.leader != v || db.term != c.term) && (word != "COMMIT" || c.wrote):
+		if word == "COMMIT" {
+			c.state = "I"
+		}
+		return c.fail("READONLY")
+	}
+	return c.runWork(id, statement, word, rest)
+}
+
+func (c *serverConn) runWork(id, statement, word, rest string) string {
+	v, db := c.server, c.server.db
+	writes := word == "WRITE"
+	if word == "EXECUTE" {
+		name, _, _ := strings.Cut(rest, " ")
+		shape, ok := c.names[name]
+		if !ok {
+			return c.fail("NOSTMT")
+		}
+		writes = strings.HasPrefix(shape, "WRITE")
+	}
+	switch {
+	case word == "BEGIN":
+		if rest != "READ" && db.leader != v {
+			return c.fail("READONLY")
+		}
+		c.state, c.plain, c.wrote, c.term = "T", rest != "READ", false, db.term
+		return done
+	case word == "COMMIT":
+		c.state = "I"
+		db.ran(v, id, statement)
+		if c.wrote && !v.commit(id) {
+			return "ERROR TIMEOUT no replica\r\n"
+		}
+		return db.signed(v)
+	case writes && (db.leader != v || c.state == "T" && !c.plain):
+		return c.fail("READONLY")
+	case writes && c.state == "T":
+		c.wrote = true
+		db.ran(v, id, statement)
+		return db.signed(v)
+	case writes:
+		db.ran(v, id, statement)
+		if !v.commit(id) {
+			return "ERROR TIMEOUT no replica\r\n"
+		}
+		return db.signed(v)
+	case word == "READ" || word == "EXECUTE":
+		db.ran(v, id, statement)
+		return "DATAROW x\r\n" + db.signed(v)
+	default:
+		return c.fail("MALFORMED")
+	}
+}
+
+// ran records a run. The lock is held.
+func (db *database) ran(v *server, id, statement string) {
+	db.lastRun++
+	db.log.add("run at %s: %s %s", v.id, id, statement)
+}
+
+func (db *database) signed(v *server) string {
+	return fmt.Sprintf("COMPLETE %s.%d\r\n", v.id, db.lastRun)
+}
+
+// control runs a command for replication. The lock is held.
+func (c *serverConn) control(word, rest string) string {
+	v, db := c.server, c.server.db
+	term, _ := strconv.Atoi(rest)
+	switch {
+	case word == "PAUSE" && db.leader != v && term > db.term:
+		v.held = max(v.held, term)
+	case word == "RESUME":
+		v.held = 0
+		if db.leader != nil && db.leader != v {
+			v.received = db.leader.received
+		}
+	case word == "STEPDOWN" && db.leader == v && db.term < term:
+		db.leader, v.entry.Role = nil, "replica"
+	}
+	role := "replica"
+	if db.leader == v {
+		role = "primary"
+	}
+	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 %d\r\n", role, db.term, v.position(), v.held, len(v.conns)) + done
+}
--- /dev/null
+++ b/review/casekit/fleet.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// node is a process of currantloom.
+type node struct {
+	binary, dir, name, ip string
+	ports                 [3]int
+	command               *exec.Cmd
+	ended                 chan struct{}
+}
+
+// newNode writes the settings of a node, like those that `fleetbench wire` prints.
+func newNode(binary, dir, name, ip, zone, cloud string, s *store, seeds func() []string) (*node, error) {
+	n := &node{binary: binary, dir: dir, name: name, ip: ip}
+	for i := range n.ports {
+		port, err := freePort(ip)
+		if err != nil {
+			return nil, err
+		}
+		n.ports[i] = port
+	}
+	text := fmt.Sprintf(`nodeName: %q
+role: "node"
+machineClass: "frontend"
+serves: ["frontend", "control"]
+ip: %q
+zone: %q
+region: "ost"
+zones: {ost-linz: "ost", ost-steyr: "ost"}
+bindAddresses: {frontend: "%s:%d", readiness: "%s:%d", controlPlane: "%s:%d"}
+internalPorts: [7440, 7455]
+seedNodes: [%s]
+bootstrap: true
+limits: {cpuQuota: 0.4, speedFactor: 1, memoryMb: 284, maxFds: 4300, linkMbps: 1000.0, diskMb: 0}
+heartbeatMs: 1200
+bounds: {contactMs: 5000, drainTimeoutMs: 7000, gracePeriodS: 6, lossSlackMs: 200, configApplyMs: 4000, backMs: 250,
+  maxSkewMs: 15000, recoveryS: 12, enforceFencing: true}
+platform: {address: %q, form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, minTtlMs: 1000}
+cloud: {address: %q, ratePerS: 50.0, duties: ["failover"], dutyPerS: 50.0}
+`, name, ip, zone, ip, n.ports[0], ip, n.ports[1], ip, n.ports[2], strings.Join(seeds(), ", "), s.address, cloud)
+	return n, os.WriteFile(n.settings(), []byte(text), 0o600)
+}
+
+func (n *node) settings() string { return filepath.Join(n.dir, n.name+".yaml") }
+
+func (n *node) clientAddress() string { return fmt.Sprintf("%s:%d", n.ip, n.ports[0]) }
+
+func (n *node) start() error {
+	log, err := os.OpenFile(filepath.Join(n.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	//nolint:gosec // The caller names the program to test.
+	n.command = exec.CommandContext(context.Background(), n.binary, "platform")
+	n.command.Env = append(os.Environ(), "CURRANTLOOM_NODE_FILE="+n.settings())
+	n.command.Stdout, n.command.Stderr = log, log
+	if err := n.command.Start(); err != nil {
+		return err
+	}
+	ended, command := make(chan struct{}), n.command
+	n.ended = ended
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+func (n *node) kill() {
+	_ = n.command.Process.Signal(syscall.SIGKILL)
+	<-n.ended
+}
+
+// isReady asks as the platform's load balancer does.
+func (n *node) isReady() bool {
+	c := http.Client{Timeout: time.Second}
+	//nolint:gosec,noctx // The address is that of a process of this case, and the client has a timeout.
+	r, err := c.Get(fmt.Sprintf("http://%s:%d/currantloom/readyz", n.ip, n.ports[1]))
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// outcome is what became of an operation.
+type outcome struct {
+	at     time.Duration
+	id     string
+	text   string
+	result string
+	served bool
+}
+
+// clients sends operations, each in a session of its own, at a steady rate.
+type clients struct {
+	log      *record
+	database string
+	nodes    []*node
+	lastID   atomic.Uint64
+	stopped  atomic.Bool
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+const clientDeadline = 3 * time.Second
+
+// send sends one operation to a node and records what became of it. Retries are operations of their own here.
+func (c *clients) send(n *node, text string) {
+	o := outcome{at: c.log.now(), id: fmt.Sprintf("%016x", 0xabc0000000+c.lastID.Add(1)), text: text}
+	o.result = c.operate(n, o)
+	o.served = strings.HasPrefix(o.result, "COMPLETE ") && o.result != "COMPLETE -"
+	c.log.add("sent at %.3f to %s: %s %s -> %s", o.at.Seconds(), n.name, o.id, text, o.result)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+func (c *clients) operate(n *node, o outcome) string {
+	conn, err := dial(n.clientAddress())
+	if err != nil {
+		return "no connection"
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(clientDeadline))
+	in := bufio.NewReader(conn)
+	_, _ = fmt.Fprintf(conn, "STARTUP %s key\r\n", c.database)
+	first, err := in.ReadString('\n')
+	if err != nil || !strings.HasPrefix(first, "READY ") {
+		return "startup: " + strings.TrimSpace(first)
+	}
+	_, _ = fmt.Fprintf(conn, "QUERY %s %s\r\n", o.id, o.text)
+	result := ""
+	for {
+		line, err := in.ReadString('\n')
+		switch {
+		case err != nil:
+			return "no answer"
+		case strings.HasPrefix(line, "READY "):
+			_, _ = fmt.Fprint(conn, "TERMINATE\r\n")
+			return result
+		case !strings.HasPrefix(line, "DATAROW "):
+			result = strings.TrimSpace(line)
+		}
+	}
+}
+
+// run sends operations to the nodes in turn until the time of the record.
+func (c *clients) run(until, pause time.Duration, texts ...string) {
+	var sent sync.WaitGroup
+	for i := 0; c.log.now() < until && !c.stopped.Load(); i++ {
+		n, text := c.nodes[i%len(c.nodes)], texts[i%len(texts)]
+		sent.Go(func() { c.send(n, text) })
+		time.Sleep(pause)
+	}
+	sent.Wait()
+}
+
+// share returns how many operations were sent in a span of time, and how many of them were served.
+func (c *clients) share(from, to time.Duration) (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.outcomes {
+		if o.at >= from && o.at < to {
+			sent++
+			if o.served {
+				served++
+			}
+		}
+	}
+	return sent, served
+}
+
+// stop ends run.
+func (c *clients) stop() { c.stopped.Store(true) }
+
+// all returns the outcomes so far.
+func (c *clients) all() []outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.outcomes)
+}
