A node that starts as the store returns replaces no primary for registrations that are not back

Cause: a process that starts as the store returns takes the registrations that are back so far for all servers. It sees "no primary", and "all replicas are paused" of the one replica it knows. The grace for registrations that expired during an outage covers only those that vanish during the life of a process.

Ruled out: the settle time of the holder. It counts from the start of the process, and a longer one would delay every change of holder, also when the store was never down.

A primary that has stepped down may still be replaced, because its log is final whatever else exists.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -8,7 +8,10 @@
 // promotionCase returns what the promotion of a candidate is judged against. Removed upstreams are left out, because
 // their logs are gone too.
 func (s *State) promotionCase(f *failover) promotionCase {
-	c := promotionCase{now: s.now, acked: f.group.ackedPosition, maxMissing: s.maxMissingStatuses(f.group)}
+	c := promotionCase{
+		now: s.now, acked: f.group.ackedPosition, maxMissing: s.maxMissingStatuses(f.group),
+		mayLackUpstreams: s.catalog.mayLackRegistrations(s.now),
+	}
 	for _, u := range f.group.upstreams {
 		switch {
 		case u.Name == f.oldPrimary:
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -40,9 +40,10 @@
 	departed  map[currantloom.UpstreamName]departedUpstream
 	returned  map[currantloom.UpstreamName]returnedUpstream
 	restoring bool
-	// storeReachedAt is when the watch on the store last succeeded; storeUnavailable says that it has failed since.
-	storeReachedAt   time.Duration
-	storeUnavailable bool
+	// storeFirstReachedAt and storeReachedAt are when the watch on the store first and last succeeded, zero if it never
+	// did; storeUnavailable says that it has failed since.
+	storeFirstReachedAt, storeReachedAt time.Duration
+	storeUnavailable                    bool
 }
 
 func (c *catalog) init() {
@@ -289,6 +290,15 @@
 		s.catalog.restartDeletionGrace(s.now)
 	}
 	c.storeUnavailable, c.storeReachedAt = false, s.now
+	if c.storeFirstReachedAt == 0 {
+		c.storeFirstReachedAt = max(s.now, 1)
+	}
+}
+
+// mayLackRegistrations reports whether registrations that expired during an outage of the store may be missing without
+// this process knowing of them: it has reached the store for the first time, and the outage may have ended just before.
+func (c *catalog) mayLackRegistrations(now time.Duration) bool {
+	return c.storeFirstReachedAt == 0 || now-c.storeFirstReachedAt < deletionGrace
 }
 
 // restartDeletionGrace restarts the grace of registrations that vanished while the store was unavailable, and once that
--- a/loomfleet/detection.go
+++ b/loomfleet/detection.go
@@ -54,11 +54,13 @@
 	}
 	u := g.find(g.primary)
 	switch {
+	case u == nil && s.catalog.mayLackRegistrations(s.now):
+		return "", false
 	case u == nil:
 		return "no primary", false
 	case u.drain.isOn():
 		return "primary is draining", true
-	case s.coordinator.promotionsOf(g.name).isUnsettled(s.now, g.primary):
+	case s.isUnsettled(g):
 		return reasonUnsettled, true
 	case u.deletedAt > 0 && s.now-u.deletedAt > deletionGrace && !s.catalog.storeUnavailable:
 		return "registration of the primary was deleted", s.now-g.primaryProvenAt < s.proofTimeout()
--- a/loomfleet/fixture_test.go
+++ b/loomfleet/fixture_test.go
@@ -28,9 +28,12 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	return &fixture{T: t, state: New(Config{
+	f := &fixture{T: t, state: New(Config{
 		Self: testSelf, Location: testLocation, Address: "10.0.0.1:1", Incarnation: 1,
 	})}
+	// The process has reached the store long ago.
+	f.state.catalog.storeFirstReachedAt = -time.Hour
+	return f
 }
 
 func (f *fixture) stamp() Stamp { return Stamp{Now: f.now, Random: 7} }
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -17,8 +17,8 @@
 // A promotion of C is safe if no other upstream can, until it has taken effect, hold a commit that a client was told of
 // and that C lacks. An acknowledgement needs a receiver, so it is enough that one of these holds:
 //   - the primary has stepped down, so its log is final, and C's log covers it;
-//   - every upstream that may receive is paused, none of their logs is longer than that of C, and C's log covers every
-//     commit that is known to be acknowledged.
+//   - every upstream that may receive is known and paused, none of their logs is longer than that of C, and C's log
+//     covers every commit that is known to be acknowledged.
 //
 // Evidence is the answer to a pause that the upstream has carried out, which it does only if the term of the pause is
 // above that of every primary so far. It is void once an upstream reports a newer term or acts as primary, and once the
@@ -188,6 +188,8 @@
 	doubtful []currantloom.UpstreamName
 	// acceptsDoubt says that one of them counts as halted once its log has stayed as it is for haltConfirmTime.
 	acceptsDoubt bool
+	// mayLackUpstreams says that upstreams may exist whose registrations are not back after an outage of the store.
+	mayLackUpstreams bool
 }
 
 // promotionBasis says what makes a promotion safe, or why it is not shown to be.
@@ -204,6 +206,7 @@
 	basisMayResume     promotionBasis = "a replica may still resume"
 	basisLongerLog     promotionBasis = "another log is longer"
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
+	basisUnregistered  promotionBasis = "registrations may be missing after an outage of the store"
 )
 
 // isSafe reports whether the promotion may be requested.
@@ -220,6 +223,8 @@
 	switch {
 	case steppedDown && hasAcked && h.log.compare(final.log) >= 0:
 		return basisSteppedDown
+	case c.mayLackUpstreams:
+		return basisUnregistered
 	case len(p.missing(c)) > c.maxMissing:
 		return basisMissingReport
 	case !hasAcked:
