The holder of the failover lease records a change of primary before it requests it

Cause: a request for promotion that got no answer is known only to the process that sent it. If that process is killed and claims the lease again under its own name, it counts neither as another holder nor does it remember anything. The old primary leads, so it starts no failover, and the late request still has the highest fence.

Ruled out: asking the other nodes alone.

Change: the write that gives a failover its fence also writes the services under change to the key "changes", which no lease ends. A node that becomes the holder, under any name, inherits what the record names, blocks writes there and requests a promotion with its own, higher fence before it lets writes go; an accepted request settles the service. A node acts only once its copy of the store names it as the holder, so that the copy also has the record. The record is cleared by one more write after the change, or when the lease is given back.

--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -308,6 +308,7 @@
 		f.configure(currantloom.ReadLatest)
 		lease := &f.state.coordinator.leaseKey
 		lease.position, lease.validUntil, lease.renewAt = testStorePosition(11), time.Hour, time.Hour
+		f.nameHolder()
 		g := f.state.groupOf(testService)
 		g.recordPrimary(f.state, "a", currantloom.NewLogPosition(1, 7), f.now)
 		f.state.startFailover(g, "primary is draining", true)
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -127,6 +127,12 @@
 	}
 	s.catalog.era = max(s.catalog.era, era)
 	s.catalog.hasSnapshot = s.catalog.hasSnapshot || e.Snapshot
+	switch {
+	case e.ChangeRecord != nil:
+		s.coordinator.record.observe(*e.ChangeRecord)
+	case e.Snapshot:
+		s.coordinator.record.observe(ChangeRecord{Position: e.Position})
+	}
 	if e.FailoverLease != nil {
 		s.coordinator.handleLeaseChange(s, *e.FailoverLease)
 	} else if e.Snapshot {
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -33,7 +34,9 @@
 	failovers map[currantloom.ServiceName]*failover
 	// promotions holds the requests for promotion that this node has sent, or heard announced, by service.
 	promotions map[currantloom.ServiceName]*promotions
-	lastFence  currantloom.Fence
+	// record holds the changes of primary that may have been requested.
+	record    changeRecord
+	lastFence currantloom.Fence
 	// tookOverAt is when this node took the failover lease over from another one; zero if it did not.
 	tookOverAt      time.Duration
 	lastPromotionID uint64
@@ -76,8 +79,8 @@
 	case !r.position.IsZero() && r.pendingKind != pendingWrite && e.Position.After(r.position):
 		r.position = currantloom.StorePosition{}
 	}
-	if c.isHolder(s) && before.name != s.config.Self && c.previousHolder != "" && c.previousHolder != s.config.Self {
-		c.tookOverAt = s.now
+	if c.isHolder(s) && (before.name != s.config.Self || before.incarnation != s.config.Incarnation) {
+		c.takeOver(s)
 	}
 	if c.holder.name != "" {
 		c.previousHolder = c.holder.name
@@ -87,6 +90,21 @@
 	}
 }
 
+// takeOver records that this node has become the holder of the failover lease, and what earlier holders may have left
+// under way.
+func (c *coordinator) takeOver(s *State) {
+	if c.previousHolder != "" && c.previousHolder != s.config.Self {
+		c.tookOverAt = s.now
+	}
+	c.record.inherit()
+	for _, service := range c.record.inheritedServices() {
+		s.log(Decision{
+			Event: "duty", Service: service, Reason: reasonUnsettled, Version: c.holder.position.Revision(),
+			Outcome: "inherited",
+		})
+	}
+}
+
 func (c *coordinator) handleStoreAnswer(s *State, e StoreAnswered) {
 	if e.Result == StoreRestored {
 		s.enterStoreEra(e.Era)
@@ -96,6 +114,9 @@
 		return
 	}
 	expected := c.leaseKey.pendingExpected
+	if e.Call == c.record.writtenBy && e.Result == StoreSucceeded {
+		c.record.observe(ChangeRecord{Services: c.record.written, Position: e.Position})
+	}
 	if c.leaseKey.handleAnswer(s, e) && e.Result == StoreConflict && c.isHolder(s) && c.holder.position.After(expected) {
 		// An earlier write that got no answer took effect.
 		c.leaseKey.position = c.holder.position
@@ -130,6 +151,8 @@
 		return
 	}
 	switch {
+	case !r.position.IsZero() && c.record.isOutdated(c.changes(s)):
+		c.rewriteLeaseKey(s)
 	case !r.position.IsZero():
 		r.renewIfDue(s)
 	case s.shutdown.requested:
@@ -176,10 +199,11 @@
 	return rank
 }
 
-// isActing reports whether this node may run failovers. While no VM reaches the store, nobody else can have acquired
-// the failover lease, so the last holder continues; a later holder has a higher fence.
+// isActing reports whether this node may run failovers: it holds the failover lease, and its copy of the store is new
+// enough to show that, so that it also shows what earlier holders have recorded. While no VM reaches the store, nobody
+// else can have acquired the lease, so the last holder continues; a later holder has a higher fence.
 func (c *coordinator) isActing(s *State) bool {
-	if c.leaseKey.position.IsZero() || s.shutdown.requested && len(c.failovers) == 0 ||
+	if c.leaseKey.position.IsZero() || !c.isHolder(s) || s.shutdown.requested && len(c.failovers) == 0 ||
 		s.now-s.resumedAt < settleTime && s.resumedAt > 0 {
 		return false
 	}
@@ -206,12 +230,40 @@
 	return silent == 0 || answering > silent
 }
 
-// requestFence rewrites the key of the failover lease, so that its revision, which is the fence, increases.
+// changes returns the services whose primary a request of this holder or of an earlier one may change, sorted.
+func (c *coordinator) changes(s *State) []currantloom.ServiceName {
+	services := c.record.inheritedServices()
+	for _, g := range s.catalog.sortedGroups {
+		f := c.failovers[g.name]
+		if f != nil && f.step >= stepFence || s.hasPendingPromotion(g) {
+			services = append(services, g.name)
+		}
+	}
+	slices.Sort(services)
+	return slices.Compact(services)
+}
+
+// requestFence rewrites the key of the failover lease, so that its revision, which is the fence, increases. The changes
+// under way are recorded by the same write, so that the next holder knows of every request that follows.
 func (c *coordinator) requestFence(s *State) bool {
 	r := &c.leaseKey
 	if !r.canCall(s.now) || r.position.IsZero() {
 		return false
 	}
-	r.write(s, true, r.position)
+	c.rewriteLeaseKey(s)
 	return true
 }
+
+// releaseLeaseKey gives the failover lease back, and records what this node leaves under way.
+func (c *coordinator) releaseLeaseKey(s *State) {
+	txn := c.leaseKey.deleteTxn()
+	txn.RecordsChanges, txn.Changes = true, c.changes(s)
+	c.leaseKey.release(s, txn)
+}
+
+// rewriteLeaseKey writes the key of the failover lease again, together with the record of the changes under way.
+func (c *coordinator) rewriteLeaseKey(s *State) {
+	c.record.written = c.changes(s)
+	c.leaseKey.rewrite(s, c.record.written)
+	c.record.writtenBy = c.leaseKey.pendingCall
+}
--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -104,6 +104,10 @@
 	Expected    currantloom.StorePosition
 	// Delete deletes the key instead of writing it.
 	Delete bool
+	// RecordsChanges replaces the record of changes of primary, together with the key of the failover lease, by Changes:
+	// the services whose primary may be changed by a request of this holder or of an earlier one.
+	RecordsChanges bool
+	Changes        []currantloom.ServiceName
 }
 
 // Decision is a log line: what was decided, the inputs with their age or version, and the outcome.
--- a/loomfleet/event.go
+++ b/loomfleet/event.go
@@ -50,6 +50,7 @@
 		Upstreams     []UpstreamChange
 		Members       []MemberChange
 		FailoverLease *FailoverLeaseChange
+		ChangeRecord  *ChangeRecord
 	}
 	// StoreWatchSucceeded reports that the watch on the store got an answer, whose changes were reported before. Pushed
 	// says that another node got the answer and passed it on.
@@ -131,6 +132,13 @@
 	Deleted     bool
 }
 
+// ChangeRecord is the record of changes of primary that a holder of the failover lease may have requested. It outlasts
+// the lease.
+type ChangeRecord struct {
+	Services []currantloom.ServiceName
+	Position currantloom.StorePosition
+}
+
 // Events of client sessions.
 type (
 	// SessionOpened reports the startup of a client.
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -250,7 +250,9 @@
 // renewUnsettledBlock keeps writes blocked while the request of an earlier holder may take effect and this node has not
 // requested a promotion that replaces it.
 func (s *State) renewUnsettledBlock(f *failover) {
-	unsettled := s.coordinator.promotionsOf(f.group.name).isUnsettled(s.now, f.oldPrimary)
+	c := &s.coordinator
+	unsettled := c.record.isInherited(f.group.name) ||
+		c.promotionsOf(f.group.name).isUnsettled(s.now, f.oldPrimary)
 	if f.reason == reasonUnsettled && f.step < stepPromote && unsettled {
 		s.renewBlockWrites(f, "")
 	}
--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -21,7 +21,7 @@
 		Age: s.now - f.startedAt, Outcome: "ended",
 	})
 	pending := s.coordinator.promotionsOf(g.name)
-	unsettled := pending.isUnsettled(s.now, g.primary)
+	unsettled := s.isUnsettled(g)
 	if reason == reasonLeaseLost || reason == reasonShutdown && (s.hasPendingPromotion(g) || unsettled) {
 		// The next holder of the failover lease may be changing the primary: it alone says when writes and replicas go on.
 		// If it is not, the blocking runs out, and it notices the stalled commits.
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -53,6 +53,9 @@
 		Event: "order", Service: e.Service, Version: e.PromotionID, Outcome: e.Result.String(),
 	})
 	s.coordinator.promotionsOf(e.Service).recordResult(s.now, e.PromotionID, e.Result)
+	if e.Result == currantloom.PromoteAccepted {
+		s.coordinator.record.settle(e.Service)
+	}
 	if f == nil || f.promotionID != e.PromotionID {
 		return
 	}
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -104,6 +104,13 @@
 	return s.coordinator.promotionsOf(g.name).target(s.now, g.primary) != ""
 }
 
+// isUnsettled reports whether a request of another holder, or of an earlier process of this node, may still change the
+// primary of the group.
+func (s *State) isUnsettled(g *group) bool {
+	c := &s.coordinator
+	return c.record.isInherited(g.name) || c.promotionsOf(g.name).isUnsettled(s.now, g.primary)
+}
+
 // mustVoidPromotions reports whether a failover that leaves the primary as it is must first make sure that no earlier
 // request takes effect: one of this node, or one of an earlier holder, which this node does not know of.
 func (s *State) mustVoidPromotions(f *failover, reason string) bool {
@@ -111,7 +118,7 @@
 	if g.primary == "" || f.step == stepVoid {
 		return false
 	}
-	unsettled := reason != reasonOtherPrimary && c.promotionsOf(g.name).isUnsettled(s.now, g.primary)
+	unsettled := reason != reasonOtherPrimary && s.isUnsettled(g)
 	if s.hasPendingPromotion(g) || unsettled {
 		return true
 	}
--- a/loomfleet/registration.go
+++ b/loomfleet/registration.go
@@ -85,10 +85,19 @@
 
 // write writes the key, if conditional only if it has the expected position.
 func (r *registration) write(s *State, conditional bool, expected currantloom.StorePosition) {
+	s.emit(StoreCommit{Call: r.startCall(s, pendingWrite), Txn: r.writeTxn(conditional, expected)})
+}
+
+// rewrite writes the key that this node holds again, together with the record of changes of primary.
+func (r *registration) rewrite(s *State, changes []currantloom.ServiceName) {
+	txn := r.writeTxn(true, r.position)
+	txn.RecordsChanges, txn.Changes = true, changes
+	s.emit(StoreCommit{Call: r.startCall(s, pendingWrite), Txn: txn})
+}
+
+func (r *registration) writeTxn(conditional bool, expected currantloom.StorePosition) StoreTxn {
 	r.pendingExpected = expected
-	s.emit(StoreCommit{Call: r.startCall(s, pendingWrite), Txn: StoreTxn{
-		Kind: r.kind, Lease: r.lease, Conditional: conditional, Expected: expected,
-	}})
+	return StoreTxn{Kind: r.kind, Lease: r.lease, Conditional: conditional, Expected: expected}
 }
 
 // handleAnswer processes the answer to the pending call. It reports false if the answer is for another call.
@@ -149,13 +158,16 @@
 	*r = registration{kind: r.kind, ttl: r.ttl, renewInterval: r.renewInterval, backoff: r.backoff, retryAt: r.retryAt}
 }
 
-// release deletes the key, unless another node has written it since. The lease is left to expire: if the store has come
-// back from a copy in the meantime, its number may belong to another node.
-func (r *registration) release(s *State) {
+// deleteTxn returns the transaction that deletes the key, unless another node has written it since.
+func (r *registration) deleteTxn() StoreTxn {
+	return StoreTxn{Kind: r.kind, Lease: r.lease, Conditional: true, Expected: r.position, Delete: true}
+}
+
+// release deletes the key by a transaction. The lease is left to expire: if the store has come back from a copy in the
+// meantime, its number may belong to another node.
+func (r *registration) release(s *State, txn StoreTxn) {
 	if !r.position.IsZero() {
-		s.emit(StoreCommit{Call: CallID(s.nextNumber()), Txn: StoreTxn{
-			Kind: r.kind, Lease: r.lease, Conditional: true, Expected: r.position, Delete: true,
-		}})
+		s.emit(StoreCommit{Call: CallID(s.nextNumber()), Txn: txn})
 	}
 	r.forget()
 }
--- a/loomfleet/restore_test.go
+++ b/loomfleet/restore_test.go
@@ -40,6 +40,9 @@
 			answer.Call, answer.Lease = e.Call, currantloom.NewStoreLease(era, number)
 		case StoreCommit:
 			answer.Call, answer.Position = e.Call, currantloom.NewStorePosition(era, number)
+			if e.Txn.Kind == RegistrationFailoverLease {
+				f.nameHolder()
+			}
 		case StoreRenewLease:
 			answer.Call = e.Call
 		default:
@@ -49,6 +52,11 @@
 	}
 }
 
+// nameHolder has the store name the node as the holder of the failover lease.
+func (f *fixture) nameHolder() {
+	f.state.coordinator.holder = leaseHolder{name: testSelf, incarnation: 1}
+}
+
 // holdLease makes the node register itself and acquire the failover lease in era 1, with lease 7.
 func (f *fixture) holdLease() {
 	f.Helper()
--- a/loomfleet/shutdown.go
+++ b/loomfleet/shutdown.go
@@ -38,7 +38,8 @@
 		}
 	}
 	s.releaseIdleLease()
-	s.coordinator.memberKey.release(s)
+	member := &s.coordinator.memberKey
+	member.release(s, member.deleteTxn())
 }
 
 // releaseIdleLease gives the failover lease back while this node shuts down, once none of its failovers is in progress.
@@ -46,7 +47,7 @@
 func (s *State) releaseIdleLease() {
 	c := &s.coordinator
 	if len(c.failovers) == 0 && !c.leaseKey.position.IsZero() {
-		c.leaseKey.release(s)
+		c.releaseLeaseKey(s)
 	}
 }
 
--- a/loomhost/decode.go
+++ b/loomhost/decode.go
@@ -21,6 +21,8 @@
 			c.addNode(&e, item, currantloom.VMName(name))
 		case item.Key == failoverLeaseKey:
 			c.addFailoverLease(&e, item)
+		case item.Key == changeRecordKey:
+			c.addChangeRecord(&e, item)
 		default:
 			c.addCatalogItem(&e, item)
 		}
@@ -70,6 +72,23 @@
 	e.FailoverLease = &change
 }
 
+// addChangeRecord adds the record of changes of primary. A malformed one is ignored: the record that this node knows
+// stays.
+func (c *storeCache) addChangeRecord(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
+	record := loomfleet.ChangeRecord{Position: item.Position}
+	if !item.Deleted {
+		var value changeRecordValue
+		if err := json.Unmarshal(item.Value, &value); err != nil {
+			c.logIgnoredItem(item, err)
+			return
+		}
+		for _, name := range value.Services {
+			record.Services = append(record.Services, currantloom.ServiceName(name))
+		}
+	}
+	e.ChangeRecord = &record
+}
+
 func (c *storeCache) addCatalogItem(e *loomfleet.CatalogChanged, item currantloom.StoreItem) {
 	if configuration, ok, err := c.node.config.Catalog.Configuration(item); err != nil {
 		c.logInvalidConfiguration(item, err)
--- a/loomhost/storecache.go
+++ b/loomhost/storecache.go
@@ -14,10 +14,12 @@
 	"currantloom.example/currantloom/loommesh"
 )
 
-// Keys that nodes write to the store: one for each node, and one for the failover lease, which is called "duty" there.
+// Keys that nodes write to the store: one for each node, one for the failover lease, which is called "duty" there, and
+// one for the changes of primary that its holders have recorded.
 const (
 	nodeKeyPrefix    = "nodes/"
 	failoverLeaseKey = "duty"
+	changeRecordKey  = "changes"
 )
 
 // maxIgnoredItems bounds the memory of the malformed items that were logged.
@@ -77,6 +79,11 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// changeRecordValue is the value of the key of recorded changes of primary.
+type changeRecordValue struct {
+	Services []string `json:"services"`
+}
+
 // registrationTxn returns the transaction that writes the key of the node or of the failover lease.
 func (c *storeCache) registrationTxn(t loomfleet.StoreTxn) currantloom.StoreTxn {
 	config := c.node.config.Reducer
@@ -88,22 +95,36 @@
 	if t.Kind == loomfleet.RegistrationFailoverLease {
 		key, record = failoverLeaseKey, failoverLeaseRecord{Holder: string(config.Self), Incarnation: config.Incarnation}
 	}
-	value, err := json.Marshal(record)
-	if err != nil {
-		c.node.log.Enqueue(loomlog.Line{Event: "record", Warn: true, Fields: []any{"key", key, "reason", err}})
-	}
+	value := c.encodeValue(key, record)
 	txn := currantloom.StoreTxn{Era: t.Lease.Era()}
 	if t.Delete {
 		txn.Delete = []string{key}
 	} else {
 		txn.Set = []currantloom.StoreItem{{Key: key, Value: value, Lease: t.Lease}}
 	}
+	if t.RecordsChanges {
+		changes := changeRecordValue{Services: make([]string, 0, len(t.Changes))}
+		for _, name := range t.Changes {
+			changes.Services = append(changes.Services, string(name))
+		}
+		txn.Set = append(txn.Set, currantloom.StoreItem{
+			Key: changeRecordKey, Value: c.encodeValue(changeRecordKey, changes),
+		})
+	}
 	if t.Conditional {
 		txn.Expected = map[string]uint64{key: t.Expected.Revision()}
 	}
 	return txn
 }
 
+func (c *storeCache) encodeValue(key string, value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		c.node.log.Enqueue(loomlog.Line{Event: "record", Warn: true, Fields: []any{"key", key, "reason", err}})
+	}
+	return data
+}
+
 // fetchConfiguration takes over the configuration of another node, if it is newer.
 func (c *storeCache) fetchConfiguration(vm currantloom.VM) {
 	m, err := loommesh.RequestStoreItems(c.node.config.Reducer.Self, vm.LinkAddress(), seedRequestTimeout)
--- a/loommodel/holder_test.go
+++ b/loommodel/holder_test.go
@@ -210,3 +210,34 @@
 
 // settlingReason is the logged reason of a failover that settles the request of an earlier holder.
 const settlingReason = "a promotion of an earlier holder may take effect"
+
+// TestRestartedHolder guards against a request for promotion whose sender is killed and starts again under its own
+// name: it has to settle what its earlier process requested, although no other node has held the lease in between.
+func TestRestartedHolder(t *testing.T) {
+	for seed := *holderSeed; seed < *holderSeed+2*uint64(*holderSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := startSimulation(t, seed, loommodel.Options{Nodes: 3, Clients: 24, ThinkTime: 20 * time.Millisecond})
+			sim.Run(3 * time.Second)
+			sim.DelayPromotions(100)
+			primary := sim.Primary(0)
+			const dark = 7 * time.Second
+			sim.Crash(primary, true, dark)
+			sim.Crash(replicasOf(sim, primary)[seed%2], true, dark)
+			holder, _ := runUntilOrder(sim, 10*time.Second)
+			for _, name := range sim.Nodes() {
+				if name != holder {
+					sim.Partition(name, "store", true)
+				}
+			}
+			sim.Run(time.Duration(seed%5) * 50 * time.Millisecond)
+			sim.Kill(holder, 500*time.Millisecond)
+			sim.DelayPromotions(0)
+			sim.Run(4 * time.Second)
+			sim.Heal()
+			sim.Run(14 * time.Second)
+			assertNoViolations(t, sim)
+			assertServing(t, sim)
+		})
+	}
+}
--- a/loommodel/restore.go
+++ b/loommodel/restore.go
@@ -26,6 +26,7 @@
 	upstreams           map[string]loomfleet.UpstreamChange
 	members             map[string]memberRecord
 	failoverLease       *failoverLeaseRecord
+	changeRecord        loomfleet.ChangeRecord
 }
 
 // keepCopy regularly copies the store.
@@ -40,7 +41,7 @@
 	s.copies = append(s.copies, storeCopy{
 		takenAt: s.sim.now, revision: s.revision, lastLease: s.lastLease, leaseEnds: maps.Clone(s.leaseEnds),
 		configuration: s.configuration, upstreams: maps.Clone(s.upstreams), members: maps.Clone(s.members),
-		failoverLease: s.failoverLease,
+		failoverLease: s.failoverLease, changeRecord: s.changeRecord,
 	})
 }
 
@@ -98,6 +99,8 @@
 		record.change.Position = s.inEra(record.change.Position)
 		s.failoverLease = &record
 	}
+	s.changeRecord = c.changeRecord
+	s.changeRecord.Position = s.inEra(s.changeRecord.Position)
 	s.copies = nil
 }
 
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -34,6 +34,7 @@
 	upstreams     map[string]loomfleet.UpstreamChange
 	members       map[string]memberRecord
 	failoverLease *failoverLeaseRecord
+	changeRecord  loomfleet.ChangeRecord
 	// missedChanges holds the nodes that may have missed a change and need a snapshot.
 	missedChanges map[string]bool
 	// lapsed holds the upstreams that cannot write their registrations.
@@ -154,6 +155,8 @@
 		change := s.failoverLease.change
 		snapshot.FailoverLease = &change
 	}
+	record := s.changeRecord
+	snapshot.ChangeRecord = &record
 	n.deliver(storeDelay, func() loomfleet.Event {
 		snapshot.Stamp = n.stamp()
 		return snapshot
@@ -371,11 +374,12 @@
 	case t.Delete && t.Kind == loomfleet.RegistrationMember:
 		s.removeMember(n.name)
 	case t.Delete:
+		s.recordChanges(t)
 		s.removeFailoverLease()
 	case t.Kind == loomfleet.RegistrationMember:
 		s.writeMember(n, t.Lease.Number())
 	default:
-		s.writeFailoverLease(n, t.Lease.Number())
+		s.writeFailoverLease(n, t)
 	}
 	return loomfleet.StoreAnswered{Result: loomfleet.StoreSucceeded, Position: s.position()}
 }
@@ -401,13 +405,26 @@
 	s.publish(loomfleet.CatalogChanged{Members: []loomfleet.MemberChange{change}})
 }
 
-func (s *store) writeFailoverLease(n *node, lease uint64) {
+// writeFailoverLease writes the key of the failover lease, and with it the record of changes of primary.
+func (s *store) writeFailoverLease(n *node, t loomfleet.StoreTxn) {
 	s.revision++
 	change := loomfleet.FailoverLeaseChange{
 		Holder: currantloom.VMName(n.name), Incarnation: uint64(n.incarnation), Position: s.position(),
 	}
-	s.failoverLease = &failoverLeaseRecord{change: change, lease: lease}
-	s.publish(loomfleet.CatalogChanged{FailoverLease: &change})
+	s.failoverLease = &failoverLeaseRecord{change: change, lease: t.Lease.Number()}
+	published := loomfleet.CatalogChanged{FailoverLease: &change}
+	s.publish(published)
+	s.recordChanges(t)
+}
+
+// recordChanges writes the record of changes of primary, if the transaction does.
+func (s *store) recordChanges(t loomfleet.StoreTxn) {
+	if !t.RecordsChanges {
+		return
+	}
+	s.changeRecord = loomfleet.ChangeRecord{Services: t.Changes, Position: s.position()}
+	record := s.changeRecord
+	s.publish(loomfleet.CatalogChanged{ChangeRecord: &record})
 }
 
 // cloud is the platform's API that promotes upstreams.
