Nodes acknowledge commits only under a lease of the holder of the failover lease

Cause: the evidence for a promotion is about upstreams that are known and paused at one moment. What starts, returns or is resumed later can receive, and a node that the holder does not reach passes the acknowledgement on. No pause of known upstreams covers one that starts later.

Change: each acknowledgement passes through a process of ours, so that is where the proof is. The answer of the acting holder to a ping lets a registered node acknowledge commits for 1.2 s, counted from the ping, by a clock that includes suspensions. A change of primary blocks commits first; the holder requests a promotion on "all replicas are paused" only once every node with a lease has confirmed or its lease has run out. Without a lease, commits are not sent, and the answer to one that was sent is held, not failed: it is acknowledged when the node has a lease again and the commit is shown to be in the primary's log, by the log with which the next one was promoted or by a proof that its own primary still leads. While the store is down for all and no node hears of a holder, nobody can change a primary, and nodes go on by themselves. An owner that alone does not reach the holder refuses writes, so that they go through another one. Nodes tell in their pongs which promotions they have heard announced, and a new holder gives no lease before it has heard that.

--- a/loomfleet/arbitrary_test.go
+++ b/loomfleet/arbitrary_test.go
@@ -100,7 +100,7 @@
 }
 
 func (a arbitrary) message(f *fixture) currantloom.Message {
-	switch a.IntN(14) {
+	switch a.IntN(15) {
 	case 0, 1:
 		return currantloom.Call{
 			Key: a.key(f), Service: a.service(), Upstream: a.upstream(), Mode: currantloom.CallMode(a.IntN(10)),
@@ -130,13 +130,21 @@
 			Samples:        []currantloom.PositionSample{a.sample()},
 			AckedPositions: []currantloom.AckedPosition{{Service: a.service(), Position: a.position()}},
 			Drains:         []currantloom.UpstreamDrain{{Upstream: a.upstream(), Incarnation: 1, Age: a.duration()}},
+			FailoverLease:  testStorePosition(a.Uint64()), Changing: []currantloom.ServiceName{a.service()},
+			HoldsCommitLease: a.IntN(2) > 0,
+			Announced: []currantloom.AnnouncedPromotion{{
+				Service: a.service(), Upstream: a.upstream(), Age: a.duration(),
+			}},
 		}
 	case 8:
 		return currantloom.UpstreamFailed{Health: a.health()}
 	case 9:
 		return currantloom.BlockWrites{
 			Service: a.service(), Duration: a.duration(), BlockCommits: a.IntN(2) > 0, Successor: a.upstream(),
+			CommitTimeout: a.duration(), Number: a.Uint64(),
 		}
+	case 13:
+		return currantloom.CommitsBlocked{Service: a.service(), Number: a.Uint64(), Acked: a.position()}
 	case 10:
 		return a.tokenRequest()
 	case 11:
@@ -144,7 +152,9 @@
 	case 12:
 		return currantloom.ReplicaPositions{Positions: []currantloom.UpstreamPosition{a.upstreamPosition()}}
 	default:
-		return currantloom.PrimaryChanged{Service: a.service(), Upstream: a.upstream(), Term: currantloom.Term(a.Uint64())}
+		return currantloom.PrimaryChanged{
+			Service: a.service(), Upstream: a.upstream(), Term: currantloom.Term(a.Uint64()), Log: a.position(),
+		}
 	}
 }
 
--- a/loomfleet/attempt.go
+++ b/loomfleet/attempt.go
@@ -59,7 +59,7 @@
 	case currantloom.ReasonConnectionLost:
 		r.lostConns++
 		r.avoidUntil[u.Name] = s.now + parkedRetryInterval
-	case currantloom.ReasonUnreachable:
+	case currantloom.ReasonUnreachable, currantloom.ReasonNoLease:
 		u.avoidOwnerUntil[c.vm] = s.now + avoidDuration
 		r.avoidUntil[u.Name] = s.now + parkedRetryInterval
 	case currantloom.ReasonUnknownUpstream, currantloom.ReasonShuttingDown, currantloom.ReasonLinkFailed:
--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -10,6 +10,7 @@
 func (s *State) promotionCase(f *failover) promotionCase {
 	c := promotionCase{
 		now: s.now, acked: f.group.ackedPosition, maxMissing: s.maxMissingStatuses(f.group),
+		mayAcknowledge:   !f.commits.isComplete(s.now),
 		mayLackUpstreams: s.catalog.mayLackRegistrations(s.now),
 	}
 	for _, u := range f.group.upstreams {
--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -28,6 +28,7 @@
 		}
 		f.state.startFailover(g, "primary is quiet", false)
 		fo := f.state.coordinator.failovers[testService]
+		fo.commits = newCommitBlock(1, nil)
 		f.state.enterStep(fo, stepPause)
 		for _, name := range []currantloom.UpstreamName{"b", "c"} {
 			fo.proof.record(g.find(name).Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -44,6 +44,8 @@
 	// did; storeUnavailable says that it has failed since.
 	storeFirstReachedAt, storeReachedAt time.Duration
 	storeUnavailable                    bool
+	// storeRegainedAt is when the store was last reached again after that.
+	storeRegainedAt time.Duration
 }
 
 func (c *catalog) init() {
@@ -294,6 +296,7 @@
 	if c.storeUnavailable {
 		s.log(Decision{Event: "store", Outcome: "regained", Age: s.now - c.storeReachedAt})
 		s.catalog.restartDeletionGrace(s.now)
+		c.storeRegainedAt = s.now
 	}
 	c.storeUnavailable, c.storeReachedAt = false, s.now
 	if c.storeFirstReachedAt == 0 {
--- a/loomfleet/connreply.go
+++ b/loomfleet/connreply.go
@@ -74,14 +74,18 @@
 		p.recordRunTime(s.now - j.startedAt)
 		p.newestRun = max(p.newestRun, j.startedAt)
 	}
-	if reply.Code == currantloom.ReplyOK && j.provesPrimary() {
+	committed := reply.Code == currantloom.ReplyOK && j.provesPrimary()
+	if committed {
 		p.stall.recordAnswered()
 		p.newestCommit = max(p.newestCommit, j.startedAt)
-		p.upstream.group.recordAcked(reply.Position)
 		p.upstream.group.recordPrimary(s, p.upstream.Name, reply.Position, cn.lastSentAt)
 	}
 	s.detachJob(cn)
 	s.pinOrRelease(cn, j, reply)
+	if committed {
+		s.finishCommit(j, reply)
+		return
+	}
 	s.finishJob(j, currantloom.CallResult{Verdict: currantloom.Ran, Reply: reply})
 }
 
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -29,13 +29,16 @@
 	leaseKey  registration
 	holder    leaseHolder
 	// previousHolder is the last node that held the lease; empty if none did yet.
-	previousHolder currantloom.VMName
+	// replacedHolder is the one before this node.
+	previousHolder, replacedHolder currantloom.VMName
 	// failovers are the failovers in progress, by service.
 	failovers map[currantloom.ServiceName]*failover
 	// promotions holds the requests for promotion that this node has sent, or heard announced, by service.
 	promotions map[currantloom.ServiceName]*promotions
 	// record holds the changes of primary that may have been requested.
-	record    changeRecord
+	record changeRecord
+	// grants are the commit leases that this node has given as the holder.
+	grants    leaseGrants
 	lastFence currantloom.Fence
 	// tookOverAt is when this node took the failover lease over from another one; zero if it did not.
 	tookOverAt      time.Duration
@@ -93,6 +96,7 @@
 // takeOver records that this node has become the holder of the failover lease, and what earlier holders may have left
 // under way.
 func (c *coordinator) takeOver(s *State) {
+	c.replacedHolder = c.previousHolder
 	if c.previousHolder != "" && c.previousHolder != s.config.Self {
 		c.tookOverAt = s.now
 	}
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -58,6 +59,9 @@
 // reasonShutdown is the reason for ending a failover at a node that shuts down.
 const reasonShutdown = "shutdown"
 
+// reasonPromoted is the reason for ending a failover whose candidate leads.
+const reasonPromoted = "promoted"
+
 // reasonOtherPrimary is the reason for ending a failover because another node has changed the primary meanwhile.
 const reasonOtherPrimary = "another upstream leads"
 
@@ -107,8 +111,12 @@
 	paused         map[currantloom.UpstreamName]bool
 	commandPending map[currantloom.UpstreamName]bool
 	// candidate is the upstream to be promoted, basis is what makes its promotion safe.
+	// promotedLog is the end of its log.
 	candidate   currantloom.UpstreamName
 	basis       promotionBasis
+	promotedLog currantloom.LogPosition
+	// commits says which nodes may still acknowledge commits.
+	commits     commitBlock
 	fence       currantloom.StorePosition
 	promotionID uint64
 	// voidReason is why the failover leaves the primary as it is, voidedAt is when earlier requests were voided.
@@ -186,6 +194,9 @@
 		s.broadcastBlockWrites(f, false, "")
 	case stepFence:
 		f.fence = currantloom.StorePosition{}
+		if !f.commits.hasBegun() {
+			s.broadcastBlockWrites(f, true, "")
+		}
 	case stepPause:
 		f.stepDownAt = 0
 		s.pauseReplicas(f)
@@ -236,8 +247,49 @@
 		Service: f.group.name, Duration: blockWritesDuration, BlockCommits: commits, Successor: successor,
 	}
 	f.blockedAt = s.now
-	s.handleBlockWrites(message)
+	if commits {
+		s.beginCommitBlock(f)
+		message.Number = f.commits.number
+	}
+	if f.planned {
+		message.CommitTimeout = commitTimeout
+	}
+	s.handleBlockWrites(0, message)
 	s.broadcast(message)
+	for _, vm := range slices.Sorted(maps.Keys(f.commits.leases)) {
+		if m, ok := s.members.byName[vm]; ok && !m.alive {
+			s.emit(Send{VM: m.vm, Message: message})
+		}
+	}
+}
+
+// beginCommitBlock records which nodes may acknowledge commits when a change begins to block them.
+func (s *State) beginCommitBlock(f *failover) {
+	if !f.commits.hasBegun() {
+		f.commits = newCommitBlock(s.nextKey().Number, s.outstandingLeases())
+	}
+}
+
+// repeatBlockWrites asks a node that answers and may still acknowledge commits again to block them.
+func (s *State) repeatBlockWrites(m *member) {
+	for _, g := range s.catalog.sortedGroups {
+		f := s.coordinator.failovers[g.name]
+		if f == nil || !f.commits.awaits(m.vm.Name(), s.now) {
+			continue
+		}
+		s.emit(Send{VM: m.vm, Message: currantloom.BlockWrites{
+			Service: g.name, Duration: blockWritesDuration, BlockCommits: true, Successor: f.announcedCandidate(),
+			Number: f.commits.number,
+		}})
+	}
+}
+
+// announcedCandidate returns the upstream whose promotion was requested; empty if none was.
+func (f *failover) announcedCandidate() currantloom.UpstreamName {
+	if f.step == stepPromote || f.step == stepAwaitPrimary {
+		return f.candidate
+	}
+	return ""
 }
 
 // renewBlockWrites blocks writes again before the last blocking ends.
--- a/loomfleet/failoverend.go
+++ b/loomfleet/failoverend.go
@@ -29,10 +29,15 @@
 	}
 	g.writesBlockedUntil = 0
 	if !unsettled {
-		pending.announced = ""
+		pending.clearAnnounced(s.now)
 	}
 	if g.primary != "" {
-		s.broadcast(currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
+		changed := currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term}
+		if reason == reasonPromoted {
+			changed.Log = f.promotedLog
+		}
+		s.recordPromotedLog(g, changed.Term, changed.Log)
+		s.broadcast(changed)
 	}
 	if s.hasPendingPromotion(g) {
 		// It needs the replicas paused.
--- a/loomfleet/fixture_test.go
+++ b/loomfleet/fixture_test.go
@@ -38,12 +38,24 @@
 
 func (f *fixture) stamp() Stamp { return Stamp{Now: f.now, Random: 7} }
 
-// reduce applies an event and stores its effects.
+// reduce applies an event and stores its effects. The node may acknowledge commits until a change of primary blocks
+// them.
 func (f *fixture) reduce(e Event) []Effect {
+	f.state.grantUnlessBlocked(f.now)
 	f.effects = append([]Effect(nil), f.state.Reduce(e)...)
 	return f.effects
 }
 
+// grantUnlessBlocked renews the commit leases, as the holder of the failover lease does, of the services whose commits
+// were never blocked.
+func (s *State) grantUnlessBlocked(now time.Duration) {
+	for _, g := range s.catalog.sortedGroups {
+		if g.lease.blockedAt == 0 {
+			g.lease.renew(now, now, now+commitLeaseDuration)
+		}
+	}
+}
+
 // wait advances the time in ticks and stores all effects.
 func (f *fixture) wait(d time.Duration) {
 	var all []Effect
--- a/loomfleet/fleet_test.go
+++ b/loomfleet/fleet_test.go
@@ -236,6 +236,7 @@
 }
 
 func (n *fleetNode) reduce(e Event) {
+	n.state.grantUnlessBlocked(n.fleet.now)
 	for _, effect := range slices.Clone(n.state.Reduce(e)) {
 		n.apply(effect)
 	}
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -41,6 +41,13 @@
 	// open transactions are blocked as well.
 	writesBlockedUntil time.Duration
 	commitsBlocked     bool
+	// lease is the permission to acknowledge commits, held are those that wait for it. blockAnswers are the answers to
+	// requests to block commits that wait until commitsEndAt at most.
+	lease        commitLease
+	held         []*heldCommit
+	blockAnswers []blockAnswer
+	commitsEndAt time.Duration
+	leader       leaderProof
 	// successor is the upstream that is being promoted while writes are blocked; empty if it is not known yet.
 	successor currantloom.UpstreamName
 	// ackedPosition is the newest commit that this node knows to be acknowledged. The next primary must have it.
@@ -147,6 +154,7 @@
 		}
 	}
 	u.notPrimaryAt = 0
+	g.leader.observe(name, position.Term(), takenAt)
 	g.setPrimary(s, name, "proven")
 	g.primaryProvenAt = max(g.primaryProvenAt, takenAt)
 	u.observePosition(position, takenAt)
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -13,6 +13,9 @@
 	// lease's holder to the owners in a large fleet.
 	pingInterval           = 300 * time.Millisecond
 	largeFleetPingInterval = time.Second
+	// holderPingInterval is the time between two pings of an owner to the holder of the failover lease in a large fleet,
+	// whose answers renew its commit leases.
+	holderPingInterval = commitLeaseDuration / 3
 	// pingAfterSilence is how long a call may be unanswered before its VM is pinged out of turn.
 	pingAfterSilence = 200 * time.Millisecond
 	// suspectAfter is how long a ping may be unanswered before the VM gets no new work: ten round trips between regions.
@@ -46,8 +49,10 @@
 	pingNumber      uint64
 	pingSentAt      time.Duration
 	// pongPending says that the last ping has not been answered yet.
-	pongPending          bool
-	storeReachable       bool
+	pongPending    bool
+	storeReachable bool
+	// holdsCommitLease says that the holder of the failover lease lets the member acknowledge commits.
+	holdsCommitLease     bool
 	configurationVersion uint64
 	healthReports        []currantloom.UpstreamHealth
 }
@@ -92,6 +97,7 @@
 		s.log(Decision{Event: "vm", VM: name, Version: e.Position.Revision(), Outcome: "registered"})
 	}
 	if peer.incarnation != e.Incarnation {
+		s.forgetCommitLeases(name)
 		peer.shuttingDown, peer.pongPending, peer.alive, peer.suspected = false, false, false, false
 	}
 	peer.vm, peer.incarnation, peer.position = e.VM, e.Incarnation, e.Position
@@ -165,6 +171,9 @@
 			s.addOwnerTarget(targets, u, largeFleetPingInterval)
 		}
 	}
+	if _, ok := s.members.byName[s.coordinator.holder.name]; ok && len(s.owner.pools) > 0 {
+		targets[s.coordinator.holder.name] = holderPingInterval
+	}
 	for _, p := range s.owner.pools {
 		if primary := p.upstream.group.find(p.upstream.group.primary); primary != nil {
 			s.addOwnerTarget(targets, primary, pingInterval)
@@ -262,6 +271,7 @@
 		StoreReachable: !s.catalog.storeUnavailable && s.catalog.storeReachedAt > 0,
 		Upstreams:      s.owner.healthReports(s), Samples: s.owner.primarySamples(s),
 		ConfigurationVersion: s.configurationVersion(), Drains: s.drainsSeen(),
+		HoldsCommitLease: s.grant.isFresh(s.now), Announced: s.announcedPromotions(),
 	}
 	for _, g := range s.catalog.sortedGroups {
 		if !g.ackedPosition.IsZero() && (g.name == p.Service || s.owner.pools[g.primary] != nil) {
@@ -280,7 +290,7 @@
 	}
 	m.pongPending, m.heardAt, m.storeReachable, m.configurationVersion =
 		false, s.now, p.StoreReachable, p.ConfigurationVersion
-	m.healthReports = p.Upstreams
+	m.healthReports, m.holdsCommitLease = p.Upstreams, p.HoldsCommitLease
 	if p.ShuttingDown {
 		s.markMemberShuttingDown(from)
 	}
@@ -311,6 +321,11 @@
 	for _, d := range p.Drains {
 		s.recordDrain(d, m.pingSentAt)
 	}
+	for _, a := range p.Announced {
+		s.recordAnnounced(a, m.pingSentAt)
+	}
+	s.renewCommitLeases(from, p, m.pingSentAt)
+	s.repeatBlockWrites(m)
 }
 
 // recordSample records a sample of another node. Its age is subtracted from the time at which the question was sent, so
--- a/loomfleet/owner.go
+++ b/loomfleet/owner.go
@@ -328,23 +328,35 @@
 	return jobs
 }
 
-// handleBlockWrites blocks writes of a service because its primary is about to change.
-func (s *State) handleBlockWrites(m currantloom.BlockWrites) {
+// handleBlockWrites blocks writes of a service because its primary is about to change. The link is that on which the
+// message arrived; zero if it is of this node.
+func (s *State) handleBlockWrites(link LinkID, m currantloom.BlockWrites) {
 	g := s.groupOf(m.Service)
 	g.writesBlockedUntil, g.commitsBlocked, g.successor = s.now+m.Duration, m.BlockCommits, m.Successor
 	s.coordinator.promotionsOf(m.Service).recordAnnounced(s.now, m.Successor)
 	s.log(Decision{Event: "hold", Service: m.Service, Age: m.Duration, Outcome: "held"})
+	if m.BlockCommits {
+		g.lease.block(s.now)
+		g.commitsEndAt = s.now + m.CommitTimeout
+		g.blockAnswers = append(g.blockAnswers, blockAnswer{link: link, number: m.Number})
+		s.answerBlock(g)
+	}
 }
 
 // handlePrimaryChanged ends the blocking of writes and takes over the announced primary if its term is newer. An
 // announcement of an earlier term is late if another upstream is being promoted since.
-func (s *State) handlePrimaryChanged(m currantloom.PrimaryChanged) {
+func (s *State) handlePrimaryChanged(from currantloom.VMName, m currantloom.PrimaryChanged) {
 	g := s.groupOf(m.Service)
+	s.recordPromotedLog(g, m.Term, m.Log)
+	if holder, ok := s.members.byName[from]; ok {
+		// Its answer lets this node acknowledge commits again.
+		s.sendPing(holder, "")
+	}
 	if m.Term < g.term && g.successor != "" && g.successor != m.Upstream {
 		return
 	}
 	g.writesBlockedUntil = 0
-	s.coordinator.promotionsOf(m.Service).announced = ""
+	s.coordinator.promotionsOf(m.Service).clearAnnounced(s.now)
 	if m.Term > g.term || g.primary == "" {
 		g.term = max(g.term, m.Term)
 		g.setPrimary(s, m.Upstream, "announced")
--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -149,10 +149,10 @@
 	candidate, basis := s.selectCandidate(f, c)
 	switch {
 	case basis == basisSteppedDown && s.mayFindBetterCandidate(f, c):
-	case basis.isSafe() && f.reason == reasonCommitsStalled && s.awaitsStepDown(f):
+	case (basis.isSafe() || basis == basisNotBlocked) && f.reason == reasonCommitsStalled && s.awaitsStepDown(f):
 		// The primary answers, so it can be stopped before its successor is chosen for good.
 	case basis.isSafe():
-		f.candidate, f.basis = candidate.Name, basis
+		f.candidate, f.basis, f.promotedLog = candidate.Name, basis, f.proof.halts[candidate.Name].log.received
 		s.logEvidence(f)
 		s.enterStep(f, stepPromote)
 	case basis == basisLacksCommit:
--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -202,6 +202,9 @@
 	if p.isBlocked(s, j) || p.running >= p.maxRunning() {
 		return false
 	}
+	if j.provesPrimary() && !p.upstream.group.lease.mayStart(s.now) {
+		return false
+	}
 	if opensTransaction(j.call.Mode) && !p.hasConnForTransaction(s) || j.commits() && !p.mayCommit(s) {
 		return false
 	}
@@ -278,6 +281,9 @@
 	case j.opensWork() && p.upstream.isDrained(s):
 		p.queue.remove(j)
 		s.rejectJob(j, currantloom.ReasonDrained)
+	case j.conn == nil && j.needsPrimary() && j.call.Mode != currantloom.CallPrimaryRead && s.lacksCommitLease():
+		p.queue.remove(j)
+		s.rejectJob(j, currantloom.ReasonNoLease)
 	}
 }
 
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -90,7 +90,7 @@
 		s.enterStep(f, stepFence)
 		return
 	case g.primary == f.candidate && g.primaryProvenAt > f.stepStartedAt:
-		s.endFailover(f, "promoted")
+		s.endFailover(f, reasonPromoted)
 		return
 	case s.now-f.stepStartedAt > promoteTimeout:
 		s.enterStep(f, stepFence)
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -188,6 +188,8 @@
 	doubtful []currantloom.UpstreamName
 	// acceptsDoubt says that one of them counts as halted once its log has stayed as it is for haltConfirmTime.
 	acceptsDoubt bool
+	// mayAcknowledge says that a node may still acknowledge commits.
+	mayAcknowledge bool
 	// mayLackUpstreams says that upstreams may exist whose registrations are not back after an outage of the store.
 	mayLackUpstreams bool
 }
@@ -206,6 +208,7 @@
 	basisMayResume     promotionBasis = "a replica may still resume"
 	basisLongerLog     promotionBasis = "another log is longer"
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
+	basisNotBlocked    promotionBasis = "a node may still acknowledge commits"
 	basisUnregistered  promotionBasis = "registrations may be missing after an outage of the store"
 )
 
@@ -223,6 +226,8 @@
 	switch {
 	case steppedDown && hasAcked && h.log.compare(final.log) >= 0:
 		return basisSteppedDown
+	case c.mayAcknowledge:
+		return basisNotBlocked
 	case c.mayLackUpstreams:
 		return basisUnregistered
 	case len(p.missing(c)) > c.maxMissing:
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -32,6 +32,8 @@
 	// empty if it is known that no request for it can take effect any more.
 	announced   currantloom.UpstreamName
 	announcedAt time.Duration
+	// clearedAt is when that last became known.
+	clearedAt time.Duration
 }
 
 func (c *coordinator) promotionsOf(service currantloom.ServiceName) *promotions {
@@ -49,6 +51,9 @@
 	}
 }
 
+// clearAnnounced records that no request for the announced promotion can take effect any more.
+func (p *promotions) clearAnnounced(now time.Duration) { p.announced, p.clearedAt = "", now }
+
 // isUnsettled reports whether a promotion that a holder announced may still take effect although another upstream
 // leads. That holder may be gone, and this node does not know what became of its request.
 func (p *promotions) isUnsettled(now time.Duration, primary currantloom.UpstreamName) bool {
@@ -72,11 +77,11 @@
 	case currantloom.PromoteAccepted:
 		p.accepted, p.acceptedAt = p.inFlight, now
 		if p.announced != p.inFlight.upstream {
-			p.announced = ""
+			p.clearAnnounced(now)
 		}
 	case currantloom.PromoteRefused, currantloom.PromoteNotDone:
 		if p.announced == p.inFlight.upstream && !p.unanswered.fence.After(p.accepted.fence) {
-			p.announced = ""
+			p.clearAnnounced(now)
 		}
 	default:
 		p.unanswered = p.inFlight
@@ -101,14 +106,16 @@
 
 // hasPendingPromotion reports whether a promotion in the group may still take effect.
 func (s *State) hasPendingPromotion(g *group) bool {
-	return s.coordinator.promotionsOf(g.name).target(s.now, g.primary) != ""
+	p, ok := s.coordinator.promotions[g.name]
+	return ok && p.target(s.now, g.primary) != ""
 }
 
 // isUnsettled reports whether a request of another holder, or of an earlier process of this node, may still change the
 // primary of the group.
 func (s *State) isUnsettled(g *group) bool {
 	c := &s.coordinator
-	return c.record.isInherited(g.name) || c.promotionsOf(g.name).isUnsettled(s.now, g.primary)
+	p, ok := c.promotions[g.name]
+	return c.record.isInherited(g.name) || ok && p.isUnsettled(s.now, g.primary)
 }
 
 // mustVoidPromotions reports whether a failover that leaves the primary as it is must first make sure that no earlier
--- a/loomfleet/promotions_test.go
+++ b/loomfleet/promotions_test.go
@@ -118,7 +118,7 @@
 // holder has announced the promotion of another upstream, whose request may be carried out late.
 func TestUnsettledPromotion(t *testing.T) {
 	announce := func(f *fixture, g *group) {
-		f.state.handleBlockWrites(currantloom.BlockWrites{Service: g.name, Duration: time.Second, Successor: "b"})
+		f.state.handleBlockWrites(0, currantloom.BlockWrites{Service: g.name, Duration: time.Second, Successor: "b"})
 	}
 	answer := func(f *fixture, g *group, id uint64, u currantloom.UpstreamName, result currantloom.PromoteResult) {
 		p := f.state.coordinator.promotionsOf(g.name)
@@ -133,11 +133,11 @@
 		{"announced", announce, true},
 		{"nothing announced", func(*fixture, *group) {}, false},
 		{"no successor", func(f *fixture, g *group) {
-			f.state.handleBlockWrites(currantloom.BlockWrites{Service: g.name, Duration: time.Second})
+			f.state.handleBlockWrites(0, currantloom.BlockWrites{Service: g.name, Duration: time.Second})
 		}, false},
 		{"the change has ended", func(f *fixture, g *group) {
 			announce(f, g)
-			f.state.handlePrimaryChanged(currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
+			f.state.handlePrimaryChanged("", currantloom.PrimaryChanged{Service: g.name, Upstream: g.primary, Term: g.term})
 		}, false},
 		{"a later request was accepted", func(f *fixture, g *group) {
 			announce(f, g)
--- a/loomfleet/removed_test.go
+++ b/loomfleet/removed_test.go
@@ -44,7 +44,7 @@
 // assertLogCounts checks whether promotions are judged by the log of an upstream.
 func (f *fixture) assertLogCounts(u *upstream, want bool) {
 	f.Helper()
-	fo := &failover{group: u.group, oldPrimary: "a"}
+	fo := &failover{group: u.group, oldPrimary: "a", commits: newCommitBlock(1, nil)}
 	counts := false
 	for _, other := range f.state.promotionCase(fo).others {
 		counts = counts || other.Name == u.Name
@@ -102,7 +102,7 @@
 		f := newRemovalFixture(t)
 		u := f.deleteReplica()
 		f.advance(deletionGrace + 1)
-		fo := &failover{group: u.group, oldPrimary: "a"}
+		fo := &failover{group: u.group, oldPrimary: "a", commits: newCommitBlock(1, nil)}
 		fo.proof.record(u.Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 8)}})
 		b := u.group.find("b").Upstream
 		fo.proof.record(b, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
@@ -149,7 +149,7 @@
 			Upstreams: []UpstreamChange{testUpstream("d", false)},
 		})
 		g := f.state.groupOf(testService)
-		fo := &failover{group: g, oldPrimary: "a"}
+		fo := &failover{group: g, oldPrimary: "a", commits: newCommitBlock(1, nil)}
 		for _, u := range g.upstreams {
 			if u.Name != "d" && u.deletedAt == 0 {
 				fo.proof.record(u.Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -65,6 +65,7 @@
 	coordinator coordinator
 	shutdown    shutdown
 	limits      limits
+	grant       heardGrant
 }
 
 // New returns the initial state of a node.
@@ -185,7 +186,7 @@
 	case currantloom.RollbackTransaction:
 		s.handleRollback(m.Transaction)
 	case currantloom.Ping:
-		s.emit(Respond{Link: e.Link, Message: s.buildPong(m)})
+		s.handlePing(e.From, e.Link, m)
 	case currantloom.ReplicaPositions:
 		s.observePositions(m.Positions)
 	case currantloom.Pong:
@@ -195,9 +196,11 @@
 	case currantloom.ShutdownNotice:
 		s.markMemberShuttingDown(e.From)
 	case currantloom.BlockWrites:
-		s.handleBlockWrites(m)
+		s.handleBlockWrites(e.Link, m)
+	case currantloom.CommitsBlocked:
+		s.handleCommitsBlocked(e.From, m)
 	case currantloom.PrimaryChanged:
-		s.handlePrimaryChanged(m)
+		s.handlePrimaryChanged(e.From, m)
 	case currantloom.TokenRequest:
 		s.handleTokenRequest(e.From, e.Link, m)
 	case currantloom.TokenAnswer:
@@ -216,6 +219,8 @@
 	}
 	s.tickSessions()
 	s.coordinator.tick(s)
+	s.tickCommitLeases()
+	s.tickHeldCommits()
 	s.tickFailovers()
 	s.tickShutdown()
 }
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -20,7 +20,7 @@
 	f.answerPings()
 	g := f.state.groupOf(testService)
 	g.setPrimary(f.state, "a", "reported")
-	f.state.handleBlockWrites(currantloom.BlockWrites{
+	f.state.handleBlockWrites(0, currantloom.BlockWrites{
 		Service: testService, Duration: blockWritesDuration, BlockCommits: true, Successor: "b",
 	})
 	return f, g
--- a/loommesh/codec_test.go
+++ b/loommesh/codec_test.go
@@ -56,6 +56,9 @@
 			Samples:        []currantloom.PositionSample{sample},
 			AckedPositions: []currantloom.AckedPosition{{Service: "s", Position: position}},
 			Drains:         []currantloom.UpstreamDrain{{Upstream: "u", Incarnation: 1 << 40, Age: 3 * time.Second}},
+			FailoverLease:  currantloom.NewStorePosition(2, 9), Changing: []currantloom.ServiceName{"s", "t"},
+			HoldsCommitLease: true,
+			Announced:        []currantloom.AnnouncedPromotion{{Service: "s", Upstream: "u", Age: time.Second}},
 		},
 		currantloom.Pong{Number: 8},
 		currantloom.UpstreamFailed{Health: currantloom.UpstreamHealth{
@@ -64,7 +67,11 @@
 		}},
 		currantloom.ShutdownNotice{},
 		currantloom.BlockWrites{Service: "s", Duration: time.Second, BlockCommits: true, Successor: "u"},
-		currantloom.PrimaryChanged{Service: "s", Upstream: "u", Term: 4},
+		currantloom.BlockWrites{
+			Service: "s", Duration: time.Second, BlockCommits: true, CommitTimeout: time.Millisecond, Number: 1<<32 | 7,
+		},
+		currantloom.CommitsBlocked{Service: "s", Number: 1<<32 | 7, Acked: position},
+		currantloom.PrimaryChanged{Service: "s", Upstream: "u", Term: 4, Log: position},
 		currantloom.StoreItemsRequest{},
 		currantloom.StoreItems{
 			Items: []currantloom.StoreItem{{
--- a/loommesh/decode.go
+++ b/loommesh/decode.go
@@ -133,12 +133,16 @@
 	case kindBlockWrites:
 		return currantloom.BlockWrites{
 			Service: currantloom.ServiceName(d.text()), Duration: d.duration(), BlockCommits: d.flag(),
-			Successor: currantloom.UpstreamName(d.text()),
+			Successor: currantloom.UpstreamName(d.text()), CommitTimeout: d.duration(), Number: d.number(),
+		}
+	case kindCommitsBlocked:
+		return currantloom.CommitsBlocked{
+			Service: currantloom.ServiceName(d.text()), Number: d.number(), Acked: d.position(),
 		}
 	case kindPrimaryChanged:
 		return currantloom.PrimaryChanged{
 			Service: currantloom.ServiceName(d.text()), Upstream: currantloom.UpstreamName(d.text()),
-			Term: currantloom.Term(d.number()),
+			Term: currantloom.Term(d.number()), Log: d.position(),
 		}
 	case kindStoreItemsRequest:
 		return currantloom.StoreItemsRequest{}
@@ -242,15 +246,36 @@
 			Service: currantloom.ServiceName(d.text()), Position: d.position(),
 		})
 	}
-	m.Drains = d.drains()
+	if d.err == nil && !d.isAtEnd() {
+		m.Drains = d.drains()
+	}
+	if d.err == nil && !d.isAtEnd() {
+		d.pongLeases(&m)
+	}
 	return m
 }
 
-// drains reads the last field of a pong, which nodes of earlier versions do not send.
-func (d *decoder) drains() []currantloom.UpstreamDrain {
-	if d.err != nil || d.isAtEnd() {
-		return nil
+// isAtEnd reports whether all fields of the message have been read.
+func (d *decoder) isAtEnd() bool {
+	_, err := d.in.PeekCode()
+	return err != nil
+}
+
+// pongLeases reads the last fields of a pong.
+func (d *decoder) pongLeases(m *currantloom.Pong) {
+	m.FailoverLease = d.storePosition()
+	for range d.listLength() {
+		m.Changing = append(m.Changing, currantloom.ServiceName(d.text()))
 	}
+	m.HoldsCommitLease = d.flag()
+	for range d.listLength() {
+		m.Announced = append(m.Announced, currantloom.AnnouncedPromotion{
+			Service: currantloom.ServiceName(d.text()), Upstream: currantloom.UpstreamName(d.text()), Age: d.duration(),
+		})
+	}
+}
+
+func (d *decoder) drains() []currantloom.UpstreamDrain {
 	var drains []currantloom.UpstreamDrain
 	for range d.listLength() {
 		drains = append(drains, currantloom.UpstreamDrain{
@@ -260,12 +285,6 @@
 	return drains
 }
 
-// isAtEnd reports whether all fields of the message have been read.
-func (d *decoder) isAtEnd() bool {
-	_, err := d.in.PeekCode()
-	return err != nil
-}
-
 func (d *decoder) upstreamHealth() currantloom.UpstreamHealth {
 	return currantloom.UpstreamHealth{
 		Name: currantloom.UpstreamName(d.text()), Service: currantloom.ServiceName(d.text()), Reachable: d.flag(),
--- a/loommesh/encode.go
+++ b/loommesh/encode.go
@@ -31,6 +31,7 @@
 	kindReplicaPositions
 	kindStoreProofRequest
 	kindCompressed
+	kindCommitsBlocked
 )
 
 // maxMessageSize bounds an encoded message in bytes, without its length prefix.
@@ -143,11 +144,19 @@
 		e.duration(m.Duration)
 		e.flag(m.BlockCommits)
 		e.text(string(m.Successor))
+		e.duration(m.CommitTimeout)
+		e.number(m.Number)
+	case currantloom.CommitsBlocked:
+		e.number(uint64(kindCommitsBlocked))
+		e.text(string(m.Service))
+		e.number(m.Number)
+		e.position(m.Acked)
 	case currantloom.PrimaryChanged:
 		e.number(uint64(kindPrimaryChanged))
 		e.text(string(m.Service))
 		e.text(string(m.Upstream))
 		e.number(uint64(m.Term))
+		e.position(m.Log)
 	case currantloom.StoreItemsRequest:
 		e.number(uint64(kindStoreItemsRequest))
 	case currantloom.StoreItems:
@@ -279,14 +288,37 @@
 		e.text(string(a.Service))
 		e.position(a.Position)
 	}
-	e.drains(m.Drains)
+	e.pongEnd(m)
 }
 
-// drains writes the last field of a pong, which is left out if it is empty.
-func (e *encoder) drains(drains []currantloom.UpstreamDrain) {
-	if len(drains) == 0 {
+// pongEnd writes the fields of a pong that earlier versions do not have, up to the last one that is not empty.
+func (e *encoder) pongEnd(m currantloom.Pong) {
+	hasLeases := !m.FailoverLease.IsZero() || len(m.Changing) > 0 || m.HoldsCommitLease || len(m.Announced) > 0
+	if len(m.Drains) == 0 && !hasLeases {
 		return
 	}
+	e.drains(m.Drains)
+	if hasLeases {
+		e.pongLeases(m)
+	}
+}
+
+func (e *encoder) pongLeases(m currantloom.Pong) {
+	e.storePosition(m.FailoverLease)
+	e.listLength(len(m.Changing))
+	for _, name := range m.Changing {
+		e.text(string(name))
+	}
+	e.flag(m.HoldsCommitLease)
+	e.listLength(len(m.Announced))
+	for _, a := range m.Announced {
+		e.text(string(a.Service))
+		e.text(string(a.Upstream))
+		e.duration(a.Age)
+	}
+}
+
+func (e *encoder) drains(drains []currantloom.UpstreamDrain) {
 	e.listLength(len(drains))
 	for _, d := range drains {
 		e.text(string(d.Upstream))
--- a/loommodel/overlap_test.go
+++ b/loommodel/overlap_test.go
@@ -224,6 +224,30 @@
 	return d
 }
 
+// playOverlappingChanges plays the changes of a seed.
+func playOverlappingChanges(t *testing.T, seed uint64) {
+	t.Helper()
+	sim := startSimulation(t, seed, loommodel.Options{
+		Nodes: 3 + int(seed%3), Clients: 40, ThinkTime: 10 * time.Millisecond,
+	})
+	d := drawOverlappingChanges(sim, seed)
+	d.play(overlapTime)
+	sim.Heal()
+	sim.SetStoreDown(false)
+	sim.DelayPromotions(0)
+	sim.Run(overlapSettleTime)
+	assertNoViolations(t, sim)
+	assertServing(t, sim)
+	t.Logf("%d promotions: %s", sim.Stats().Promotions, strings.Join(d.played, "; "))
+}
+
+// TestReturnedPrimaryBesideIsolatedNode guards against a node that was isolated when writes were blocked, and that goes
+// on acknowledging commits of the old primary, which is back under a new id while its successor is being promoted.
+func TestReturnedPrimaryBesideIsolatedNode(t *testing.T) {
+	const foundSeed = 1260
+	playOverlappingChanges(t, foundSeed)
+}
+
 // TestOverlappingChanges guards against acknowledged commits that are lost when a primary is changed again while the
 // change before is still going on, beside failures of nodes, upstreams, the network and the store.
 func TestOverlappingChanges(t *testing.T) {
@@ -231,18 +255,7 @@
 		seed := *firstOverlapSeed + uint64(i)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			sim := startSimulation(t, seed, loommodel.Options{
-				Nodes: 3 + int(seed%3), Clients: 40, ThinkTime: 10 * time.Millisecond,
-			})
-			d := drawOverlappingChanges(sim, seed)
-			d.play(overlapTime)
-			sim.Heal()
-			sim.SetStoreDown(false)
-			sim.DelayPromotions(0)
-			sim.Run(overlapSettleTime)
-			assertNoViolations(t, sim)
-			assertServing(t, sim)
-			t.Logf("%d promotions: %s", sim.Stats().Promotions, strings.Join(d.played, "; "))
+			playOverlappingChanges(t, seed)
 		})
 	}
 }
--- /dev/null
+++ b/loommodel/startreplica.go
@@ -0,0 +1,23 @@
+package loommodel
+
+import (
+	"fmt"
+	"slices"
+)
+
+// StartReplica starts another replica of a service, as a release of its servers does, with the log that an existing
+// upstream has, and returns its name. No cut applies to it.
+func (sim *Simulation) StartReplica(service int, like string) string {
+	source := sim.upstream(like)
+	svc := source.service
+	u := &upstream{
+		sim: sim, name: fmt.Sprintf("u-%d%c", service+1, 'a'+len(svc.upstreams)), location: source.location, service: svc,
+		incarnation: 1, slots: source.slots, maxConnections: source.maxConnections,
+		conns: make(map[connKey]*upstreamConn), pendingConns: make(map[connKey]bool),
+		term: source.term, log: slices.Clone(source.log), applied: source.applied,
+	}
+	svc.upstreams = append(svc.upstreams, u)
+	sim.upstreams = append(sim.upstreams, u)
+	u.restart()
+	return u.name
+}
--- a/message.go
+++ b/message.go
@@ -139,13 +139,16 @@
 	// ReasonSetupRefused means that the upstream refused a setting or the prepared statement of the call; the reply says
 	// why. The command was not run.
 	ReasonSetupRefused
+	// ReasonNoLease means that the owner may not acknowledge commits, because it does not reach the holder of the
+	// failover lease.
+	ReasonNoLease
 )
 
 // String returns the name that logs use.
 func (r CallFailureReason) String() string {
 	names := [...]string{
 		"replied", "queue", "unreachable", "unknown_upstream", "leaving", "no_transaction", "lost", "silent", "link",
-		"refused", "held", "no_sample", "cancelled", "drained", "setup_refused",
+		"refused", "held", "no_sample", "cancelled", "drained", "setup_refused", "no_lease",
 	}
 	if int(r) < len(names) {
 		return names[r]
@@ -215,6 +218,23 @@
 	AckedPositions       []AckedPosition
 	// Drains are the upstreams that drain now and that the node has seen begin to.
 	Drains []UpstreamDrain
+	// FailoverLease is the position of the failover lease's key if the node holds the lease and may act; zero otherwise.
+	// The asker may then acknowledge commits for a while, except those of the services in Changing, whose primary may be
+	// about to change.
+	FailoverLease StorePosition
+	Changing      []ServiceName
+	// HoldsCommitLease says that the holder of the failover lease lets the node acknowledge commits.
+	HoldsCommitLease bool
+	// Announced are the promotions that the node has heard announced and that may not have taken effect.
+	Announced []AnnouncedPromotion
+}
+
+// AnnouncedPromotion is a promotion that a holder of the failover lease has announced.
+type AnnouncedPromotion struct {
+	Service  ServiceName
+	Upstream UpstreamName
+	// Age is the time from the announcement to building the message.
+	Age time.Duration
 }
 
 // UpstreamFailed is an unsolicited message to the holder of the failover lease: the sender can no longer reach a
@@ -228,18 +248,32 @@
 type BlockWrites struct {
 	Service  ServiceName
 	Duration time.Duration
-	// BlockCommits blocks open transactions as well.
-	BlockCommits bool
+	// BlockCommits blocks open transactions as well. The receiver then answers with CommitsBlocked, once it acknowledges
+	// no commit any more. Those that run may be answered for CommitTimeout before. Number identifies the change.
+	BlockCommits  bool
+	CommitTimeout time.Duration
+	Number        uint64
 	// Successor is the upstream that is being promoted: once it leads, the blocking ends. Any other one that leads is
 	// blocked until the duration has passed or PrimaryChanged arrives. Empty if there is none yet.
 	Successor UpstreamName
 }
 
+// CommitsBlocked answers BlockWrites: the sender acknowledges no commit of the service until the holder of the failover
+// lease lets it again.
+type CommitsBlocked struct {
+	Service ServiceName
+	Number  uint64
+	// Acked is the newest commit that the sender has seen acknowledged.
+	Acked LogPosition
+}
+
 // PrimaryChanged announces a service's new primary.
 type PrimaryChanged struct {
 	Service  ServiceName
 	Upstream UpstreamName
 	Term     Term
+	// Log is the end of the log with which the upstream was promoted; zero if it was not.
+	Log LogPosition
 }
 
 // StoreItemsRequest asks a node for its copy of the platform's store.
@@ -347,6 +381,7 @@
 func (UpstreamFailed) message()      {}
 func (ShutdownNotice) message()      {}
 func (BlockWrites) message()         {}
+func (CommitsBlocked) message()      {}
 func (PrimaryChanged) message()      {}
 func (StoreItemsRequest) message()   {}
 func (StoreItems) message()          {}
