A request that is to leave the primary as it is names only a proven one

Cause, from the log of seed 172: the server that was promoted for term 2 drains and steps down as asked. The old primary of term 1 is cut off from the store and is still registered as primary, so the group believes that it leads. The failover ends because "another upstream leads", and a request that is to void earlier ones names the believed primary. That is a promotion as well, and the server lacks the commits of term 2.

Change: the request names an upstream only once it has answered that it leads, in the newest term that any upstream has reported, and no node acknowledges commits. If it does not within the time of a step, the failover starts over and promotes by the usual evidence. A registration does not make an upstream the believed primary if another one has led a newer term since it was proven to lead; a proof does.

Ruled out: the commit lease as the cause. Nothing was acknowledged after the order; the lost commits had been acknowledged before, under the server that was replaced.

TestVoidNamesProvenPrimary and TestReplacedPrimaryIsNotBelieved fail on the earlier code. loomfleet and loommodel pass.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -70,6 +70,8 @@
 	graceRestarted bool
 	// notPrimaryAt is when the upstream last refused to act as primary.
 	notPrimaryAt time.Duration
+	// ledTerm is the newest term in which the upstream was proven to lead; zero if it was not.
+	ledTerm currantloom.Term
 	// avoidOwnerUntil holds the VMs that could not reach the upstream, each with the time until which it is not chosen
 	// as owner.
 	avoidOwnerUntil map[currantloom.VMName]time.Duration
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -102,7 +102,7 @@
 // acceptHint makes the upstream the believed primary because its registration says so. A wrong hint costs one refused
 // attempt.
 func (g *group) acceptHint(s *State, u *upstream) {
-	if g.primary == u.Name || u.notPrimaryAt > 0 && s.now-u.notPrimaryAt < notPrimaryTTL {
+	if g.primary == u.Name || u.wasReplaced() || u.notPrimaryAt > 0 && s.now-u.notPrimaryAt < notPrimaryTTL {
 		return
 	}
 	g.setPrimary(s, u.Name, "reported")
@@ -112,7 +112,7 @@
 func (g *group) hintedPrimary(s *State) *upstream {
 	var newest *upstream
 	for _, u := range g.upstreams {
-		if !u.Primary || !u.isUsable(s) || u.notPrimaryAt > 0 && s.now-u.notPrimaryAt < notPrimaryTTL {
+		if !u.Primary || !u.isUsable(s) || u.wasReplaced() || u.notPrimaryAt > 0 && s.now-u.notPrimaryAt < notPrimaryTTL {
 			continue
 		}
 		if newest == nil || u.storePosition.After(newest.storePosition) {
@@ -122,6 +122,10 @@
 	return newest
 }
 
+// wasReplaced reports whether another upstream has led a newer term since this one was proven to lead. If it leads
+// again, a proof shows it; its registration may be from before.
+func (u *upstream) wasReplaced() bool { return u.ledTerm > 0 && u.ledTerm < u.group.term }
+
 func (g *group) setPrimary(s *State, name currantloom.UpstreamName, reason string) {
 	if g.primary == name {
 		return
@@ -153,7 +157,7 @@
 			g.writesBlockedUntil = 0
 		}
 	}
-	u.notPrimaryAt = 0
+	u.notPrimaryAt, u.ledTerm = 0, position.Term()
 	g.leader.observe(name, position.Term(), takenAt)
 	g.setPrimary(s, name, "proven")
 	g.primaryProvenAt = max(g.primaryProvenAt, takenAt)
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -147,6 +147,11 @@
 	return h, ok && h.incarnation == u.Incarnation
 }
 
+// leads reports whether the upstream was seen to lead the newest term that any upstream has reported.
+func (p *promotionProof) leads(name currantloom.UpstreamName) bool {
+	return name != "" && p.leader == name && p.leaderTerm >= p.newest
+}
+
 // hasLed reports whether the upstream was the last one that was seen to act as primary.
 func (p *promotionProof) hasLed(u currantloom.Upstream) bool {
 	return p.leader == u.Name && u.Name != ""
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -135,7 +135,9 @@
 }
 
 // voidPromotions ends a failover that leaves the primary as it is with a request to promote that same primary. The
-// platform changes nothing for it, but refuses all earlier requests from then on.
+// platform changes nothing for it, but refuses all earlier requests from then on. If the upstream does not lead, the
+// request is a promotion like any other, so it is made only once the upstream has been seen to lead the newest term
+// and no node acknowledges commits.
 func (s *State) voidPromotions(f *failover, reason string) {
 	f.voidReason, f.voidedAt = reason, 0
 	f.oldPrimary = f.group.primary
@@ -143,7 +145,19 @@
 	s.broadcastBlockWrites(f, true, "")
 	s.pauseReplicas(f)
 	f.candidate, f.basis = f.group.primary, basisUnchanged
-	s.requestPromotion(f)
+	s.requestVoid(f)
+}
+
+// requestVoid requests the promotion of the primary that stays once that is safe, and asks the upstream whether it
+// leads until then.
+func (s *State) requestVoid(f *failover) {
+	if f.proof.leads(f.candidate) && f.commits.isComplete(s.now) {
+		s.requestPromotion(f)
+		return
+	}
+	if u := f.group.find(f.candidate); u != nil {
+		s.sendReplicationCommand(f, u, currantloom.Command{Kind: currantloom.CommandReplicationStatus})
+	}
 }
 
 func (s *State) handleVoidResult(f *failover, result currantloom.PromoteResult) {
@@ -160,13 +174,16 @@
 
 // tickVoid ends the failover once no earlier request can take effect. One that has been carried out just before may
 // make its upstream the primary meanwhile, and the request that voids it then makes the old one the primary again:
-// writes stay blocked until both must have shown. If the primary is lost for longer, the failover starts over.
+// writes stay blocked until both must have shown. If the primary is lost for longer, or does not prove to lead, the
+// failover starts over.
 func (s *State) tickVoid(f *failover) {
 	g := f.group
 	s.renewBlockWrites(f, "")
 	switch {
+	case f.voidedAt == 0 && s.now-f.stepStartedAt > stepTimeout && !f.proof.leads(f.candidate):
+		s.enterStep(f, stepFence)
 	case f.voidedAt == 0 && s.coordinator.promotionsOf(g.name).inFlight.id == 0:
-		s.requestPromotion(f)
+		s.requestVoid(f)
 	case f.voidedAt == 0 || s.now-f.voidedAt <= voidSettleTime:
 	case g.primary == "":
 		s.enterStep(f, stepFence)
--- a/loomfleet/promotions_test.go
+++ b/loomfleet/promotions_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// reportPrimary has an upstream answer a failover that it leads a term.
+func (f *fixture) reportPrimary(fo *failover, name currantloom.UpstreamName, term currantloom.Term) {
+	status := currantloom.ReplicationStatus{Primary: true, Term: term, Received: currantloom.NewLogPosition(term, 7)}
+	f.state.recordStatus(fo, f.state.catalog.upstreams[name],
+		currantloom.Command{Kind: currantloom.CommandReplicationStatus}, currantloom.Reply{ReplicationStatus: &status}, f.now)
+}
+
 // TestVoidPromotions guards against replicas that resume while a request without an answer may still take effect: the
 // failover that leaves the primary as it is must first make the platform refuse that request.
 func TestVoidPromotions(t *testing.T) {
@@ -68,6 +75,7 @@
 	fo.candidate = "b"
 	f.state.enterStep(fo, stepPromote)
 	f.reduce(PromoteAnswered{Stamp: f.stamp(), Service: testService, PromotionID: fo.promotionID})
+	f.reportPrimary(fo, "a", 1)
 	f.state.effects = nil
 	f.state.endFailover(fo, "a replica does not report")
 	f.effects = append([]Effect(nil), f.state.effects...)
@@ -88,6 +96,70 @@
 	}
 }
 
+// TestVoidNamesProvenPrimary guards against a request that is to leave the primary as it is and names an upstream that
+// another one has replaced: its promotion loses what was acknowledged since.
+func TestVoidNamesProvenPrimary(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		proof func(f *fixture, fo *failover)
+		want  bool
+	}{
+		{"it leads the newest term", func(f *fixture, fo *failover) { f.reportPrimary(fo, "a", 3) }, true},
+		{"it does not answer", func(*fixture, *failover) {}, false},
+		{"another one led a newer term", func(f *fixture, fo *failover) {
+			f.reportPrimary(fo, "b", 3)
+			f.reportPrimary(fo, "a", 2)
+		}, false},
+		{"a replica has received from a newer one", func(f *fixture, fo *failover) {
+			f.reportPrimary(fo, "a", 2)
+			fo.proof.restart(3)
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.now = time.Second
+			f.configure(currantloom.ReadLatest)
+			f.holdLease()
+			g := f.state.groupOf(testService)
+			g.setPrimary(f.state, "a", "reported")
+			f.state.startFailover(g, reasonCommitsStalled, false)
+			fo := f.state.coordinator.failovers[testService]
+			c.proof(f, fo)
+			g.primary = "a"
+			f.state.effects = nil
+			f.state.voidPromotions(fo, "no candidate")
+			f.effects = append([]Effect(nil), f.state.effects...)
+			if got := len(effectsOf[Promote](f)) > 0; got != c.want {
+				t.Errorf("requested %t, want %t", got, c.want)
+			}
+			f.state.now += stepTimeout + 1
+			f.state.tickVoid(fo)
+			if startedOver := fo.step == stepFence; startedOver == c.want {
+				t.Errorf("step %s after %s", fo.step, stepTimeout)
+			}
+		})
+	}
+}
+
+// TestReplacedPrimaryIsNotBelieved guards against the registration of a primary that was replaced, and that cannot
+// report so, which makes it the believed primary once its successor steps down.
+func TestReplacedPrimaryIsNotBelieved(t *testing.T) {
+	f := newFixture(t)
+	f.now = time.Second
+	f.configure(currantloom.ReadLatest)
+	g := f.state.groupOf(testService)
+	g.recordPrimary(f.state, "a", currantloom.NewLogPosition(1, 7), f.now)
+	g.recordPrimary(f.state, "b", currantloom.NewLogPosition(2, 8), f.now+1)
+	g.recordNotPrimary(f.state, "b")
+	if g.primary != "" {
+		t.Errorf("%s is believed to lead, want none", g.primary)
+	}
+	g.recordPrimary(f.state, "a", currantloom.NewLogPosition(3, 9), f.now+2)
+	if g.primary != "a" {
+		t.Errorf("%q is believed to lead term 3, want a", g.primary)
+	}
+}
+
 // TestVoidWaitsForEarlierPromotion guards against writes that are let go at an upstream which an earlier request has
 // just promoted: the request that was to void it takes effect a moment later, and makes the old primary lead again.
 func TestVoidWaitsForEarlierPromotion(t *testing.T) {
@@ -98,7 +170,11 @@
 	g := f.state.groupOf(testService)
 	f.state.startFailover(g, reasonCommitsStalled, false)
 	fo := f.state.coordinator.failovers[testService]
+	f.reportPrimary(fo, "a", 1)
 	f.state.voidPromotions(fo, "no candidate")
+	if fo.promotionID == 0 {
+		t.Fatal("nothing was requested")
+	}
 	f.reduce(PromoteAnswered{
 		Stamp: f.stamp(), Service: testService, PromotionID: fo.promotionID, Result: currantloom.PromoteAccepted,
 	})
