--- a/loomfleet/attempt.go
+++ b/loomfleet/attempt.go
@@ -75,6 +75,9 @@
 		s.finishLostTransaction(r, result)
 	case r.hasLostConns():
 		s.finishLostConns(r)
+	case result.Reason == currantloom.ReasonNoLease && s.lacksCommitLease():
+		// A retry reaches another node.
+		s.giveUp(r, 0)
 	case result.Reason == currantloom.ReasonSetupRefused && !result.Reply.Code.IsNotRun():
 		s.finishRefusedSetup(r, result)
 	case result.Reason == currantloom.ReasonQueueWait && !s.hasAlternative(r) && !s.awaitsReplica(r):
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -220,18 +220,26 @@
 	if !s.catalog.storeUnavailable {
 		return false
 	}
-	answering, silent := 0, 0
 	for _, m := range s.members.sorted {
-		switch {
-		case m.alive && m.storeReachable:
+		if m.alive && m.storeReachable {
 			return false
+		}
+	}
+	answering, silent := s.countAnswering()
+	return silent == 0 || answering > silent
+}
+
+// countAnswering counts the other VMs that answer, and those that do not although they have not left.
+func (s *State) countAnswering() (answering, silent int) {
+	for _, m := range s.members.sorted {
+		switch {
 		case m.alive:
 			answering++
 		case m.suspected && !s.hasLeft(m):
 			silent++
 		}
 	}
-	return silent == 0 || answering > silent
+	return answering, silent
 }
 
 // changes returns the services whose primary a request of this holder or of an earlier one may change, sorted.
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -22,6 +22,8 @@
 	// position is that of the failover lease's key, askedAt is when the holder was asked.
 	position currantloom.StorePosition
 	askedAt  time.Duration
+	// logged says that the log names this node as one that may acknowledge commits.
+	logged bool
 }
 
 // isFresh reports whether the holder of the failover lease lets this node acknowledge commits.
@@ -63,17 +65,22 @@
 	})
 }
 
-// handlePing answers a ping. The answer of the holder of the failover lease lets a registered VM acknowledge commits.
+// handlePing answers a ping. The answer of the holder of the failover lease lets a VM acknowledge commits.
 func (s *State) handlePing(from currantloom.VMName, link LinkID, p currantloom.Ping) {
 	pong := s.buildPong(p)
-	m, known := s.members.byName[from]
-	if c := &s.coordinator; known && m.deletedAt == 0 && s.mayGrantCommitLeases() {
+	if c := &s.coordinator; s.isKnownToLive(from) && s.mayGrantCommitLeases() {
 		pong.FailoverLease, pong.Changing = c.leaseKey.position, s.changingServices()
 		c.grants.record(from, s.now)
 	}
 	s.emit(Respond{Link: link, Message: pong})
 }
 
+// isKnownToLive reports whether a VM is registered, or shuts down and answers: its open transactions may still commit.
+func (s *State) isKnownToLive(vm currantloom.VMName) bool {
+	m, ok := s.members.byName[vm]
+	return ok && (m.deletedAt == 0 || m.alive && m.shuttingDown)
+}
+
 func (l *leaseGrants) record(vm currantloom.VMName, now time.Duration) {
 	if l.givenAt == nil {
 		l.givenAt = make(map[currantloom.VMName]time.Duration)
@@ -130,7 +137,7 @@
 	if p.FailoverLease.IsZero() || replaced || s.grant.position.After(p.FailoverLease) {
 		return
 	}
-	s.grant = heardGrant{position: p.FailoverLease, askedAt: max(s.grant.askedAt, askedAt)}
+	s.grant.position, s.grant.askedAt = p.FailoverLease, max(s.grant.askedAt, askedAt)
 	for _, g := range s.catalog.sortedGroups {
 		if _, changing := slices.BinarySearch(p.Changing, g.name); !changing {
 			s.renewCommitLease(g, askedAt, askedAt+commitLeaseDuration)
@@ -158,13 +165,14 @@
 // store is down for all and no node hears of a holder, so that nobody can change a primary. Those of the holder end
 // with the failover lease, so that the next holder need not wait for a dead one.
 func (s *State) tickCommitLeases() {
+	s.logGrant()
 	c, until := &s.coordinator, s.now+commitLeaseDuration
 	switch {
 	case s.mayGrantCommitLeases():
 		if c.leaseKey.isHeld(s.now) {
 			until = min(until, c.leaseKey.validUntil)
 		}
-		s.grant = heardGrant{position: c.leaseKey.position, askedAt: s.now}
+		s.grant.position, s.grant.askedAt = c.leaseKey.position, s.now
 	case !s.isLeaderless():
 		return
 	}
@@ -175,6 +183,23 @@
 	}
 }
 
+// logGrant logs when this node loses the permission to acknowledge commits, or has it again.
+func (s *State) logGrant() {
+	fresh := s.grant.isFresh(s.now)
+	if fresh == s.grant.logged {
+		return
+	}
+	s.grant.logged = fresh
+	outcome := "lapsed"
+	if fresh {
+		outcome = "held"
+	}
+	s.log(Decision{
+		Event: "lease", VM: s.coordinator.holder.name, Version: s.grant.position.Revision(), Age: s.now - s.grant.askedAt,
+		Outcome: outcome,
+	})
+}
+
 // isLeaderless reports whether no node can act as the holder of the failover lease: the store is unavailable to this
 // node and to all that answer, most nodes answer, and none of them has heard of a holder lately.
 func (s *State) isLeaderless() bool {
@@ -183,13 +208,25 @@
 	return !heardHolder && s.isStoreDownForAll() && s.runningTimeSince(0) > failoverLeaseTTL
 }
 
-// lacksCommitLease reports whether this node alone does not reach the holder of the failover lease: others do, and the
-// holder has not just changed.
+// lacksCommitLease reports whether commits that wait at this node are better refused: it does not reach the holder of
+// the failover lease and is cut off from most nodes, or others reach the holder and it has not just changed.
 func (s *State) lacksCommitLease() bool {
-	if s.now-max(s.grant.askedAt, s.catalog.storeFirstReachedAt) < failoverLeaseTTL+commitLeaseDuration {
+	lapsedFor := s.now - max(s.grant.askedAt, s.catalog.storeFirstReachedAt) - commitLeaseDuration
+	switch {
+	case lapsedFor < 0:
 		return false
+	case lapsedFor < failoverLeaseTTL:
+		return s.isInMinority()
 	}
-	return slices.ContainsFunc(s.members.sorted, func(m *member) bool { return m.alive && m.holdsCommitLease })
+	return s.isInMinority() || slices.ContainsFunc(s.members.sorted, func(m *member) bool {
+		return m.alive && m.holdsCommitLease
+	})
+}
+
+// isInMinority reports whether most of the other nodes do not answer.
+func (s *State) isInMinority() bool {
+	answering, silent := s.countAnswering()
+	return silent > answering+1
 }
 
 // recordAnnounced records a promotion that another node has heard announced, unless this node has heard of a later one.
