Nodes ask the store whether it answers when no holder of the failover lease does

Without a lease they wait until the nodes know that nobody can change a primary, and the watch notices a silent store only after its wait and a timeout, 3.5 s.

Change: a node whose holder has been silent for 0.7 s asks the store for the failover lease, once a second for 4 s at most. No answer counts like a failed watch. The leases that nodes give themselves while the store is down for all last 0.5 s in place of 1.2 s, so that they have run out before the next holder counts on it.

--- a/loomfleet/effect.go
+++ b/loomfleet/effect.go
@@ -71,6 +71,8 @@
 		Call  CallID
 		Lease currantloom.StoreLease
 	}
+	// ProbeStore asks the store for the failover lease. StoreWatchFailed reports that it does not answer.
+	ProbeStore struct{}
 	// FetchConfiguration asks a VM that reports a newer configuration for its copy. CatalogChanged reports the result.
 	FetchConfiguration struct{ VM currantloom.VM }
 	// Promote asks the platform to make an upstream the primary.
@@ -155,5 +157,6 @@
 func (StoreGrantLease) effect()    {}
 func (StoreRenewLease) effect()    {}
 func (FetchConfiguration) effect() {}
+func (ProbeStore) effect()         {}
 func (Promote) effect()            {}
 func (Decision) effect()           {}
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -11,6 +11,16 @@
 // commitTimeout is how long commits that run when a planned change blocks them may still be answered.
 const commitTimeout = 200 * time.Millisecond
 
+const (
+	// leaderlessLeaseDuration is the time to live of the leases that nodes give themselves. It is shorter than that of
+	// others by the time after which they hear of a new holder.
+	leaderlessLeaseDuration = commitLeaseDuration - suspectAfter
+	// storeProbeInterval is the time between two calls to the store while no holder of the failover lease answers, for
+	// maxProbedSilence at most.
+	storeProbeInterval = time.Second
+	maxProbedSilence   = 4 * time.Second
+)
+
 // leaseGrants is what the holder of the failover lease knows of the commit leases that it has given.
 type leaseGrants struct {
 	// givenAt is when each VM was last given one.
@@ -22,6 +32,8 @@
 	// position is that of the failover lease's key, askedAt is when the holder was asked.
 	position currantloom.StorePosition
 	askedAt  time.Duration
+	// probedAt is when this node last asked the store because no holder answered.
+	probedAt time.Duration
 	// logged says that the log names this node as one that may acknowledge commits.
 	logged bool
 }
@@ -166,6 +178,7 @@
 // with the failover lease, so that the next holder need not wait for a dead one.
 func (s *State) tickCommitLeases() {
 	s.logGrant()
+	s.probeStoreIfSilent()
 	c, until := &s.coordinator, s.now+commitLeaseDuration
 	switch {
 	case s.mayGrantCommitLeases():
@@ -173,7 +186,9 @@
 			until = min(until, c.leaseKey.validUntil)
 		}
 		s.grant.position, s.grant.askedAt = c.leaseKey.position, s.now
-	case !s.isLeaderless():
+	case s.isLeaderless():
+		until = s.now + leaderlessLeaseDuration
+	default:
 		return
 	}
 	for _, g := range s.catalog.sortedGroups {
@@ -183,6 +198,17 @@
 	}
 }
 
+// probeStoreIfSilent asks the store whether it answers once the holder of the failover lease does not: the watch
+// notices an outage only when its wait is over.
+func (s *State) probeStoreIfSilent() {
+	silentFor := s.now - s.grant.askedAt
+	isSilent := s.grant.askedAt > 0 && silentFor > suspectAfter && silentFor < maxProbedSilence
+	if isSilent && !s.catalog.storeUnavailable && s.now-s.grant.probedAt >= storeProbeInterval {
+		s.grant.probedAt = s.now
+		s.emit(ProbeStore{})
+	}
+}
+
 // logGrant logs when this node loses the permission to acknowledge commits, or has it again.
 func (s *State) logGrant() {
 	fresh := s.grant.isFresh(s.now)
--- a/loomhost/effect.go
+++ b/loomhost/effect.go
@@ -67,6 +67,8 @@
 		n.callStore(e.Call, func(ctx context.Context, _ *loomfleet.StoreAnswered) error {
 			return n.config.Store.Renew(ctx, e.Lease)
 		})
+	case loomfleet.ProbeStore:
+		n.tasks.Go(n.probeStore)
 	case loomfleet.FetchConfiguration:
 		n.tasks.Go(func() { n.storeCache.fetchConfiguration(e.VM) })
 	case loomfleet.Promote:
@@ -97,6 +99,14 @@
 	})
 }
 
+// probeStore asks the store for the failover lease, and reports the store as unavailable if it does not answer.
+func (n *Node) probeStore() {
+	_, _, err := n.config.Store.Range(n.runCtx, failoverLeaseKey)
+	if err != nil && n.runCtx.Err() == nil {
+		n.submit(loomfleet.StoreWatchFailed{Stamp: n.stamp(), Reason: err.Error()})
+	}
+}
+
 // reportUnknownEra logs and counts an answer or a push whose era is unknown or has passed, and which is therefore not
 // used.
 func (n *Node) reportUnknownEra(err error) {
--- a/loommodel/scenario_test.go
+++ b/loommodel/scenario_test.go
@@ -199,6 +199,18 @@
 	}
 }
 
+// TestCommitsWithoutHolder guards against commits that wait for the whole outage of the store because the holder of the
+// failover lease dies in it: no node can change the primary then.
+func TestCommitsWithoutHolder(t *testing.T) {
+	gap := longestCommitGap(t, 1, func(sim *loommodel.Simulation) {
+		sim.SetStoreDown(true)
+		sim.Kill(sim.FailoverLeaseHolder(), 20*time.Second)
+	})
+	if gap > maxFailoverTime {
+		t.Errorf("no commit for %s, want at most %s", gap, maxFailoverTime)
+	}
+}
+
 // longestCommitGap returns the longest time without a commit after the cause.
 func longestCommitGap(t *testing.T, seed uint64, cause func(*loommodel.Simulation)) time.Duration {
 	t.Helper()
--- a/loommodel/store.go
+++ b/loommodel/store.go
@@ -300,6 +300,10 @@
 // call performs a node's store call. A call to an unreachable store, and one in 200 of the others, gets no reply. A
 // call of an earlier era is carried out like any other, because the store does not know the era of a call.
 func (s *store) call(n *node, e loomfleet.Effect) {
+	if _, ok := e.(loomfleet.ProbeStore); ok {
+		s.probe(n)
+		return
+	}
 	id, era, operation := s.operationOf(n, e)
 	if operation == nil {
 		return
@@ -330,6 +334,16 @@
 	})
 }
 
+// probe tells a node that the store is unavailable, if it does not reach the store.
+func (s *store) probe(n *node) {
+	if s.reachable(n) {
+		return
+	}
+	n.deliver(storeTimeout, func() loomfleet.Event {
+		return loomfleet.StoreWatchFailed{Stamp: n.stamp(), Reason: "no answer to a probe"}
+	})
+}
+
 // operationOf returns the id and the era of a store call and the operation that performs it; nil if the effect is no
 // store call.
 func (s *store) operationOf(
