Split the files of the commit lease by side and concept

Code was moved, none changed; the tests of loomfleet that name leases, commits, promotions and voids pass.

--- a/loomfleet/commitblock.go
+++ b/loomfleet/commitblock.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -42,3 +43,48 @@
 	}
 	return true
 }
+
+// blockAnswer is an answer to BlockWrites that waits until this node acknowledges no commit.
+type blockAnswer struct {
+	link   LinkID
+	number uint64
+}
+
+// answerBlock ends the commit lease of a group whose commits are blocked once none runs or the time for that is over,
+// and confirms that to the holder of the failover lease.
+func (s *State) answerBlock(g *group) {
+	if len(g.blockAnswers) == 0 || s.now < g.commitsEndAt && g.lease.isHeld(s.now) && s.hasRunningCommits(g) {
+		return
+	}
+	g.lease.revoke()
+	for _, a := range g.blockAnswers {
+		m := currantloom.CommitsBlocked{Service: g.name, Number: a.number, Acked: g.ackedPosition}
+		if a.link == 0 {
+			s.handleCommitsBlocked(s.config.Self, m)
+		} else {
+			s.emit(Respond{Link: a.link, Message: m})
+		}
+	}
+	g.blockAnswers = nil
+}
+
+// hasRunningCommits reports whether commits of the group run that may be acknowledged under the lease.
+func (s *State) hasRunningCommits(g *group) bool {
+	return slices.ContainsFunc(g.upstreams, func(u *upstream) bool {
+		p, ok := s.owner.pools[u.Name]
+		return ok && slices.ContainsFunc(p.conns, func(cn *conn) bool {
+			j := cn.job
+			return j != nil && j.sent && j.provesPrimary() && g.lease.covers(s.now, j.startedAt)
+		})
+	})
+}
+
+// handleCommitsBlocked records that a node acknowledges no commit of a service any more.
+func (s *State) handleCommitsBlocked(from currantloom.VMName, m currantloom.CommitsBlocked) {
+	if g, ok := s.catalog.groups[m.Service]; ok {
+		g.recordAcked(m.Acked)
+	}
+	if f := s.coordinator.failovers[m.Service]; f != nil && f.commits.number == m.Number {
+		f.commits.confirm(from)
+	}
+}
--- a/loomfleet/heldcommits.go
+++ b/loomfleet/heldcommits.go
@@ -21,12 +21,6 @@
 	inLog bool
 }
 
-// blockAnswer is an answer to BlockWrites that waits until this node acknowledges no commit.
-type blockAnswer struct {
-	link   LinkID
-	number uint64
-}
-
 // leaderProof is the newest proof of who leads: the upstream acted as primary of the term after the given time.
 type leaderProof struct {
 	upstream currantloom.UpstreamName
@@ -136,42 +130,3 @@
 		s.answerBlock(g)
 	}
 }
-
-// answerBlock ends the commit lease of a group whose commits are blocked once none runs or the time for that is over,
-// and confirms that to the holder of the failover lease.
-func (s *State) answerBlock(g *group) {
-	if len(g.blockAnswers) == 0 || s.now < g.commitsEndAt && g.lease.isHeld(s.now) && s.hasRunningCommits(g) {
-		return
-	}
-	g.lease.revoke()
-	for _, a := range g.blockAnswers {
-		m := currantloom.CommitsBlocked{Service: g.name, Number: a.number, Acked: g.ackedPosition}
-		if a.link == 0 {
-			s.handleCommitsBlocked(s.config.Self, m)
-		} else {
-			s.emit(Respond{Link: a.link, Message: m})
-		}
-	}
-	g.blockAnswers = nil
-}
-
-// hasRunningCommits reports whether commits of the group run that may be acknowledged under the lease.
-func (s *State) hasRunningCommits(g *group) bool {
-	return slices.ContainsFunc(g.upstreams, func(u *upstream) bool {
-		p, ok := s.owner.pools[u.Name]
-		return ok && slices.ContainsFunc(p.conns, func(cn *conn) bool {
-			j := cn.job
-			return j != nil && j.sent && j.provesPrimary() && g.lease.covers(s.now, j.startedAt)
-		})
-	})
-}
-
-// handleCommitsBlocked records that a node acknowledges no commit of a service any more.
-func (s *State) handleCommitsBlocked(from currantloom.VMName, m currantloom.CommitsBlocked) {
-	if g, ok := s.catalog.groups[m.Service]; ok {
-		g.recordAcked(m.Acked)
-	}
-	if f := s.coordinator.failovers[m.Service]; f != nil && f.commits.number == m.Number {
-		f.commits.confirm(from)
-	}
-}
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -1,6 +1,8 @@
 package loomfleet
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -60,6 +62,28 @@
 	return p.announced != "" && p.announced != primary && now-p.announcedAt < lateRequestTime
 }
 
+// recordAnnounced records a promotion that another node has heard announced, unless this node has heard of a later one.
+func (s *State) recordAnnounced(a currantloom.AnnouncedPromotion, askedAt time.Duration) {
+	p := s.coordinator.promotionsOf(a.Service)
+	if at := max(askedAt-a.Age, 1); p.announced == "" && at > p.clearedAt {
+		p.announced, p.announcedAt = a.Upstream, at
+	}
+}
+
+// announcedPromotions returns the promotions that this node has heard announced and that may not have taken effect.
+func (s *State) announcedPromotions() []currantloom.AnnouncedPromotion {
+	var announced []currantloom.AnnouncedPromotion
+	for _, name := range slices.Sorted(maps.Keys(s.coordinator.promotions)) {
+		g, ok := s.catalog.groups[name]
+		if p := s.coordinator.promotions[name]; ok && p.isUnsettled(s.now, g.primary) {
+			announced = append(announced, currantloom.AnnouncedPromotion{
+				Service: name, Upstream: p.announced, Age: s.now - p.announcedAt,
+			})
+		}
+	}
+	return announced
+}
+
 func (p *promotions) recordSent(id uint64, upstream currantloom.UpstreamName, fence currantloom.Fence) {
 	if p.inFlight.id != 0 {
 		p.unanswered = p.inFlight
