A node is ready once it may acknowledge commits, and the last holder keeps its lease until it ends

Cause: a fleet that starts has no holder of the failover lease for the first second, and nodes served before. A holder that is stopped gave the lease back at once, also if no other node could take it over; its open transactions then had a second left to commit in place of half of the grace period.

Change: a node reports ready, and answers the startup of sessions, once it may acknowledge commits, or 1.5 s after it could serve reads. A node that becomes the holder asks the others at once what they have heard announced. A holder that is stopped gives the lease back at once only if another node answers that is not about to end, and at its own end otherwise.

Ruled out: readiness alone.

Tests: TestShutdownWithoutSuccessor is new. TestShutdownDuringPromotion and TestShutdownBeforePause, which demand that the lease is given back, have a second node now that can take it over; what they demand is the same.

--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -15,6 +15,9 @@
 	// forgetUpstreamAfter is how long a deleted upstream keeps its connections and its place in the group, unless a node
 	// still reaches it.
 	forgetUpstreamAfter = 10 * time.Second
+	// maxLeaseWait is how long a node that could serve reads waits for its first commit lease before it is ready: a fleet
+	// that starts has a holder of the failover lease after settleTime.
+	maxLeaseWait = 1500 * time.Millisecond
 	// notPrimaryTTL is how long an upstream that refused to act as primary is not tried as primary only because its
 	// registration says so.
 	notPrimaryTTL = 400 * time.Millisecond
@@ -27,8 +30,9 @@
 	groups        map[currantloom.ServiceName]*group
 	// sortedGroups holds the groups sorted by name, so that the order of effects is deterministic.
 	sortedGroups []*group
-	// ready says that the node accepts sessions.
-	ready bool
+	// ready says that the node accepts sessions, servableSince is when it had all that it needs for reads; zero if never.
+	ready         bool
+	servableSince time.Duration
 	// hasSnapshot says that a complete snapshot of the store was received. era is the era of the store that the catalog
 	// was read in.
 	hasSnapshot bool
@@ -171,17 +175,31 @@
 	s.members.markAbsent(s, members, e.Position)
 }
 
-// updateReadiness reports the node ready once it knows the configuration and at least one upstream.
+// updateReadiness reports the node ready once it knows the configuration and at least one upstream, and may acknowledge
+// commits. It waits for that for maxLeaseWait at most, because reads need no lease.
 func (s *State) updateReadiness() {
 	c := &s.catalog
 	if c.ready || s.shutdown.requested || c.configuration == nil || len(c.upstreams) == 0 || !s.isConfigurationCurrent() {
 		return
 	}
+	if c.servableSince == 0 {
+		c.servableSince = max(s.now, 1)
+	}
+	if s.awaitsFirstLease() {
+		return
+	}
 	c.ready = true
 	s.log(Decision{Event: "ready", Version: c.configuration.Version, Outcome: "ready"})
 	s.emit(SetReady{Ready: true})
 }
 
+// awaitsFirstLease reports whether the node could serve reads and still waits for its first commit lease.
+func (s *State) awaitsFirstLease() bool {
+	c := &s.catalog
+	return !c.ready && !s.shutdown.requested && !s.grant.isFresh(s.now) &&
+		c.servableSince > 0 && s.now-c.servableSince < maxLeaseWait
+}
+
 // applyConfiguration puts a configuration into effect, unless it is no newer than the one in effect. From is the node
 // that passed it on; empty if this node has read it from the store.
 func (s *State) applyConfiguration(c currantloom.Configuration, from currantloom.VMName) {
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -143,6 +143,7 @@
 		if acting {
 			c.actingSince = s.now
 			outcome = "acting"
+			s.pingAnswering()
 		}
 		s.log(Decision{Event: "duty", VM: s.config.Self, Version: c.leaseKey.position.Revision(), Outcome: outcome})
 	}
@@ -207,7 +208,7 @@
 // enough to show that, so that it also shows what earlier holders have recorded. While no VM reaches the store, nobody
 // else can have acquired the lease, so the last holder continues; a later holder has a higher fence.
 func (c *coordinator) isActing(s *State) bool {
-	if c.leaseKey.position.IsZero() || !c.isHolder(s) || s.shutdown.requested && len(c.failovers) == 0 ||
+	if c.leaseKey.position.IsZero() || !c.isHolder(s) ||
 		s.now-s.resumedAt < settleTime && s.resumedAt > 0 {
 		return false
 	}
--- a/loomfleet/fixture_test.go
+++ b/loomfleet/fixture_test.go
@@ -32,7 +32,7 @@
 		Self: testSelf, Location: testLocation, Address: "10.0.0.1:1", Incarnation: 1,
 	})}
 	// The process has reached the store long ago.
-	f.state.catalog.storeFirstReachedAt = -time.Hour
+	f.state.catalog.storeFirstReachedAt, f.state.catalog.servableSince = -time.Hour, -time.Hour
 	return f
 }
 
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -36,6 +36,15 @@
 	})
 }
 
+// pingAnswering asks the nodes that answer what they have heard announced, because no lease is given before.
+func (s *State) pingAnswering() {
+	for _, m := range s.members.sorted {
+		if m.alive && !m.pongPending {
+			s.sendPing(m, "")
+		}
+	}
+}
+
 // isChanging reports whether a request may change the primary of a service, so that no commit may be acknowledged.
 func (s *State) isChanging(name currantloom.ServiceName) bool {
 	g, ok := s.catalog.groups[name]
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -55,8 +55,8 @@
 	arrivedAt time.Duration
 }
 
-// handleSessionOpened answers the startup of a client. Before the first configuration no route is known, so the client
-// has to wait.
+// handleSessionOpened answers the startup of a client. Before the first configuration no route is known, and before the
+// first commit lease no write can be answered, so the client has to wait.
 func (s *State) handleSessionOpened(e SessionOpened) {
 	if s.shutdown.closingSessions {
 		s.emit(ReplyToSession{Session: e.Session, Reply: currantloom.Reply{
@@ -65,23 +65,23 @@
 		s.emit(CloseSession{Session: e.Session})
 		return
 	}
-	if s.catalog.configuration == nil {
+	if s.catalog.configuration == nil || s.awaitsFirstLease() {
 		s.startups = append(s.startups, startup{event: e, arrivedAt: s.now})
 		return
 	}
 	s.startSession(e)
 }
 
-// processStartups answers the waiting sessions once there is a configuration, and closes those that have waited too
-// long.
+// processStartups answers the waiting sessions once there is a configuration and the first commit lease, and closes
+// those that have waited too long for a configuration.
 func (s *State) processStartups() {
 	waiting := s.startups
 	s.startups = nil
 	for _, st := range waiting {
 		switch {
-		case s.catalog.configuration != nil:
+		case s.catalog.configuration != nil && (!s.awaitsFirstLease() || s.now-st.arrivedAt > maxStartupWait):
 			s.startSession(st.event)
-		case s.now-st.arrivedAt > maxStartupWait:
+		case s.catalog.configuration == nil && s.now-st.arrivedAt > maxStartupWait:
 			s.log(Decision{
 				Event: "session", Session: st.event.Session, Age: s.now - st.arrivedAt, Reason: "no configuration",
 				Outcome: "busy",
--- a/loomfleet/shutdown.go
+++ b/loomfleet/shutdown.go
@@ -43,14 +43,21 @@
 }
 
 // releaseIdleLease gives the failover lease back while this node shuts down, once none of its failovers is in progress.
-// An accepted promotion takes effect only after a while, and the next holder does not know of it.
+// An accepted promotion takes effect only after a while, and the next holder does not know of it. If no other node can
+// take the lease over, this one keeps it until it ends, so that its open transactions can commit.
 func (s *State) releaseIdleLease() {
 	c := &s.coordinator
-	if len(c.failovers) == 0 && !c.leaseKey.position.IsZero() {
-		c.releaseLeaseKey(s)
+	isNeeded := len(c.failovers) > 0 || !s.shutdown.finished && !s.hasSuccessor()
+	if !isNeeded && !c.leaseKey.position.IsZero() {
+		s.coordinator.releaseLeaseKey(s)
 	}
 }
 
+// hasSuccessor reports whether another node answers that is not about to end.
+func (s *State) hasSuccessor() bool {
+	return slices.ContainsFunc(s.members.sorted, func(m *member) bool { return m.alive && !m.shuttingDown })
+}
+
 // tickShutdown closes sessions between their transactions, and finishes once none is left or the grace period is nearly
 // over.
 func (s *State) tickShutdown() {
--- a/loomfleet/shutdown_test.go
+++ b/loomfleet/shutdown_test.go
@@ -83,6 +83,9 @@
 	f := newFixture(t)
 	f.configure(currantloom.ReadLatest)
 	f.holdLease()
+	f.addMember("vm-2")
+	f.wait(pingInterval)
+	f.answerPings()
 	g := f.state.groupOf(testService)
 	f.state.startFailover(g, "primary is draining", true)
 	fo := f.state.coordinator.failovers[testService]
@@ -113,9 +116,30 @@
 	f := newFixture(t)
 	f.configure(currantloom.ReadLatest)
 	f.holdLease()
+	f.addMember("vm-2")
+	f.wait(pingInterval)
+	f.answerPings()
 	f.state.startFailover(f.state.groupOf(testService), "primary is draining", true)
 	f.reduce(ShutdownRequested{Stamp: f.stamp()})
 	if !f.state.coordinator.leaseKey.position.IsZero() {
 		t.Error("the lease is kept for a failover that has touched no upstream")
 	}
 }
+
+// TestShutdownWithoutSuccessor guards against a commit of an open transaction that nobody may acknowledge any more,
+// because the only node has given the failover lease back.
+func TestShutdownWithoutSuccessor(t *testing.T) {
+	f := newFixture(t)
+	f.configure(currantloom.ReadLatest)
+	f.holdLease()
+	f.state.sessions[1] = &session{id: 1, status: currantloom.TransactionOpen}
+	f.reduce(ShutdownRequested{Stamp: f.stamp()})
+	f.wait(f.state.config.GracePeriod/2 - time.Second)
+	if c := f.state.coordinator; c.leaseKey.position.IsZero() {
+		t.Error("the lease was given back while a transaction was open")
+	}
+	f.wait(f.state.config.GracePeriod)
+	if c := f.state.coordinator; !c.leaseKey.position.IsZero() {
+		t.Error("the lease was not given back at the end")
+	}
+}
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -58,7 +58,7 @@
 	sessions map[SessionID]*session
 	// revoked holds the notices of sessions that a configuration ended, until their connections are closed.
 	revoked map[SessionID]currantloom.Reply
-	// startups are the sessions that wait for the first configuration.
+	// startups are the sessions that wait for the first configuration or the first commit lease.
 	startups    []startup
 	requests    requests
 	owner       ownerState
