A write of the failover lease's key whose answer is lost does not keep the lease from being renewed

The answer to the write that gives a failover its fence is lost. The watch shows that the write has taken effect, so the failover goes on, but the call counts as pending for 1.5 s more: the lease is not renewed meanwhile and runs out, and the record of the change is not cleared, so the next holder settles a change that is over.

Change: a write that the watch shows to have taken effect is no longer awaited.

TestHolder*, TestLease*, TestRestartedHolder and TestUnheardAnnouncement of loommodel pass.

--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -78,6 +78,7 @@
 	case c.isHolder(s):
 		if !r.lease.IsZero() && e.Position.After(r.position) {
 			r.position = e.Position
+			r.endPendingWrite()
 		}
 	case !r.position.IsZero() && r.pendingKind != pendingWrite && e.Position.After(r.position):
 		r.position = currantloom.StorePosition{}
--- a/loomfleet/registration.go
+++ b/loomfleet/registration.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// endPendingWrite stops waiting for the answer to a write that the store shows to have taken effect: the answer may be
+// lost, and the lease is not renewed before.
+func (r *registration) endPendingWrite() {
+	if r.pendingKind == pendingWrite {
+		r.pendingKind = pendingNone
+	}
+}
+
 func (r *registration) startCall(s *State, kind pendingKind) CallID {
 	r.pendingCall, r.pendingKind, r.pendingSentAt = CallID(s.nextNumber()), kind, s.now
 	return r.pendingCall
