review: case 12, sessions that keep large statements take the remaining nodes down

Cause: what a session keeps is bounded, what all sessions of a node keep together is not.

Change: a script with 292 sessions that keep a statement of 1 MB each, at six nodes of which four are removed.

--- /dev/null
+++ b/review/12/cmd/main.go
@@ -0,0 +1,176 @@
+// Command cmd is case 12: sessions keep large prepared statements, and machines are lost.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"currantloom.example/currantloom/review/casekit3"
+)
+
+const (
+	// memoryMB is the memory of a machine, sessions the number of sessions that stand open.
+	memoryMB, sessions = 284, 292
+	// keptNodes is the number of machines that are not lost.
+	keptNodes = 2
+	// shapeSize is the size of the shape that each session prepares. With the rest of its line it is below a message's
+	// limit of 1 MiB.
+	shapeSize = 1_040_000
+	// calmTime is the time until machines are lost, troubleTime the time after that.
+	calmTime, troubleTime = 12 * time.Second, 45 * time.Second
+	// readInterval is the time between two reads of a session, retryInterval that between two attempts to open one.
+	readInterval, retryInterval = 5 * time.Second, 300 * time.Millisecond
+	// maxEnds is how often processes may end by themselves on a machine, minMachines on how many machines that has to
+	// happen.
+	maxEnds, minMachines = 3, 2
+)
+
+// zones are those of the machines, as on the page.
+var zones = []string{"ost-linz", "west-ibk", "ost-linz", "west-ibk", "west-ibk", "ost-steyr"}
+
+func main() { os.Exit(run(os.Args[1], os.Args[2])) }
+
+// scenario is a run of the case.
+type scenario struct {
+	record       *casekit3.Record
+	fleet        *casekit3.Fleet
+	stop         atomic.Bool
+	wait         sync.WaitGroup
+	open, served atomic.Int64
+}
+
+func run(binary, recordPath string) int {
+	record, err := casekit3.NewRecord(recordPath)
+	if err != nil {
+		return casekit3.CouldNotRun
+	}
+	dir, err := os.MkdirTemp("", "review-12-")
+	if err != nil {
+		return casekit3.CouldNotRun
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	s := &scenario{record: record, fleet: &casekit3.Fleet{
+		Binary: binary, Dir: dir, Record: record,
+		Zones: map[string]string{"ost-linz": "ost", "ost-steyr": "ost", "west-ibk": "west"},
+	}}
+	defer s.wait.Wait()
+	defer s.fleet.Close()
+	defer s.stop.Store(true)
+	if err := s.start(); err != nil {
+		record.Logf("could not run: %v", err)
+		return casekit3.CouldNotRun
+	}
+	return s.judge()
+}
+
+// start starts the platform, the servers, the nodes and the clients.
+func (s *scenario) start() error {
+	l, err := casekit3.Listen("127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	d := &casekit3.Database{Service: "wheel-core", Slots: 2, Connections: 16, WorkTime: 4 * time.Millisecond}
+	d.Store = casekit3.NewStore(d.Promote)
+	go d.Store.Serve(l)
+	d.Store.Put("op/config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"stock","type":"bounded_staleness",`+
+		`"timeoutMs":1500,"targetLatencyMs":1200,"maxStalenessMs":1500,"priority":2,"service":"wheel-core"}],`+
+		`"services":[{"name":"wheel-core","maxConnections":16,"syncReplicas":1}],"limits":{"txIdleMs":3000}}`))
+	for i, zone := range []string{"ost-linz", "west-ibk", "ost-steyr"} {
+		address, err := casekit3.FreeAddress("127.0.0.1")
+		if err != nil {
+			return err
+		}
+		if err := d.StartServer(fmt.Sprintf("i-%d", i+1), address, zone); err != nil {
+			return err
+		}
+	}
+	for i, zone := range zones {
+		if err := s.fleet.Add(fmt.Sprintf("%s-%d", zone, i+1), zone, fmt.Sprintf("127.0.112.%d", i+1), memoryMB); err != nil {
+			return err
+		}
+	}
+	if err := s.fleet.Start(l.Addr().String()); err != nil {
+		return err
+	}
+	for i := range sessions {
+		s.wait.Go(func() { s.runSession(i) })
+	}
+	return nil
+}
+
+// runSession keeps a session open, at another node after each end.
+func (s *scenario) runSession(i int) {
+	for attempt := 0; !s.stop.Load(); attempt++ {
+		n := s.fleet.Nodes[(i+attempt)%len(s.fleet.Nodes)]
+		if n.IsLost() {
+			continue
+		}
+		if c, err := casekit3.OpenSession(n.Address, "stock", "u"); err == nil {
+			s.open.Add(1)
+			s.useSession(c, fmt.Sprintf("c%d-%d", i, attempt))
+			s.open.Add(-1)
+			c.Close()
+		}
+		time.Sleep(retryInterval)
+	}
+}
+
+// useSession prepares a statement and executes it again and again, until the session ends.
+func (s *scenario) useSession(c *casekit3.Session, prefix string) {
+	text := "PREPARE s1 READ " + strings.Repeat("q", shapeSize)
+	for k := 0; !s.stop.Load(); k++ {
+		a, err := c.Query(fmt.Sprintf("%s-%d", prefix, k), text)
+		if err != nil || k == 0 && !a.OK() {
+			return
+		}
+		if a.OK() && k > 0 {
+			s.served.Add(1)
+		}
+		text = "EXECUTE s1 1a4"
+		for rest := readInterval; rest > 0 && !s.stop.Load(); rest -= retryInterval {
+			time.Sleep(retryInterval)
+		}
+	}
+}
+
+// judge waits for the end of the day and judges it by the rule on faults.
+func (s *scenario) judge() int {
+	time.Sleep(calmTime)
+	s.describe()
+	if casekit3.HasTrouble() {
+		for _, n := range s.fleet.Nodes[keptNodes:] {
+			n.Lose()
+			s.record.Logf("%s is lost for good", n.Name)
+		}
+	}
+	const steps = 5
+	for range steps {
+		time.Sleep(troubleTime / steps)
+		s.describe()
+	}
+	faulty := 0
+	for _, n := range s.fleet.Nodes[:keptNodes] {
+		if ends, _ := n.Memory(); ends >= maxEnds {
+			faulty++
+		}
+	}
+	s.record.Logf("processes ended by themselves %d times or more on %d machines without a disruption", maxEnds, faulty)
+	if faulty >= minMachines {
+		return casekit3.RuleBroken
+	}
+	return casekit3.RuleHeld
+}
+
+func (s *scenario) describe() {
+	s.record.Logf("%d sessions are open, %d reads served", s.open.Load(), s.served.Load())
+	for _, n := range s.fleet.Nodes {
+		if !n.IsLost() {
+			ends, peak := n.Memory()
+			s.record.Logf("  %s: at most %d of %d MB, killed for its memory %d times", n.Name, peak, memoryMB, ends)
+		}
+	}
+}
