--- a/review/11/cmd/main.go
+++ b/review/11/cmd/main.go
@@ -26,7 +26,7 @@
 	calmTime, dayLength = 2 * time.Second, 80 * time.Second
 	// otherInterval is the time between two requests of the other tenant, largePause that between two requests of a
 	// session of the large one.
-	otherInterval, largePause = 100 * time.Millisecond, 20 * time.Millisecond
+	otherInterval, largePause = 300 * time.Millisecond, 20 * time.Millisecond
 	// deadline is that of a request, counted from the client's first attempt, retries the number of further attempts.
 	deadline, retries = 8 * time.Second, 2
 	// maxRefused is the part of the requests, in percent, that may be refused or fail.
@@ -200,7 +200,7 @@
 	}
 	served := err == nil && a.OK() && time.Since(sentAt) < deadline
 	s.count(&s.other, served)
-	if i%20 == 0 || !served && i%5 == 0 {
+	if i%10 == 0 {
 		s.record.Logf("WRITE b%d of colleges ends after %.3f s: %v %v", i, time.Since(sentAt).Seconds(), a, err)
 	}
 }
--- a/review/casekit3/node.go
+++ b/review/casekit3/node.go
@@ -254,7 +254,7 @@
 			return
 		case <-time.After(memoryCheckInterval):
 		}
-		if mb := residentMB(command.Process.Pid); n.observeMemory(mb) && !killed {
+		if mb := residentMB(command.Process.Pid); !killed && n.observeMemory(mb) {
 			killed = true
 			n.record.Logf("%s: process %d has %d MB of %d MB and is killed", n.Name, command.Process.Pid, mb, n.MemoryMB)
 			_ = command.Process.Kill()
