review: case 12 with small machines and equal parts of the clients

Change: 12 machines of 184 MB with 46 sessions each, of which ten are removed; the clients come back in equal parts.

--- a/review/12/cmd/main.go
+++ b/review/12/cmd/main.go
@@ -13,15 +13,15 @@
 )
 
 const (
-	// memoryMB is the memory of a machine, sessions the number of sessions that stand open.
-	memoryMB, sessions = 284, 292
-	// keptNodes is the number of machines that are not lost.
-	keptNodes = 2
-	// shapeSize is the size of the shape that each session prepares. With the rest of its line it is below a message's
-	// limit of 1 MiB.
-	shapeSize = 1_040_000
+	// memoryMB is the memory of a machine.
+	memoryMB = 184
+	// machines and sessions are a seventh of those of the deployment, keptNodes is the number of machines that are not
+	// lost.
+	machines, sessions, keptNodes = 12, 552, 2
+	// shapeSize is the size of the shape that each session prepares. A message may be larger, up to 1 MiB.
+	shapeSize = 700_000
 	// calmTime is the time until machines are lost, troubleTime the time after that.
-	calmTime, troubleTime = 12 * time.Second, 45 * time.Second
+	calmTime, troubleTime = 14 * time.Second, 45 * time.Second
 	// readInterval is the time between two reads of a session, retryInterval that between two attempts to open one.
 	readInterval, retryInterval = 5 * time.Second, 300 * time.Millisecond
 	// maxEnds is how often processes may end by themselves on a machine, minMachines on how many machines that has to
@@ -29,8 +29,8 @@
 	maxEnds, minMachines = 3, 2
 )
 
-// zones are those of the machines, as on the page.
-var zones = []string{"ost-linz", "west-ibk", "ost-linz", "west-ibk", "west-ibk", "ost-steyr"}
+// zones are those of the machines.
+var zones = []string{"kochi-a", "tvm-a", "kochi-b", "tvm-b", "kochi-c", "tvm-c"}
 
 func main() { os.Exit(run(os.Args[1], os.Args[2])) }
 
@@ -55,7 +55,9 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	s := &scenario{record: record, fleet: &casekit3.Fleet{
 		Binary: binary, Dir: dir, Record: record,
-		Zones: map[string]string{"ost-linz": "ost", "ost-steyr": "ost", "west-ibk": "west"},
+		Zones: map[string]string{
+			"kochi-a": "kochi", "kochi-b": "kochi", "kochi-c": "kochi", "tvm-a": "tvm", "tvm-b": "tvm", "tvm-c": "tvm",
+		},
 	}}
 	defer s.wait.Wait()
 	defer s.fleet.Close()
@@ -73,13 +75,14 @@
 	if err != nil {
 		return err
 	}
-	d := &casekit3.Database{Service: "wheel-core", Slots: 2, Connections: 16, WorkTime: 4 * time.Millisecond}
+	d := &casekit3.Database{Service: "orders-db", Slots: 4, Connections: 70, WorkTime: 4 * time.Millisecond}
 	d.Store = casekit3.NewStore(d.Promote)
 	go d.Store.Serve(l)
-	d.Store.Put("op/config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"stock","type":"bounded_staleness",`+
-		`"timeoutMs":1500,"targetLatencyMs":1200,"maxStalenessMs":1500,"priority":2,"service":"wheel-core"}],`+
-		`"services":[{"name":"wheel-core","maxConnections":16,"syncReplicas":1}],"limits":{"txIdleMs":3000}}`))
-	for i, zone := range []string{"ost-linz", "west-ibk", "ost-steyr"} {
+	d.Store.Put("op/config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"status","type":"bounded_staleness",`+
+		`"timeoutMs":1500,"targetLatencyMs":1200,"maxStalenessMs":1500,"priority":2,"service":"orders-db"}],`+
+		`"services":[{"name":"orders-db","maxConnections":70,"syncReplicas":1}],`+
+		`"tenants":[{"name":"colleges","apiKeys":["key-of-colleges"]}],"limits":{"txIdleMs":3000}}`))
+	for i, zone := range []string{"kochi-a", "tvm-a", "kochi-b"} {
 		address, err := casekit3.FreeAddress("127.0.0.1")
 		if err != nil {
 			return err
@@ -88,7 +91,8 @@
 			return err
 		}
 	}
-	for i, zone := range zones {
+	for i := range machines {
+		zone := zones[i%len(zones)]
 		if err := s.fleet.Add(fmt.Sprintf("%s-%d", zone, i+1), zone, fmt.Sprintf("127.0.112.%d", i+1), memoryMB); err != nil {
 			return err
 		}
@@ -105,11 +109,8 @@
 // runSession keeps a session open, at another node after each end.
 func (s *scenario) runSession(i int) {
 	for attempt := 0; !s.stop.Load(); attempt++ {
-		n := s.fleet.Nodes[(i+attempt)%len(s.fleet.Nodes)]
-		if n.IsLost() {
-			continue
-		}
-		if c, err := casekit3.OpenSession(n.Address, "stock", "u"); err == nil {
+		n := s.pickNode(i + attempt)
+		if c, err := casekit3.OpenSession(n.Address, "status", "key-of-colleges"); err == nil {
 			s.open.Add(1)
 			s.useSession(c, fmt.Sprintf("c%d-%d", i, attempt))
 			s.open.Add(-1)
@@ -119,6 +120,17 @@
 	}
 }
 
+// pickNode returns the node that the platform selects for a client: the machines that are left get equal parts.
+func (s *scenario) pickNode(i int) *casekit3.Node {
+	var left []*casekit3.Node
+	for _, n := range s.fleet.Nodes {
+		if !n.IsLost() {
+			left = append(left, n)
+		}
+	}
+	return left[i%len(left)]
+}
+
 // useSession prepares a statement and executes it again and again, until the session ends.
 func (s *scenario) useSession(c *casekit3.Session, prefix string) {
 	text := "PREPARE s1 READ " + strings.Repeat("q", shapeSize)
