review: case 11 is a change of primary that no record names; the case on keys is dropped

The script on keys that are taken away shows what review case 10 shows already, so it goes. Case 11 is now LOST: a failover whose first write to the store gets 503 goes on without a record, its call to promote is carried out late, and all processes are killed in between.

The platform's names in the stand-ins of case 12 stand in files of their own, as a test of the project demands.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,8 +1,10 @@
-#!/bin/sh
-# Runs case 11, after the build of the deploy file and review/build-3.sh. TROUBLE=0 leaves the disruption out. The exit
-# code is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+#!/usr/bin/env bash
+# Exits with 1 if LOST was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
-for program in currantloom review-11; do
-	[ -x "../../target/$program" ] || exit 2
-done
-exec ../../target/review-11 ../../target/currantloom record.txt
+kit=../../target/review-3/case11
+program=../../target/currantloom
+if [ ! -x "$kit" ] || [ ! -x "$program" ]; then
+	echo "build the deploy file's programs and run review/build-3.sh first"
+	exit 2
+fi
+exec "$kit" unrecorded record.txt "$program"
--- a/review/12/cmd/main.go
+++ b/review/12/cmd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	_ "embed" // for the configuration
 	"fmt"
 	"os"
 	"strings"
@@ -29,6 +30,11 @@
 	maxEnds, minMachines = 3, 2
 )
 
+// configuration is the configuration of the operator.
+//
+//go:embed configuration.json
+var configuration []byte
+
 // zones are those of the machines.
 var zones = []string{"kochi-a", "tvm-a", "kochi-b", "tvm-b", "kochi-c", "tvm-c"}
 
@@ -78,10 +84,7 @@
 	d := &casekit3.Database{Service: "orders-db", Slots: 4, Connections: 70, WorkTime: 4 * time.Millisecond}
 	d.Store = casekit3.NewStore(d.Promote)
 	go d.Store.Serve(l)
-	d.Store.Put("op/config", []byte(`{"version":7,"routes":[{"name":"r-1","host":"status","type":"bounded_staleness",`+
-		`"timeoutMs":1500,"targetLatencyMs":1200,"maxStalenessMs":1500,"priority":2,"service":"orders-db"}],`+
-		`"services":[{"name":"orders-db","maxConnections":70,"syncReplicas":1}],`+
-		`"tenants":[{"name":"colleges","apiKeys":["key-of-colleges"]}],"limits":{"txIdleMs":3000}}`))
+	d.Store.Configure(configuration)
 	for i, zone := range []string{"kochi-a", "tvm-a", "kochi-b"} {
 		address, err := casekit3.FreeAddress("127.0.0.1")
 		if err != nil {
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,7 +1,7 @@
-#!/bin/sh
-# Builds the drivers of the cases 11 to 15, with the stand-ins that they start, from the repository's root.
-set -eu
+#!/usr/bin/env bash
+# Builds the drivers of the cases 11 and 12, with the stand-ins that they start. Run it after the build line of
+# deploy/system.toml.
+set -euo pipefail
 cd "$(dirname "$0")/.."
-for n in 11 12; do
-	go build -o "target/review-$n" "./review/$n/cmd"
-done
+go build -o target/review-3/case11 ./review/11/casekit
+go build -o target/review-3/case12 ./review/12/cmd
--- a/review/casekit3/kit.go
+++ b/review/casekit3/kit.go
@@ -1,4 +1,4 @@
-// Package casekit3 holds what the cases 11 to 15 share: stand-ins for the platform, for servers and for clients, which
+// Package casekit3 holds the stand-ins of case 12 for the platform, for servers and for clients, which
 // follow the users' pages, and the start of nodes as processes of their own.
 package casekit3
 
@@ -128,7 +128,7 @@
 	for ; err == nil; line, err = ReadLine(s.in) {
 		word, rest, _ := strings.Cut(line, " ")
 		switch word {
-		case "DATAROW":
+		case names.Row:
 			a.Rows++
 		case "COMPLETE":
 			a.Signature = rest
--- a/review/casekit3/node.go
+++ b/review/casekit3/node.go
@@ -70,56 +70,6 @@
 	return nil
 }
 
-// settingsFormat is the settings file of a process, in the format of the platform.
-const settingsFormat = `nodeName: %q
-role: "node"
-machineClass: "frontend"
-serves:
-  - "frontend"
-  - "control"
-ip: "127.0.0.1"
-zone: %q
-region: %q
-zones:
-%sbindAddresses:
-  frontend: %q
-  readiness: %q
-  controlPlane: %q
-seedNodes:
-%sbootstrap: true
-countsAsLoss: false
-limits:
-  cpuQuota: 0.4
-  memoryMb: %d
-  maxFds: 4300
-dataDir: null
-discovery: "platform"
-entry: "vip"
-heartbeatMs: 1200
-bounds:
-  contactMs: 5000
-  drainTimeoutMs: 7000
-  gracePeriodS: 6
-  lossSlackMs: 200
-  configApplyMs: 4000
-  recoveryS: 12
-  enforceFencing: true
-%splatform:
-  address: %q
-  form: "kv"
-  writesPerS: 400
-  readsPerS: 2000
-  historyS: 20
-  valueBytes: 1048576
-  minTtlMs: 1000
-cloud:
-  address: %q
-  ratePerS: 50.0
-  duties:
-    - "failover"
-  dutyPerS: 50.0
-`
-
 // maxSeeds is the number of seed nodes.
 const maxSeeds = 3
 
@@ -172,7 +122,7 @@
 func (n *Node) IsReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.readiness+"/currantloom/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.readiness+names.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
@@ -227,7 +177,7 @@
 	}
 	// The program and its argument are those of the deploy file.
 	command := exec.Command(binary, "platform") //nolint:gosec,noctx // a path that the case is called with
-	command.Env = append(os.Environ(), "CURRANTLOOM_NODE_FILE="+path)
+	command.Env = append(os.Environ(), names.SettingsVariable+"="+path)
 	command.Stdout, command.Stderr = output, output
 	if err := command.Start(); err != nil {
 		n.record.Logf("%s: %v", n.Name, err)
--- a/review/casekit3/server.go
+++ b/review/casekit3/server.go
@@ -105,9 +105,8 @@
 		}
 		d.mu.Unlock()
 		s.beats++
-		d.Store.Put("servers/"+s.id, fmt.Appendf(nil,
-			`{"service":%q,"address":%q,"zone":%q,"version":"v1","capacity":%d,"phase":"ready","warmupLeftMs":0,`+
-				`"dbRole":%q,"sequence":%d,"born":%d}`, d.Service, s.address, s.zone, d.Slots, role, s.beats, s.born))
+		d.Store.Put("servers/"+s.id, fmt.Appendf(nil, entryFormat, d.Service, s.address, s.zone,
+			d.Slots, role, s.beats, s.born))
 	}
 }
 
@@ -207,7 +206,7 @@
 		return false
 	}
 	if !s.enter() {
-		reply("ERROR CONNLIMIT %s\r\n", s.id)
+		reply("ERROR %s %s\r\n", names.NoConnection, s.id)
 		return false
 	}
 	c.entered = true
@@ -217,12 +216,12 @@
 
 // run runs a statement and returns the lines of its answer before READY.
 func (c *serverConn) run(id, text string) string {
-	if rest, ok := strings.CutPrefix(text, "AFTERLSN "); ok {
+	if rest, ok := strings.CutPrefix(text, names.After); ok {
 		_, text, _ = strings.Cut(rest, " ")
 	}
 	word, rest, _ := strings.Cut(text, " ")
 	switch word {
-	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
+	case "STATUS", "PAUSE", "RESUME", names.StepDown:
 		return c.status()
 	case "SET", "DEALLOC":
 		return "COMPLETE -"
@@ -235,7 +234,7 @@
 		return "COMPLETE -"
 	case "BEGIN":
 		if rest == "" && !c.leads() {
-			return "ERROR READONLY " + c.server.id
+			return "ERROR " + names.NotPrimary + " " + c.server.id
 		}
 		c.state, c.plain, c.wrote = "T", rest == "", false
 		return "COMPLETE -"
@@ -262,7 +261,7 @@
 	d := c.server.database
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return fmt.Sprintf("DATAROW %s %d %s %d 0 0 0\r\nCOMPLETE -", role, d.term, d.position(), d.term)
+	return fmt.Sprintf("%s %s %d %s %d 0 0 0\r\nCOMPLETE -", names.Row, role, d.term, d.position(), d.term)
 }
 
 // work runs a read, a write or a commit in a slot.
@@ -273,12 +272,12 @@
 	if word == "EXECUTE" {
 		shape, ok := c.prepared[name]
 		if !ok {
-			return "ERROR NOSTMT " + name
+			return "ERROR " + names.NoStatement + " " + name
 		}
 		writes, name = strings.HasPrefix(shape, "WRITE"), item
 	}
 	if (writes || c.state == "T" && c.plain) && !c.leads() {
-		return "ERROR READONLY " + c.server.id
+		return "ERROR " + names.NotPrimary + " " + c.server.id
 	}
 	c.server.slots <- struct{}{}
 	time.Sleep(d.WorkTime)
@@ -292,9 +291,9 @@
 	if word == "COMMIT" {
 		c.state, c.wrote = "I", false
 	}
-	rows := "DATAROW row\r\n"
+	rows := names.Row + " row\r\n"
 	if strings.HasPrefix(name, "large") {
-		rows = strings.Repeat("DATAROW "+strings.Repeat("r", d.RowSize)+"\r\n", d.Rows)
+		rows = strings.Repeat(names.Row+" "+strings.Repeat("r", d.RowSize)+"\r\n", d.Rows)
 	}
 	return rows + "COMPLETE sig." + id
 }
--- a/review/casekit3/store.go
+++ b/review/casekit3/store.go
@@ -55,13 +55,13 @@
 // Serve serves the store until the process ends.
 func (s *Store) Serve(l net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /currantloom/kv-key", s.getKey)
-	mux.HandleFunc("GET /currantloom/kv-range", s.getRange)
-	mux.HandleFunc("GET /currantloom/kv-watch", s.watch)
-	mux.HandleFunc("POST /currantloom/kv-txn", s.commit)
-	mux.HandleFunc("POST /currantloom/kv-lease", s.grant)
-	mux.HandleFunc("POST /currantloom/kv-keep/{id}", s.keep)
-	mux.HandleFunc("DELETE /currantloom/kv-lease-end/{id}", s.endLease)
+	mux.HandleFunc(names.KeyCall, s.getKey)
+	mux.HandleFunc(names.RangeCall, s.getRange)
+	mux.HandleFunc(names.WatchCall, s.watch)
+	mux.HandleFunc(names.TxnCall, s.commit)
+	mux.HandleFunc(names.LeaseCall, s.grant)
+	mux.HandleFunc(names.KeepCall, s.keep)
+	mux.HandleFunc(names.LeaseEndCall, s.endLease)
 	mux.HandleFunc("POST /failover", s.failover)
 	go s.expireLeases()
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
@@ -90,6 +90,9 @@
 	}
 }
 
+// Configure writes the configuration, as the operator does.
+func (s *Store) Configure(value []byte) { s.Put(names.ConfigurationKey, value) }
+
 // Put writes an item without a lease, as servers and the operator do.
 func (s *Store) Put(key string, value []byte) {
 	s.mu.Lock()
@@ -269,7 +272,7 @@
 		Service string `json:"service"`
 		ID      string `json:"id"`
 	}
-	fence, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	fence, err := strconv.ParseUint(r.Header.Get(names.FenceHeader), 10, 64)
 	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
