review: case 11, a replica without acknowledged commits is promoted after all processes were killed

Cause: a process that has just started knows no acknowledged commit and takes that for none; servers whose entries are gone no longer count, so the one replica that is left is promoted although the primary and the other replica return with their logs.

--- a/review/11/casekit/database.go
+++ b/review/changes3/database.go
@@ -64,6 +64,8 @@
 	received int
 	held     int
 	alive    bool
+	// deaf says that the server, as a replica, receives nothing from the primary.
+	deaf bool
 	// dark says that nothing reaches the server and nothing comes from it, except from servers that are dark as well.
 	dark bool
 	// quietUntil is the time until which the server does not report.
@@ -245,7 +247,7 @@
 // replicate gives the log of the primary to the replicas that receive. The lock is held.
 func (db *database) replicate() {
 	for _, v := range db.servers {
-		if db.leader != nil && v != db.leader && v.alive && v.held == 0 && v.dark == db.leader.dark {
+		if db.leader != nil && v != db.leader && v.alive && v.held == 0 && !v.deaf && v.dark == db.leader.dark {
 			v.received = db.leader.received
 		}
 	}
@@ -271,6 +273,14 @@
 	return last > term || last == term && v.received >= number
 }
 
+// setDeaf lets a replica receive nothing, or ends that.
+func (db *database) setDeaf(v *server, deaf bool) {
+	db.mu.Lock()
+	defer db.mu.Unlock()
+	v.deaf = deaf
+	db.log.note("replica %s is deaf: %t, it has %d commits", v.id, deaf, v.received)
+}
+
 // setDark makes servers dark, or ends that: connections that were open are then gone. Entries go after three
 // heartbeats.
 func (db *database) setDark(dark bool, servers ...*server) {
--- a/review/11/casekit/main.go
+++ b/review/changes3/main.go
@@ -1,4 +1,4 @@
-// Command casekit runs the script of review case 11: it starts nodes as processes, with stand-ins of the platform, the
+// Command casekit runs the scripts of review cases 11 and 12: changes of primary: it starts nodes as processes, with stand-ins of the platform, the
 // servers and the clients around them, and checks a rule of the platform's pages.
 package main
 
@@ -161,7 +161,9 @@
 		fmt.Println("usage: casekit CASE RECORD BINARY")
 		return exitFailed
 	}
-	run, ok := map[string]func(string, string) (bool, error){"unrecorded": runUnrecorded}[os.Args[1]]
+	run, ok := map[string]func(string, string) (bool, error){
+		"unrecorded": runUnrecorded, "forgotten": runForgotten,
+	}[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case", os.Args[1])
 		return exitFailed
