review: cases 12 and 13 under their new numbers

The gravest case goes first. Case 12 is the change of primary that no record names, case 13 the sessions that keep large statements.

--- a/review/casekit3/kit.go
+++ b/review/casekit3/kit.go
@@ -1,4 +1,4 @@
-// Package casekit3 holds the stand-ins of case 12 for the platform, for servers and for clients, which
+// Package casekit3 holds the stand-ins of case 13 for the platform, for servers and for clients, which
 // follow the users' pages, and the start of nodes as processes of their own.
 package casekit3
 
