--- a/review/changes3/main.go
+++ b/review/changes3/main.go
@@ -1,5 +1,5 @@
-// Command casekit runs the scripts of review cases 11 and 12: changes of primary: it starts nodes as processes, with stand-ins of the platform, the
-// servers and the clients around them, and checks a rule of the platform's pages.
+// Command changes3 runs the scripts of review cases 11 and 12, on changes of primary: it starts nodes as processes,
+// with stand-ins of the platform, the servers and the clients around them, and checks a rule of the platform's pages.
 package main
 
 import (
