--- a/review/casekit3/server.go
+++ b/review/casekit3/server.go
@@ -31,6 +31,8 @@
 	// number.
 	RowSize, Rows int
 	Store         *Store
+	// Record gets a line for each statement that a server runs.
+	Record *Record
 
 	mu      sync.Mutex
 	term    int
@@ -291,6 +293,7 @@
 	if word == "COMMIT" {
 		c.state, c.wrote = "I", false
 	}
+	d.Record.Logf("server %s runs %s %s", c.server.id, id, word)
 	rows := names.Row + " row\r\n"
 	if strings.HasPrefix(name, "large") {
 		rows = strings.Repeat(names.Row+" "+strings.Repeat("r", d.RowSize)+"\r\n", d.Rows)
