Commits that only ended processes knew of count until they are covered

Cause: a process that has just started knows of no acknowledged commit, and took that for there being none; the logs of the dark upstreams counted as lost 2.5 s after their registrations. The same holds for nodes that are silent: the end of a commit lease shows that a node acknowledges no more, not what it has acknowledged.

Nodes whose lease ran out stay in the commit block until they confirm.

Ruled out: a longer grace for all, because it delays failovers beside servers that are known to be gone.

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -12,6 +12,8 @@
 		now: s.now, acked: f.group.ackedPosition, maxMissing: s.maxMissingStatuses(f.group),
 		mayAcknowledge:   !f.commits.isComplete(s.now),
 		mayLackUpstreams: s.catalog.mayLackRegistrations(s.now),
+		unreported:       s.unreportedCommits(f), samples: f.group.samples,
+		longest: f.group.longestLog, minLogs: s.minKnownLogs(f.group),
 	}
 	for _, u := range f.group.upstreams {
 		switch {
@@ -19,6 +21,8 @@
 			c.primary = u.Upstream
 		case !u.isRemoved(s) || isHalted(f, u):
 			c.others = append(c.others, u.Upstream)
+		case u.isSilent(s):
+			c.silent = append(c.silent, u.Upstream)
 		}
 	}
 	return c
@@ -44,11 +48,7 @@
 // reaches the upstream. Its log then counts as lost. Time in which the store is unavailable does not count, because
 // upstreams cannot register again.
 func (u *upstream) isRemoved(s *State) bool {
-	until := s.now
-	if s.catalog.storeUnavailable {
-		until = s.catalog.storeReachedAt
-	}
-	return u.deletedAt > 0 && until-u.deletedAt > deletionGrace && !s.isReportedReachable(u)
+	return u.missingFor(s) > deletionGrace && !s.isReportedReachable(u)
 }
 
 // selectCandidate returns the first upstream in the order of preference whose promotion is shown to be safe. If there
--- a/loomfleet/catalog.go
+++ b/loomfleet/catalog.go
@@ -321,6 +321,8 @@
 	c.storeUnavailable, c.storeReachedAt = false, s.now
 	if c.storeFirstReachedAt == 0 {
 		c.storeFirstReachedAt = max(s.now, 1)
+		// What was acknowledged before this process started, and by VMs that it does not know, is not reported to it.
+		s.unreported.add(c.storeFirstReachedAt + commitLeaseDuration)
 	}
 }
 
@@ -336,7 +338,9 @@
 func (c *catalog) restartDeletionGrace(now time.Duration) {
 	for _, u := range c.upstreams {
 		switch {
-		case u.deletedAt == 0 || c.storeReachedAt-u.deletedAt > deletionGrace:
+		case u.deletedAt == 0:
+		case c.storeReachedAt-u.deletedAt > deletionGrace:
+			u.deletedAt += now - c.storeReachedAt
 		case u.deletedAt >= c.storeReachedAt || !u.graceRestarted:
 			u.deletedAt, u.graceRestarted = now, true
 		default:
--- a/loomfleet/commitblock.go
+++ b/loomfleet/commitblock.go
@@ -12,7 +12,7 @@
 type commitBlock struct {
 	// number identifies the change in messages; zero before the change has begun.
 	number uint64
-	// leases holds the nodes that may still acknowledge commits, and until when.
+	// leases holds the nodes that have not confirmed that they acknowledge no commit, each with the end of its lease.
 	leases map[currantloom.VMName]time.Duration
 }
 
@@ -26,9 +26,10 @@
 // confirm records that a node acknowledges no commit any more, or that its process has ended.
 func (b *commitBlock) confirm(vm currantloom.VMName) { delete(b.leases, vm) }
 
-// awaits reports whether a node may still acknowledge commits.
-func (b *commitBlock) awaits(vm currantloom.VMName, now time.Duration) bool {
-	return now < b.leases[vm]
+// awaits reports whether a node has not confirmed yet. Once its lease has run out, only its newest commit is awaited.
+func (b *commitBlock) awaits(vm currantloom.VMName) bool {
+	_, ok := b.leases[vm]
+	return ok
 }
 
 // isComplete reports whether no node acknowledges commits any more.
--- a/loomfleet/failover.go
+++ b/loomfleet/failover.go
@@ -270,11 +270,11 @@
 	}
 }
 
-// repeatBlockWrites asks a node that answers and may still acknowledge commits again to block them.
+// repeatBlockWrites asks a node that answers and has not confirmed that commits are blocked again to block them.
 func (s *State) repeatBlockWrites(m *member) {
 	for _, g := range s.catalog.sortedGroups {
 		f := s.coordinator.failovers[g.name]
-		if f == nil || !f.commits.awaits(m.vm.Name(), s.now) {
+		if f == nil || !f.commits.awaits(m.vm.Name()) {
 			continue
 		}
 		s.emit(Send{VM: m.vm, Message: currantloom.BlockWrites{
--- a/loomfleet/group.go
+++ b/loomfleet/group.go
@@ -52,6 +52,8 @@
 	successor currantloom.UpstreamName
 	// ackedPosition is the newest commit that this node knows to be acknowledged. The next primary must have it.
 	ackedPosition currantloom.LogPosition
+	// longestLog is the longest log that a paused replica was seen to have.
+	longestLog replicaLog
 	// logLostAt is when the registration of an upstream was last deleted, or an upstream last came back without its log;
 	// zero if neither has happened.
 	logLostAt time.Duration
@@ -195,6 +197,13 @@
 	}
 }
 
+// recordLog records the log of a paused replica.
+func (g *group) recordLog(log replicaLog) {
+	if log.compare(g.longestLog) > 0 {
+		g.longestLog = log
+	}
+}
+
 // addSample appends a sample. A sample that is out of order, or too close to the last one of the same term, is dropped.
 func (g *group) addSample(added sample) {
 	n := len(g.samples)
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -83,22 +83,21 @@
 	return ok && (m.deletedAt == 0 || m.alive && m.shuttingDown)
 }
 
-// outstandingLeases returns the VMs that may hold a commit lease, and until when. Those that an earlier holder of the
-// failover lease has given are not known: any VM may hold one for as long as a lease lasts.
+// outstandingLeases returns the VMs that hold a commit lease or have held one, and until when. Those that an earlier
+// holder of the failover lease has given are not known: any VM may hold one for as long as a lease lasts, but for that
+// holder itself, whose own leases ended with the failover lease.
 func (s *State) outstandingLeases() map[currantloom.VMName]time.Duration {
 	c := &s.coordinator
 	leases := make(map[currantloom.VMName]time.Duration)
-	add := func(vm currantloom.VMName, until time.Duration) {
-		if s.now < until {
-			leases[vm] = max(leases[vm], until)
-		}
-	}
+	add := func(vm currantloom.VMName, until time.Duration) { leases[vm] = max(leases[vm], until) }
 	for vm, at := range c.grants.givenAt {
 		add(vm, at+commitLeaseDuration)
 	}
 	for _, m := range s.members.sorted {
 		if m.vm.Name() != c.replacedHolder || m.alive || s.hasLatelyLostStore() {
 			add(m.vm.Name(), c.actingSince+commitLeaseDuration)
+		} else {
+			add(m.vm.Name(), c.actingSince)
 		}
 	}
 	if s.now-s.catalog.storeFirstReachedAt < failoverLeaseTTL+commitLeaseDuration {
@@ -116,8 +115,9 @@
 	return c.storeUnavailable || c.storeRegainedAt > 0 && s.now-c.storeRegainedAt < failoverLeaseTTL+commitLeaseDuration
 }
 
-// forgetCommitLeases records that an earlier process of a VM has ended.
+// forgetCommitLeases records that an earlier process of a VM has ended, and with it what it knew of its commits.
 func (s *State) forgetCommitLeases(vm currantloom.VMName) {
+	s.unreported.add(s.now)
 	delete(s.coordinator.grants.givenAt, vm)
 	for _, f := range s.coordinator.failovers {
 		f.commits.confirm(vm)
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -97,7 +97,9 @@
 		s.log(Decision{Event: "vm", VM: name, Version: e.Position.Revision(), Outcome: "registered"})
 	}
 	if peer.incarnation != e.Incarnation {
-		s.forgetCommitLeases(name)
+		if ok {
+			s.forgetCommitLeases(name)
+		}
 		peer.shuttingDown, peer.pongPending, peer.alive, peer.suspected = false, false, false, false
 	}
 	peer.vm, peer.incarnation, peer.position = e.VM, e.Incarnation, e.Position
@@ -248,6 +250,9 @@
 }
 
 func (s *State) forgetMember(m *member) {
+	// The holder of the failover lease gives none to a VM that is not registered.
+	s.unreported.add(m.deletedAt + commitLeaseDuration)
+	delete(s.coordinator.grants.givenAt, m.vm.Name())
 	s.members.sorted = slices.DeleteFunc(s.members.sorted, func(other *member) bool { return other == m })
 	delete(s.members.byName, m.vm.Name())
 	s.members.epoch++
--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -119,6 +119,9 @@
 		Event: "failover", Service: f.group.name, Upstream: u.Name, Position: status.Received, Version: uint64(status.Term),
 		Age: s.now - f.startedAt, Outcome: outcome.String(),
 	})
+	if outcome == haltPaused || outcome == haltResumed {
+		f.group.recordLog(replicaLog{term: status.Term, received: status.Received})
+	}
 	if status.Primary && (status.Term > f.group.term || f.group.primary == "") {
 		f.group.recordPrimary(s, u.Name, currantloom.NewLogPosition(status.Term, status.Received.Index()), sentAt)
 	}
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -197,6 +197,16 @@
 	mayAcknowledge bool
 	// mayLackUpstreams says that upstreams may exist whose registrations are not back after an outage of the store.
 	mayLackUpstreams bool
+	// unreported are the commits that may be acknowledged and are not part of acked, samples the logs of the primary that
+	// show which of them a candidate has.
+	unreported unreportedCommits
+	samples    []sample
+	// silent are the upstreams whose registrations have lapsed and whose logs may return, longest is the longest log that
+	// any replica was seen to have, minLogs is the number of logs that must be known because others may exist. They count
+	// while commits are unreported.
+	silent  []currantloom.Upstream
+	longest replicaLog
+	minLogs int
 }
 
 // promotionBasis says what makes a promotion safe, or why it is not shown to be.
@@ -215,6 +225,7 @@
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
 	basisNotBlocked    promotionBasis = "a node may still acknowledge commits"
 	basisUnregistered  promotionBasis = "registrations may be missing after an outage of the store"
+	basisUnreported    promotionBasis = "another log may hold commits of a node that does not answer"
 )
 
 // isSafe reports whether the promotion may be requested.
@@ -241,6 +252,8 @@
 		return basisLacksCommit
 	case p.hasLongerLog(c, h.log):
 		return basisLongerLog
+	case p.mayLackUnreported(c, h.log):
+		return basisUnreported
 	case len(p.missing(c))+p.doubtfulOthers(c, candidate) > c.maxMissing:
 		return basisMayResume
 	case steppedDown && c.now-final.at < newcomerTime:
@@ -258,6 +271,16 @@
 	})
 }
 
+// mayLackUnreported reports whether commits that nodes have acknowledged and not reported may be in another log only.
+func (p *promotionProof) mayLackUnreported(c promotionCase, log replicaLog) bool {
+	if c.unreported.isCoveredBy(log.received, c.samples) {
+		return false
+	}
+	missing := len(p.missing(c))
+	known := len(c.others) - missing
+	return missing+len(c.silent) > c.maxMissing || known < c.minLogs || c.longest.compare(log) > 0
+}
+
 // doubtfulOthers counts the upstreams, other than the primary and the candidate, that are halted and may resume. If the
 // candidate does, it only holds more.
 func (p *promotionProof) doubtfulOthers(c promotionCase, candidate currantloom.Upstream) int {
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -63,9 +63,11 @@
 	requests    requests
 	owner       ownerState
 	coordinator coordinator
-	shutdown    shutdown
-	limits      limits
-	grant       heardGrant
+	// unreported are the commits that other nodes may have acknowledged and not reported, of any service.
+	unreported unreportedCommits
+	shutdown   shutdown
+	limits     limits
+	grant      heardGrant
 }
 
 // New returns the initial state of a node.
