No request for promotion leaves without a record of the change

Cause: the write that gives a failover its fence is the one that records the change for the next holder. The store answered it with 503, the failover went on with the fence that it had, and nothing asked for the record where the request leaves, 4.3 s after the store was back. The record in the store was empty at the request.

Change: requestPromotion asks one rule: the record names the service and does so whatever becomes of a write without an answer, or the store is down for all that answer. A failover that is ready and not recorded writes the record first; a request that left during an outage is recorded as soon as the store answers. The fixtures that skip the step which writes the fence now record the change as that step does; no assertion of theirs changed.

Ruled out: a record deleted too early (no write ever named the service).

--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -27,6 +27,7 @@
 			f.state.now = f.now
 		}
 		f.state.startFailover(g, "primary is quiet", false)
+		f.recordChange()
 		fo := f.state.coordinator.failovers[testService]
 		fo.commits = newCommitBlock(1, nil)
 		f.state.enterStep(fo, stepPause)
@@ -67,6 +68,7 @@
 		f.configure(currantloom.ReadLatest)
 		f.state.coordinator.leaseKey.position = testStorePosition(11)
 		f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
+		f.recordChange()
 		fo := f.state.coordinator.failovers[testService]
 		fo.paused["b"], fo.paused["c"] = true, true
 		fo.candidate = "b"
@@ -169,6 +171,7 @@
 			f.configure(currantloom.ReadLatest)
 			f.state.coordinator.leaseKey.position = testStorePosition(11)
 			f.state.startFailover(f.state.groupOf(testService), "primary is quiet", false)
+			f.recordChange()
 			fo := f.state.coordinator.failovers[testService]
 			fo.candidate = "b"
 			b := f.state.catalog.upstreams["b"].Upstream
@@ -224,6 +227,7 @@
 		f.state.coordinator.leaseKey.position = testStorePosition(11)
 		g := f.state.groupOf(testService)
 		f.state.startFailover(g, "primary is draining", true)
+		f.recordChange()
 		fo := f.state.coordinator.failovers[testService]
 		fo.candidate = "c"
 		f.state.enterStep(fo, step)
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -157,7 +157,7 @@
 		return
 	}
 	switch {
-	case !r.position.IsZero() && c.record.isOutdated(c.changes(s)):
+	case !r.position.IsZero() && (c.record.isOutdated(c.changes(s)) || c.lacksRequest(s)):
 		c.rewriteLeaseKey(s)
 	case !r.position.IsZero():
 		r.renewIfDue(s)
@@ -257,6 +257,20 @@
 	return slices.Compact(services)
 }
 
+// lacksRequest reports whether the record lacks a service for which a request is under way: it left while the store was
+// down for all.
+func (c *coordinator) lacksRequest(s *State) bool {
+	return slices.ContainsFunc(s.catalog.sortedGroups, func(g *group) bool {
+		return s.hasPendingPromotion(g) && !c.record.holds(g.name)
+	})
+}
+
+// mayRequest reports whether a request for promotion of the service may leave: the next holder learns of it from the
+// record, or the store is down for all, so that there is no next holder before it is back.
+func (c *coordinator) mayRequest(s *State, service currantloom.ServiceName) bool {
+	return c.record.holds(service) || s.isStoreDownForAll()
+}
+
 // requestFence rewrites the key of the failover lease, so that its revision, which is the fence, increases. The changes
 // under way are recorded by the same write, so that the next holder knows of every request that follows.
 func (c *coordinator) requestFence(s *State) bool {
@@ -277,7 +291,7 @@
 
 // rewriteLeaseKey writes the key of the failover lease again, together with the record of the changes under way.
 func (c *coordinator) rewriteLeaseKey(s *State) {
-	c.record.written = c.changes(s)
-	c.leaseKey.rewrite(s, c.record.written)
-	c.record.writtenBy = c.leaseKey.pendingCall
+	changes := c.changes(s)
+	c.leaseKey.rewrite(s, changes)
+	c.record.startWrite(changes, c.leaseKey.pendingCall)
 }
--- a/loomfleet/pausestep.go
+++ b/loomfleet/pausestep.go
@@ -154,6 +154,9 @@
 	case basis == basisSteppedDown && s.mayFindBetterCandidate(f, c):
 	case (basis.isSafe() || basis == basisNotBlocked) && f.reason == reasonCommitsStalled && s.awaitsStepDown(f):
 		// The primary answers, so it can be stopped before its successor is chosen for good.
+	case basis.isSafe() && !s.coordinator.mayRequest(s, f.group.name):
+		s.coordinator.requestFence(s)
+		s.reviewPauseStep(f, basisUnrecorded)
 	case basis.isSafe():
 		f.candidate, f.basis, f.promotedLog = candidate.Name, basis, f.proof.halts[candidate.Name].log.received
 		s.logEvidence(f)
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -17,6 +17,10 @@
 // that the platform refuses those that it has not carried out yet.
 func (s *State) requestPromotion(f *failover) {
 	c := &s.coordinator
+	if !c.mayRequest(s, f.group.name) {
+		s.enterStep(f, stepFence)
+		return
+	}
 	fence, ok := c.nextFence()
 	if !ok {
 		s.enterStep(f, stepFence)
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -225,6 +225,7 @@
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
 	basisNotBlocked    promotionBasis = "a node may still acknowledge commits"
 	basisUnregistered  promotionBasis = "registrations may be missing after an outage of the store"
+	basisUnrecorded    promotionBasis = "the change is not recorded"
 	basisUnreported    promotionBasis = "another log may hold commits of a node that does not answer"
 )
 
--- a/loomfleet/promotions.go
+++ b/loomfleet/promotions.go
@@ -176,7 +176,11 @@
 // leads until then.
 func (s *State) requestVoid(f *failover) {
 	if f.proof.leads(f.candidate) && f.commits.isComplete(s.now) {
-		s.requestPromotion(f)
+		if s.coordinator.mayRequest(s, f.group.name) {
+			s.requestPromotion(f)
+		} else {
+			s.coordinator.requestFence(s)
+		}
 		return
 	}
 	if u := f.group.find(f.candidate); u != nil {
--- a/loomfleet/promotions_test.go
+++ b/loomfleet/promotions_test.go
@@ -71,6 +71,7 @@
 	f.holdLease()
 	g := f.state.groupOf(testService)
 	f.state.startFailover(g, reasonCommitsStalled, false)
+	f.recordChange()
 	fo := f.state.coordinator.failovers[testService]
 	fo.candidate = "b"
 	f.state.enterStep(fo, stepPromote)
@@ -123,6 +124,7 @@
 			g := f.state.groupOf(testService)
 			g.setPrimary(f.state, "a", "reported")
 			f.state.startFailover(g, reasonCommitsStalled, false)
+			f.recordChange()
 			fo := f.state.coordinator.failovers[testService]
 			c.proof(f, fo)
 			g.primary = "a"
@@ -169,6 +171,7 @@
 	f.holdLease()
 	g := f.state.groupOf(testService)
 	f.state.startFailover(g, reasonCommitsStalled, false)
+	f.recordChange()
 	fo := f.state.coordinator.failovers[testService]
 	f.reportPrimary(fo, "a", 1)
 	f.state.voidPromotions(fo, "no candidate")
--- a/loomfleet/restore_test.go
+++ b/loomfleet/restore_test.go
@@ -69,6 +69,12 @@
 	}
 }
 
+// recordChange records a change of primary of the service, as the step does that writes the fence.
+func (f *fixture) recordChange() {
+	r := &f.state.coordinator.record
+	r.observe(ChangeRecord{Services: []currantloom.ServiceName{testService}, Position: r.position})
+}
+
 // TestOwnKeysInNewEra guards against a lease of an earlier era that is renewed or ended in a later one, where its
 // number may be another node's, and against own keys that are not written again.
 func TestOwnKeysInNewEra(t *testing.T) {
--- a/loomfleet/unsettled_test.go
+++ b/loomfleet/unsettled_test.go
@@ -39,6 +39,7 @@
 // startPause starts a failover at the step in which replicas are paused.
 func (f *fixture) startPause(g *group, reason string, planned bool) *failover {
 	f.state.startFailover(g, reason, planned)
+	f.recordChange()
 	fo := f.state.coordinator.failovers[g.name]
 	fo.fence = f.state.coordinator.leaseKey.position
 	f.state.enterStep(fo, stepPause)
