A holder that most nodes do not hear requests no promotion on paused replicas alone

Cause: the rule for leaderless nodes takes a majority that hears no holder as proof that none can act; the holder acts from any minority. Each takes the other's silence for absence.

Change: 'all replicas are paused' is not accepted while the silent nodes outnumber those that answer by so much that they may be such a majority; nodes that registered after the silence began do not count. A primary that has stepped down may be replaced as before. The log says when a node begins and ends to give itself leases (lease, leaderless).

--- a/loomfleet/candidate.go
+++ b/loomfleet/candidate.go
@@ -11,8 +11,8 @@
 	c := promotionCase{
 		now: s.now, acked: f.group.ackedPosition, maxMissing: s.maxMissingStatuses(f.group),
 		mayAcknowledge:   !f.commits.isComplete(s.now),
-		mayLackUpstreams: s.catalog.mayLackRegistrations(s.now),
-		unreported:       s.unreportedCommits(f), samples: f.group.samples,
+		mayLackUpstreams: s.catalog.mayLackRegistrations(s.now), isOutnumbered: s.isOutnumbered(),
+		unreported: s.unreportedCommits(f), samples: f.group.samples,
 		longest: f.group.longestLog, minLogs: s.minKnownLogs(f.group),
 	}
 	for _, u := range f.group.upstreams {
--- a/loomfleet/leaserenewal.go
+++ b/loomfleet/leaserenewal.go
@@ -24,8 +24,9 @@
 	askedAt  time.Duration
 	// probedAt is when this node last asked the store because no holder answered.
 	probedAt time.Duration
-	// logged says that the log names this node as one that may acknowledge commits.
-	logged bool
+	// logged says that the log names this node as one that may acknowledge commits, leaderless that it names it as one
+	// that gives itself leases because no node can act as the holder.
+	logged, leaderless bool
 }
 
 // isFresh reports whether the holder of the failover lease lets this node acknowledge commits.
@@ -72,13 +73,16 @@
 	s.logGrant()
 	s.probeStoreIfSilent()
 	c, until := &s.coordinator, s.now+commitLeaseDuration
+	isHolder := s.mayGrantCommitLeases()
+	leaderless := !isHolder && s.isLeaderless()
+	s.logLeaderless(leaderless)
 	switch {
-	case s.mayGrantCommitLeases():
+	case isHolder:
 		if c.leaseKey.isHeld(s.now) {
 			until = min(until, c.leaseKey.validUntil)
 		}
 		s.grant.position, s.grant.askedAt = c.leaseKey.position, s.now
-	case s.isLeaderless():
+	case leaderless:
 		until = s.now + leaderlessLeaseDuration
 	default:
 		return
@@ -118,6 +122,43 @@
 	})
 }
 
+// logLeaderless logs when this node begins and ends to give itself commit leases.
+func (s *State) logLeaderless(leaderless bool) {
+	if leaderless == s.grant.leaderless {
+		return
+	}
+	s.grant.leaderless = leaderless
+	outcome := "holder_possible"
+	if leaderless {
+		outcome = "leaderless"
+	}
+	answering, _ := s.countAnswering()
+	s.log(Decision{Event: "lease", Count: answering, Age: s.now - s.grant.askedAt, Outcome: outcome})
+}
+
+// isOutnumbered reports whether the VMs that do not answer may take this holder of the failover lease for lost, and give
+// themselves commit leases because the store does not answer them either: most of the VMs that they know are among
+// them. VMs that registered after they fell silent are not known to them.
+func (s *State) isOutnumbered() bool {
+	silent, silentSince := 0, s.now
+	for _, m := range s.members.sorted {
+		if m.suspected && !s.hasLeft(m) {
+			silent++
+			silentSince = min(silentSince, max(m.heardAt, m.firstSeenAt))
+		}
+	}
+	known := 0
+	if s.catalog.storeFirstReachedAt <= silentSince {
+		known++
+	}
+	for _, m := range s.members.sorted {
+		if m.alive && m.firstSeenAt <= silentSince {
+			known++
+		}
+	}
+	return silent > known+1
+}
+
 // isLeaderless reports whether no node can act as the holder of the failover lease: the store is unavailable to this
 // node and to all that answer, most nodes answer, and none of them has heard of a holder lately.
 func (s *State) isLeaderless() bool {
--- a/loomfleet/members.go
+++ b/loomfleet/members.go
@@ -35,6 +35,8 @@
 	vm          currantloom.VM
 	incarnation uint64
 	position    currantloom.StorePosition
+	// firstSeenAt is when this node learnt of the member.
+	firstSeenAt time.Duration
 	deletedAt   time.Duration
 	// missingSince is when a store that came back from a copy turned out not to have the registration; zero if it has it.
 	missingSince time.Duration
@@ -90,7 +92,7 @@
 		return
 	}
 	if !ok {
-		peer = &member{vm: e.VM}
+		peer = &member{vm: e.VM, firstSeenAt: s.now}
 		m.byName[name] = peer
 		m.sorted = append(m.sorted, peer)
 		slices.SortFunc(m.sorted, func(a, b *member) int { return cmp.Compare(a.vm.Name(), b.vm.Name()) })
--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -195,6 +195,8 @@
 	acceptsDoubt bool
 	// mayAcknowledge says that a node may still acknowledge commits.
 	mayAcknowledge bool
+	// isOutnumbered says that most nodes do not answer, and may give themselves leases to acknowledge commits.
+	isOutnumbered bool
 	// mayLackUpstreams says that upstreams may exist whose registrations are not back after an outage of the store.
 	mayLackUpstreams bool
 	// unreported are the commits that may be acknowledged and are not part of acked, samples the logs of the primary that
@@ -225,6 +227,7 @@
 	basisNewcomers     promotionBasis = "an upstream may not have registered yet"
 	basisNotBlocked    promotionBasis = "a node may still acknowledge commits"
 	basisUnregistered  promotionBasis = "registrations may be missing after an outage of the store"
+	basisOutnumbered   promotionBasis = "most nodes do not answer"
 	basisUnrecorded    promotionBasis = "the change is not recorded"
 	basisUnreported    promotionBasis = "another log may hold commits of a node that does not answer"
 )
@@ -245,6 +248,8 @@
 		return basisSteppedDown
 	case c.mayAcknowledge:
 		return basisNotBlocked
+	case c.isOutnumbered:
+		return basisOutnumbered
 	case c.mayLackUpstreams:
 		return basisUnregistered
 	case len(p.missing(c)) > c.maxMissing:
--- a/loommodel/unrecorded_test.go
+++ b/loommodel/unrecorded_test.go
@@ -71,3 +71,34 @@
 		})
 	}
 }
+
+// TestUnrecordedOutage guards against the same when the store is down for all from before the request until all
+// processes have ended, so that the change cannot be recorded.
+func TestUnrecordedOutage(t *testing.T) {
+	for i := range *unrecordedSeedCount {
+		seed := *firstUnrecordedSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 13))
+			sim := startSimulation(t, seed, loommodel.Options{Nodes: 4, Clients: 24, ThinkTime: 10 * time.Millisecond})
+			sim.Run(2 * time.Second)
+			primary := sim.Primary(0)
+			sim.Crash(replicasOf(sim, primary)[seed%2], true, 10*time.Second)
+			sim.Run(6500 * time.Millisecond)
+			sim.DelayPromotions(100)
+			sim.SetStoreDown(true)
+			sim.Run(300 * time.Millisecond)
+			sim.Crash(primary, true, 2500*time.Millisecond+time.Duration(random.Int64N(int64(1500*time.Millisecond))))
+			if !runUntilDecision(sim, 8*time.Second, "order", "requested") {
+				t.Fatal("no promotion was requested")
+			}
+			killAllNodes(sim, random)
+			sim.DelayPromotions(0)
+			sim.Run(time.Second)
+			sim.SetStoreDown(false)
+			sim.Run(20 * time.Second)
+			assertNoViolations(t, sim)
+			assertServing(t, sim)
+		})
+	}
+}
