A new holder takes paused replicas for a change that may still take effect

Cause: a request that leaves while the store is down for all is not recorded. If all processes are killed before the store is back, the next holder finds no record and hears no announcement, and lets commits go on; the request is carried out later.

Change: the pause of the replicas outlasts the processes. A process that has just started asks each replica for its status when it may become the holder of the failover lease, and inherits the services whose replicas are paused, like those of the record.

--- a/loomfleet/changerecord.go
+++ b/loomfleet/changerecord.go
@@ -59,6 +59,15 @@
 	}
 }
 
+// inheritService records that a request of an earlier holder for the service may take effect although no record names
+// it.
+func (r *changeRecord) inheritService(name currantloom.ServiceName) {
+	if r.inherited == nil {
+		r.inherited = make(map[currantloom.ServiceName]bool)
+	}
+	r.inherited[name] = true
+}
+
 func (r *changeRecord) isInherited(name currantloom.ServiceName) bool { return r.inherited[name] }
 
 // settle records that no request of an earlier holder can take effect any more.
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -35,8 +35,9 @@
 	failovers map[currantloom.ServiceName]*failover
 	// promotions holds the requests for promotion that this node has sent, or heard announced, by service.
 	promotions map[currantloom.ServiceName]*promotions
-	// record holds the changes of primary that may have been requested.
-	record changeRecord
+	// record holds the changes of primary that may have been requested, pauseQuestions finds those that it lacks.
+	record         changeRecord
+	pauseQuestions pauseQuestions
 	// grants are the commit leases that this node has given as the holder.
 	grants    leaseGrants
 	lastFence currantloom.Fence
@@ -102,6 +103,7 @@
 		c.tookOverAt = s.now
 	}
 	c.record.inherit()
+	c.inheritPaused(s)
 	for _, service := range c.record.inheritedServices() {
 		s.log(Decision{
 			Event: "duty", Service: service, Reason: reasonUnsettled, Version: c.holder.position.Revision(),
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -52,7 +52,7 @@
 		return true
 	}
 	f := s.coordinator.failovers[name]
-	return f != nil && f.commits.hasBegun() || s.isUnsettled(g) || s.hasPendingPromotion(g)
+	return f != nil && f.commits.hasBegun() || s.isUnsettled(g) || s.hasPendingPromotion(g) || s.awaitsPauseAnswers(g)
 }
 
 // changingServices returns the services whose commits may not be acknowledged, sorted.
@@ -61,6 +61,9 @@
 	candidates := c.record.inheritedServices()
 	candidates = slices.AppendSeq(candidates, maps.Keys(c.failovers))
 	candidates = slices.AppendSeq(candidates, maps.Keys(c.promotions))
+	if s.mayHaveForgottenChanges() {
+		candidates = slices.AppendSeq(candidates, maps.Keys(s.catalog.groups))
+	}
 	slices.Sort(candidates)
 	return slices.DeleteFunc(slices.Compact(candidates), func(name currantloom.ServiceName) bool {
 		return !s.isChanging(name)
--- a/loomfleet/promotion.go
+++ b/loomfleet/promotion.go
@@ -58,7 +58,7 @@
 	})
 	s.coordinator.promotionsOf(e.Service).recordResult(s.now, e.PromotionID, e.Result)
 	if e.Result == currantloom.PromoteAccepted {
-		s.coordinator.record.settle(e.Service)
+		s.coordinator.settle(e.Service)
 	}
 	if f == nil || f.promotionID != e.PromotionID {
 		return
--- a/loomfleet/state.go
+++ b/loomfleet/state.go
@@ -223,6 +223,7 @@
 	s.coordinator.tick(s)
 	s.tickCommitLeases()
 	s.tickHeldCommits()
+	s.tickPauseQuestions()
 	s.tickFailovers()
 	s.tickShutdown()
 }
