A withdrawn commit that waits for its settings is counted out

Cause: a commit that waits for the answers to its settings counts as running, and the withdrawal of its key took it off the connection without counting it out. After as many of these as the upstream has slots, plus one, no job starts.

Change: handleWithdrawal and rejectExpired take jobs off connections with detachJob, as all others do.

--- a/loomfleet/pool.go
+++ b/loomfleet/pool.go
@@ -292,7 +292,7 @@
 func (s *State) rejectExpired(j *job) {
 	if j.conn != nil {
 		cn := j.conn
-		cn.job = nil
+		s.detachJob(cn)
 		s.unpin(cn)
 		s.rejectJob(j, currantloom.ReasonQueueWait)
 		cn.rollBack(s)
--- a/loomfleet/revocation.go
+++ b/loomfleet/revocation.go
@@ -198,7 +198,7 @@
 		s.rejectJob(j, currantloom.ReasonCancelled)
 	case j.call.Mode == currantloom.CallInTransaction && !j.sent:
 		j.pool.queue.remove(j)
-		cn.job = nil
+		s.detachJob(cn)
 		s.unpin(cn)
 		s.rejectJob(j, currantloom.ReasonCancelled)
 		cn.rollBack(s)
--- a/loomfleet/revocation_test.go
+++ b/loomfleet/revocation_test.go
@@ -351,6 +351,29 @@
 	}
 }
 
+// TestWithdrawnCommitAwaitsSettings guards against a commit that is withdrawn while it waits for the answers to its
+// settings and takes a place among the running jobs for ever: after a few of them the owner starts no job any more.
+func TestWithdrawnCommitAwaitsSettings(t *testing.T) {
+	f := newRevocationFixture(t, false)
+	f.send("b", currantloom.StatementBegin)
+	f.send("w", currantloom.StatementWrite)
+	f.answerStatement(currantloom.TransactionOpen)
+	f.holdsSettings = true
+	f.apply(StatementReceived{Stamp: f.stamp(), Session: 1, Statement: currantloom.Statement{
+		ID: "s", Kind: currantloom.StatementSet, Name: "zone", Argument: "linz",
+	}})
+	f.send("c", currantloom.StatementCommit)
+	p := f.state.poolOf(f.state.catalog.upstreams["a"])
+	if p.running != 1 {
+		t.Fatalf("%d jobs run, want the commit that waits for its settings", p.running)
+	}
+	f.configureNext(organisationConfiguration(2, false, nil))
+	if p.running != 0 {
+		t.Errorf("%d jobs run after the commit was withdrawn, want none", p.running)
+	}
+	f.assertNothingOpen()
+}
+
 // BenchmarkRevocation measures a configuration that withdraws the key of one of 4,000 sessions.
 func BenchmarkRevocation(b *testing.B) {
 	s := New(Config{Self: testSelf, Location: testLocation})
--- a/loomfleet/revocationfixture_test.go
+++ b/loomfleet/revocationfixture_test.go
@@ -31,6 +31,8 @@
 	// all holds the effects since configureNext, waiting the unanswered statements with the commands sent after them.
 	all     []Effect
 	waiting []SendCommands
+	// holdsSettings says that the upstream does not answer settings.
+	holdsSettings bool
 }
 
 // newRevocationFixture returns a node with a session 1 that has a valid key, on a public or a private route.
@@ -64,6 +66,9 @@
 
 func (f *revocationFixture) answer(e SendCommands) {
 	for i, c := range e.Commands {
+		if f.holdsSettings && c.Kind == currantloom.CommandSet {
+			return
+		}
 		switch c.Kind {
 		case currantloom.CommandStatement, currantloom.CommandExecute:
 			f.waiting = append(f.waiting, SendCommands{Conn: e.Conn, Commands: e.Commands[i+1:]})
