A session keeps its newest commit for each service

Change: the newest commit is kept for each service that the session has written to. A route that comes back still shows the session its commits there.

--- a/loomfleet/attempt.go
+++ b/loomfleet/attempt.go
@@ -21,9 +21,7 @@
 		if r.hasWritten {
 			r.group.recordAcked(reply.Position)
 		}
-		if reply.Position.Compare(sn.lastCommit) > 0 {
-			sn.lastCommit, sn.lastCommitAt = reply.Position, s.now
-		}
+		sn.recordCommit(r.group, sample{position: reply.Position, takenAt: s.now})
 	}
 	s.finish(r, reply, c)
 }
--- a/loomfleet/catchup.go
+++ b/loomfleet/catchup.go
@@ -114,14 +114,6 @@
 	return required, known
 }
 
-// ownCommit returns the newest commit of the session if the read must see it.
-func (r *request) ownCommit() sample {
-	if r.route.ReadPolicy != currantloom.ReadYourWrites {
-		return sample{}
-	}
-	return sample{position: r.session.lastCommit, takenAt: r.session.lastCommitAt}
-}
-
 // replicaFor returns the cheapest replica that has reached the position of a read.
 func (s *State) replicaFor(r *request) (target, time.Duration, bool) {
 	required, known := r.requiredSample()
--- a/loomfleet/catchup_test.go
+++ b/loomfleet/catchup_test.go
@@ -132,7 +132,7 @@
 		t.Errorf("accepted age %s with position %s, want %s and none", got.maxAge, got.agePosition, maxAge+waited)
 	}
 	own := currantloom.NewLogPosition(1, 90)
-	r.session.lastCommit, r.session.lastCommitAt = own, f.now-time.Second
+	r.session.recordCommit(g, sample{position: own, takenAt: f.now - time.Second})
 	if got := r.readTarget(f.state); !got.agePosition.IsZero() || got.minPosition != own {
 		t.Errorf("position %s for the age, %s of the session; want none and %s", got.agePosition, got.minPosition, own)
 	}
--- a/loomfleet/session.go
+++ b/loomfleet/session.go
@@ -18,10 +18,9 @@
 	prepared map[string]currantloom.PreparedStatement
 	// keptSize is the size of the settings and prepared statements with their names, in bytes.
 	keptSize int
-	// lastCommit is the position of the session's newest commit, lastCommitAt is when it was acknowledged.
-	lastCommit   currantloom.LogPosition
-	lastCommitAt time.Duration
-	transaction  *transaction
+	// commits are the newest commits of the session, one for each service that it has written to.
+	commits     []sessionCommit
+	transaction *transaction
 	// request is the session's unanswered statement.
 	request        *request
 	lastActivityAt time.Duration
