--- a/loomfleet/candidate_test.go
+++ b/loomfleet/candidate_test.go
@@ -7,6 +7,21 @@
 	"currantloom.example/currantloom"
 )
 
+// pausedFailover starts a failover whose replicas are paused, and which needs nothing but a record of the change.
+func (f *fixture) pausedFailover(g *group) *failover {
+	f.Helper()
+	f.state.startFailover(g, "primary is quiet", false)
+	fo := f.state.coordinator.failovers[testService]
+	fo.commits = newCommitBlock(1, nil)
+	f.state.enterStep(fo, stepPause)
+	for _, name := range []currantloom.UpstreamName{"b", "c"} {
+		fo.proof.record(g.find(name).Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
+	}
+	f.now += minAckedWait + TickInterval
+	f.state.now = f.now
+	return fo
+}
+
 // TestFailoverWaitsForAckedPosition guards against the promotion of a replica that lacks an acknowledged commit. It
 // comes about when the upstream that had received the commit has lost its log, and the VM that saw the acknowledgement
 // answers its ping late.
@@ -26,16 +41,8 @@
 			f.now += deletionGrace + TickInterval
 			f.state.now = f.now
 		}
-		f.state.startFailover(g, "primary is quiet", false)
+		fo := f.pausedFailover(g)
 		f.recordChange()
-		fo := f.state.coordinator.failovers[testService]
-		fo.commits = newCommitBlock(1, nil)
-		f.state.enterStep(fo, stepPause)
-		for _, name := range []currantloom.UpstreamName{"b", "c"} {
-			fo.proof.record(g.find(name).Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
-		}
-		f.now += minAckedWait + 20*time.Millisecond
-		f.state.now = f.now
 		f.state.tickPause(fo)
 		return f, fo
 	}
--- a/loomfleet/changerecord_test.go
+++ b/loomfleet/changerecord_test.go
@@ -55,24 +55,14 @@
 // TestUnrecordedRequest guards against a request for promotion that leaves without a record of the change, and against
 // one that waits for the record although the store is down for all.
 func TestUnrecordedRequest(t *testing.T) {
-	pausedFailover := func(t *testing.T) (*fixture, *failover) {
+	newPausedFailover := func(t *testing.T) (*fixture, *failover) {
 		f := newFixture(t)
 		f.configure(currantloom.ReadLatest)
 		f.state.coordinator.leaseKey.position = testStorePosition(11)
-		g := f.state.groupOf(testService)
-		f.state.startFailover(g, "primary is quiet", false)
-		fo := f.state.coordinator.failovers[testService]
-		fo.commits = newCommitBlock(1, nil)
-		f.state.enterStep(fo, stepPause)
-		for _, name := range []currantloom.UpstreamName{"b", "c"} {
-			fo.proof.record(g.find(name).Upstream, halt{log: replicaLog{term: 1, received: currantloom.NewLogPosition(1, 7)}})
-		}
-		f.now += minAckedWait + TickInterval
-		f.state.now = f.now
-		return f, fo
+		return f, f.pausedFailover(f.state.groupOf(testService))
 	}
 	t.Run("the store answers", func(t *testing.T) {
-		f, fo := pausedFailover(t)
+		f, fo := newPausedFailover(t)
 		f.state.effects = nil
 		f.state.tickPause(fo)
 		f.effects = append([]Effect(nil), f.state.effects...)
@@ -92,7 +82,7 @@
 		}
 	})
 	t.Run("the store is down for all", func(t *testing.T) {
-		f, fo := pausedFailover(t)
+		f, fo := newPausedFailover(t)
 		f.reduce(StoreWatchSucceeded{Stamp: f.stamp()})
 		f.reduce(StoreWatchFailed{Stamp: f.stamp()})
 		f.state.tickPause(fo)
--- a/loomfleet/coordinator.go
+++ b/loomfleet/coordinator.go
@@ -218,34 +218,6 @@
 	return c.leaseKey.isHeld(s.now) || s.isStoreDownForAll()
 }
 
-// isStoreDownForAll reports whether the store is unavailable to this node and to all VMs that answer, and most VMs
-// answer. A node that is cut off from the others cannot tell an outage of the store from its own.
-func (s *State) isStoreDownForAll() bool {
-	if !s.catalog.storeUnavailable {
-		return false
-	}
-	for _, m := range s.members.sorted {
-		if m.alive && m.storeReachable {
-			return false
-		}
-	}
-	answering, silent := s.countAnswering()
-	return silent == 0 || answering > silent
-}
-
-// countAnswering counts the other VMs that answer, and those that do not although they have not left.
-func (s *State) countAnswering() (answering, silent int) {
-	for _, m := range s.members.sorted {
-		switch {
-		case m.alive:
-			answering++
-		case m.suspected && !s.hasLeft(m):
-			silent++
-		}
-	}
-	return answering, silent
-}
-
 // changes returns the services whose primary a request of this holder or of an earlier one may change, sorted.
 func (c *coordinator) changes(s *State) []currantloom.ServiceName {
 	services := c.record.inheritedServices()
--- a/loomfleet/inheritedpause.go
+++ b/loomfleet/inheritedpause.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -19,6 +20,8 @@
 	pauseQuestionTime = 300 * time.Millisecond
 	// pauseQuestionInterval is the time between two questions to a replica that does not answer.
 	pauseQuestionInterval = 300 * time.Millisecond
+	// maxPauseQuestions bounds the questions that are sent in a tick.
+	maxPauseQuestions = 64
 )
 
 // pauseQuestions are the questions to the replicas of all services whether they are paused. The zero value is ready to
@@ -51,12 +54,6 @@
 	return true
 }
 
-// mayHaveForgottenChanges reports whether a request that this process has never heard of may still take effect.
-func (s *State) mayHaveForgottenChanges() bool {
-	at := s.catalog.storeFirstReachedAt
-	return at > 0 && s.now-at < lateRequestTime
-}
-
 func (q *pauseQuestions) recordPaused(name currantloom.ServiceName) {
 	if q.paused == nil {
 		q.paused = make(map[currantloom.ServiceName]bool)
@@ -64,14 +61,22 @@
 	q.paused[name] = true
 }
 
+// mayHaveForgottenChanges reports whether a request that this process has never heard of may still take effect.
+func (s *State) mayHaveForgottenChanges() bool {
+	at := s.catalog.storeFirstReachedAt
+	return at > 0 && s.now-at < lateRequestTime
+}
+
 // mayAct reports whether this node acts as the holder of the failover lease, or is the first to claim it because the
 // last holder does not answer.
 func (c *coordinator) mayAct(s *State) bool {
 	if c.acting {
 		return true
 	}
-	holder, ok := s.members.byName[c.holder.name]
-	return !(ok && holder.alive) && s.catalog.hasSnapshot && c.campaignRank(s) == 0
+	if holder, ok := s.members.byName[c.holder.name]; ok && holder.alive {
+		return false
+	}
+	return s.catalog.hasSnapshot && c.campaignRank(s) == 0
 }
 
 // tickPauseQuestions asks the replicas whether they are paused while this node may act as the holder of the failover
@@ -81,18 +86,23 @@
 	if s.shutdown.requested || !s.mayHaveForgottenChanges() || !c.mayAct(s) {
 		return
 	}
+	sent := 0
 	for _, g := range s.catalog.sortedGroups {
 		for _, u := range g.upstreams {
 			switch {
 			case c.failovers[g.name] != nil:
 				c.pauseQuestions.recordAnswer(u.Name)
-			case u.Name != g.primary && u.deletedAt == 0 && c.pauseQuestions.ask(u.Name, s.now):
+			case sent < maxPauseQuestions && g.hasReplica(u) && c.pauseQuestions.ask(u.Name, s.now):
 				s.askForPause(g, u)
+				sent++
 			}
 		}
 	}
 }
 
+// hasReplica reports whether the upstream is registered and not the primary.
+func (g *group) hasReplica(u *upstream) bool { return u.Name != g.primary && u.deletedAt == 0 }
+
 func (s *State) askForPause(g *group, u *upstream) {
 	c := &s.coordinator
 	vm, ok := s.ownerOf(u)
@@ -133,16 +143,15 @@
 	delete(c.pauseQuestions.paused, name)
 }
 
+// delaysCommits reports whether commits wait for the answers of replicas.
+func (s *State) delaysCommits() bool {
+	c := &s.coordinator
+	return c.acting && s.now-c.actingSince < pauseQuestionTime && s.mayHaveForgottenChanges()
+}
+
 // awaitsPauseAnswers reports whether commits of the service wait until its replicas have said whether they are paused.
 func (s *State) awaitsPauseAnswers(g *group) bool {
-	c := &s.coordinator
-	if !c.acting || s.now-c.actingSince >= pauseQuestionTime || !s.mayHaveForgottenChanges() {
-		return false
-	}
-	for _, u := range g.upstreams {
-		if u.Name != g.primary && u.deletedAt == 0 && !c.pauseQuestions.answered[u.Name] {
-			return true
-		}
-	}
-	return false
+	return s.delaysCommits() && slices.ContainsFunc(g.upstreams, func(u *upstream) bool {
+		return g.hasReplica(u) && !s.coordinator.pauseQuestions.answered[u.Name]
+	})
 }
--- a/loomfleet/leasegrant.go
+++ b/loomfleet/leasegrant.go
@@ -61,7 +61,7 @@
 	candidates := c.record.inheritedServices()
 	candidates = slices.AppendSeq(candidates, maps.Keys(c.failovers))
 	candidates = slices.AppendSeq(candidates, maps.Keys(c.promotions))
-	if s.mayHaveForgottenChanges() {
+	if s.delaysCommits() {
 		candidates = slices.AppendSeq(candidates, maps.Keys(s.catalog.groups))
 	}
 	slices.Sort(candidates)
--- a/loomfleet/leaserenewal.go
+++ b/loomfleet/leaserenewal.go
@@ -136,37 +136,6 @@
 	s.log(Decision{Event: "lease", Count: answering, Age: s.now - s.grant.askedAt, Outcome: outcome})
 }
 
-// isOutnumbered reports whether the VMs that do not answer may take this holder of the failover lease for lost, and give
-// themselves commit leases because the store does not answer them either: most of the VMs that they know are among
-// them. VMs that registered after they fell silent are not known to them.
-func (s *State) isOutnumbered() bool {
-	silent, silentSince := 0, s.now
-	for _, m := range s.members.sorted {
-		if m.suspected && !s.hasLeft(m) {
-			silent++
-			silentSince = min(silentSince, max(m.heardAt, m.firstSeenAt))
-		}
-	}
-	known := 0
-	if s.catalog.storeFirstReachedAt <= silentSince {
-		known++
-	}
-	for _, m := range s.members.sorted {
-		if m.alive && m.firstSeenAt <= silentSince {
-			known++
-		}
-	}
-	return silent > known+1
-}
-
-// isLeaderless reports whether no node can act as the holder of the failover lease: the store is unavailable to this
-// node and to all that answer, most nodes answer, and none of them has heard of a holder lately.
-func (s *State) isLeaderless() bool {
-	heardHolder := s.grant.askedAt > 0 && s.now-s.grant.askedAt < failoverLeaseTTL ||
-		slices.ContainsFunc(s.members.sorted, func(m *member) bool { return m.alive && m.holdsCommitLease })
-	return !heardHolder && s.isStoreDownForAll() && s.runningTimeSince(0) > failoverLeaseTTL
-}
-
 // lacksCommitLease reports whether commits that wait at this node are better refused: it does not reach the holder of
 // the failover lease and is cut off from most nodes, or others reach the holder and it has not just changed.
 func (s *State) lacksCommitLease() bool {
@@ -181,9 +150,3 @@
 		return m.alive && m.holdsCommitLease
 	})
 }
-
-// isInMinority reports whether most of the other nodes do not answer.
-func (s *State) isInMinority() bool {
-	answering, silent := s.countAnswering()
-	return silent > answering+1
-}
