Replicas are asked for their pauses until a failover has paused them

The pause of the earlier holder was not seen, and its request was carried out later.

Change: what counts as known is what a failover has paused, not that one runs.

--- a/loomfleet/inheritedpause.go
+++ b/loomfleet/inheritedpause.go
@@ -90,7 +90,7 @@
 	for _, g := range s.catalog.sortedGroups {
 		for _, u := range g.upstreams {
 			switch {
-			case c.failovers[g.name] != nil:
+			case c.hasTouchedUpstreams(g.name):
 				c.pauseQuestions.recordAnswer(u.Name)
 			case sent < maxPauseQuestions && g.hasReplica(u) && c.pauseQuestions.ask(u.Name, s.now):
 				s.askForPause(g, u)
@@ -100,6 +100,12 @@
 	}
 }
 
+// hasTouchedUpstreams reports whether a failover of this node may have paused replicas of the service.
+func (c *coordinator) hasTouchedUpstreams(name currantloom.ServiceName) bool {
+	f := c.failovers[name]
+	return f != nil && f.hasTouchedUpstreams()
+}
+
 // hasReplica reports whether the upstream is registered and not the primary.
 func (g *group) hasReplica(u *upstream) bool { return u.Name != g.primary && u.deletedAt == 0 }
 
