An upstream that has left counts as a log while commits are unreported

A draining replica beside a primary that was cut off confirmed commits and left; the nodes that had acknowledged them were cut off too, and 2.5 s after it left, the holder on the other side took all replicas as paused.

Cause: the rule on unreported commits left out upstreams that drained, because their logs do not come back. What they have confirmed does count: the primary has it, and nodes that are not heard have acknowledged it.

Change: while commits are unreported, an upstream without a registration counts for 8 s whether it lapsed or left, unless a new upstream of the service has its address, to which its log is transferred.

TestSilentLogCounts had said that an upstream which drained does not count; the trace shows that this is wrong, and it now says the opposite, with the two cases of a new upstream beside it.

Ruled out: a lapse by silence (the entry went 1.65 s after the cut, before three heartbeats).

--- a/loomfleet/promotionproof.go
+++ b/loomfleet/promotionproof.go
@@ -203,8 +203,8 @@
 	// show which of them a candidate has.
 	unreported unreportedCommits
 	samples    []sample
-	// silent are the upstreams whose registrations have lapsed and whose logs may return, longest is the longest log that
-	// any replica was seen to have, minLogs is the number of logs that must be known because others may exist. They count
+	// silent are the upstreams that have lost their registrations lately, longest is the longest log that any replica was
+	// seen to have, minLogs is the number of logs that must be known because others may exist. They count
 	// while commits are unreported.
 	silent  []currantloom.Upstream
 	longest replicaLog
--- a/loomfleet/unreported.go
+++ b/loomfleet/unreported.go
@@ -1,6 +1,7 @@
 package loomfleet
 
 import (
+	"slices"
 	"time"
 
 	"currantloom.example/currantloom"
@@ -13,12 +14,13 @@
 // run out shows that the node acknowledges no more, and a process that has just started knows of no commit at all. The
 // commits are covered again once the log of the primary was seen after that time.
 //
-// Until then, every log that may hold them counts. That of an upstream whose registration lapsed by silence may return,
-// so it counts for silentLogTimeout after the lapse, and not for deletionGrace only.
+// Until then, every log that may hold them counts. That of an upstream without a registration may return, so it counts
+// for silentLogTimeout, and not for deletionGrace only. That of one which has left after a drain does not return, but
+// it may have confirmed commits that only the primary has now, until a node reports them.
 
-// silentLogTimeout is how long after its registration lapsed the log of a silent upstream counts while commits are
-// unreported. With the time until the lapse and that of a promotion it stays below the 12 s within which the service
-// has to recover.
+// silentLogTimeout is how long the log of an upstream counts after its registration was deleted, while commits are
+// unreported. With the time until a registration lapses and that of a promotion it stays below the 12 s within which
+// the service has to recover.
 const silentLogTimeout = 8 * time.Second
 
 // unreportedCommits says until when nodes may have acknowledged commits that this process does not know of. The zero
@@ -51,10 +53,18 @@
 	return unreported
 }
 
-// isSilent reports whether the registration of an upstream lapsed without a drain so lately that its log may return.
-// Time in which the store is unavailable does not count, because upstreams cannot register again.
+// isSilent reports whether the registration of an upstream was deleted so lately that commits which it has confirmed
+// may be unreported, unless a new upstream has its address and with it its log. Time in which the store is unavailable
+// does not count, because upstreams cannot register again.
 func (u *upstream) isSilent(s *State) bool {
-	return u.hasLapsed() && u.missingFor(s) <= silentLogTimeout
+	return u.deletedAt > 0 && u.missingFor(s) <= silentLogTimeout && !u.hasSuccessor()
+}
+
+// hasSuccessor reports whether a registered upstream of the service has taken over the address, and with it the log.
+func (u *upstream) hasSuccessor() bool {
+	return slices.ContainsFunc(u.group.upstreams, func(other *upstream) bool {
+		return other != u && other.Address == u.Address && other.deletedAt == 0
+	})
 }
 
 // missingFor returns how long the registration of an upstream has been missing while the store was available.
--- a/loomfleet/unreported_test.go
+++ b/loomfleet/unreported_test.go
@@ -1,7 +1,6 @@
 package loomfleet
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -148,25 +147,36 @@
 }
 
 // TestSilentLogCounts guards against an upstream without a registration whose log counts for ever, or not at all, while
-// commits are unreported, and against the same for one that has left.
+// commits are unreported. One that drained may have confirmed commits as well; its log counts no more once a new
+// upstream has taken it over with the address.
 func TestSilentLogCounts(t *testing.T) {
 	for _, test := range []struct {
-		after    time.Duration
-		draining bool
-		want     bool
+		name      string
+		after     time.Duration
+		draining  bool
+		successor string
+		want      bool
 	}{
-		{deletionGrace + 1, false, true},
-		{silentLogTimeout, false, true},
-		{silentLogTimeout + 1, false, false},
-		{deletionGrace + 1, true, false},
+		{"lapsed", deletionGrace + 1, false, "", true},
+		{"lapsed for long", silentLogTimeout, false, "", true},
+		{"lapsed for too long", silentLogTimeout + 1, false, "", false},
+		{"left after a drain", deletionGrace + 1, true, "", true},
+		{"left, new upstream at its address", deletionGrace + 1, true, "10.0.1.3:1", false},
+		{"left, new upstream elsewhere", deletionGrace + 1, true, "10.0.1.4:1", true},
 	} {
-		t.Run(fmt.Sprintf("%s, draining %t", test.after, test.draining), func(t *testing.T) {
+		t.Run(test.name, func(t *testing.T) {
 			f := newRemovalFixture(t)
 			u := f.state.catalog.upstreams["c"]
+			u.Address = "10.0.1.3:1"
 			if test.draining {
 				u.drain.begin(f.now, false)
 			}
 			f.deleteReplica()
+			if test.successor != "" {
+				d := testUpstream("d", false)
+				d.Position, d.Upstream.Address = testStorePosition(31), test.successor
+				f.reduce(CatalogChanged{Stamp: f.stamp(), Position: testStorePosition(31), Upstreams: []UpstreamChange{d}})
+			}
 			f.advance(test.after)
 			fo := &failover{group: u.group, oldPrimary: "a", commits: newCommitBlock(1, nil)}
 			if got := len(f.state.promotionCase(fo).silent) > 0; got != test.want {
--- a/loommodel/forgotten_test.go
+++ b/loommodel/forgotten_test.go
@@ -71,8 +71,13 @@
 			sim.Run(time.Duration(random.Int64N(int64(4 * time.Second))))
 			killAllNodes(sim, random)
 			sim.Run(1300 * time.Millisecond)
-			sim.Run(recoveryTime)
-			if got, want := sim.Primary(0), replicas[1-seed%2]; got != want {
+			const step = 50 * time.Millisecond
+			want, waited := replicas[1-seed%2], time.Duration(0)
+			for ; waited < recoveryTime && sim.Primary(0) != want; waited += step {
+				sim.Run(step)
+			}
+			t.Logf("a primary leads %s after all nodes are back", waited)
+			if got := sim.Primary(0); got != want {
 				t.Errorf("%q leads %s after all nodes are back, want %s", got, recoveryTime, want)
 			}
 		})
